--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,5 @@
+//! Administration API: one document per environment, changed by conditional writes.
+
+pub mod api;
+pub mod plan;
+pub mod settings;
--- /dev/null
+++ b/crates/admin/src/main.rs
@@ -0,0 +1,37 @@
+//! `hibiscus-admin`: the administration API.
+
+use std::process::ExitCode;
+
+use admin::api::{self, AdminError};
+use admin::settings::AdminSettings;
+use clap::Parser;
+use telemetry::logging::LoggingSettings;
+use telemetry::program;
+
+const PROGRAM: &str = "hibiscus-admin";
+
+/// Administration API of an environment.
+#[derive(Debug, Parser)]
+#[command(name = PROGRAM, version)]
+struct AdminArguments {
+    #[command(flatten)]
+    admin: AdminSettings,
+    #[command(flatten)]
+    logging: LoggingSettings,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = AdminArguments::parse();
+    if let Err(status) = program::begin(PROGRAM, &arguments.logging) {
+        return status;
+    }
+    program::end(PROGRAM, run(arguments.admin).await)
+}
+
+async fn run(settings: AdminSettings) -> Result<(), AdminError> {
+    tokio::select! {
+        served = api::serve(settings) => served,
+        () = program::stop_signal() => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/admin/src/plan.rs
@@ -0,0 +1,86 @@
+//! Differences between two documents, in the words of an operator.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use state::document::Document;
+
+/// Change of one entry.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EntryChange {
+    /// Section of the entry.
+    pub section: String,
+    /// Name of the entry.
+    pub name: String,
+    /// What happens to the entry.
+    pub change: ChangeKind,
+}
+
+/// What happens to an entry.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ChangeKind {
+    /// The entry is new.
+    Added,
+    /// The entry goes.
+    Removed,
+    /// The entry changes; each line names a field with its old and new value.
+    Changed(Vec<String>),
+}
+
+/// Lists the changes that lead from `before` to `after`.
+pub fn compare(before: &Document, after: &Document) -> Vec<EntryChange> {
+    let mut changes = Vec::new();
+    compare_section(&mut changes, "team", &before.teams, &after.teams, |team| &team.name);
+    let (old, new) = (&before.databases, &after.databases);
+    compare_section(&mut changes, "database", old, new, |database| &database.name);
+    compare_section(&mut changes, "route", &before.routes, &after.routes, |route| &route.name);
+    changes
+}
+
+fn compare_section<T: Serialize + PartialEq>(
+    changes: &mut Vec<EntryChange>,
+    section: &str,
+    before: &[T],
+    after: &[T],
+    name: impl Fn(&T) -> &String,
+) {
+    let old: BTreeMap<&String, &T> = before.iter().map(|entry| (name(entry), entry)).collect();
+    let new: BTreeMap<&String, &T> = after.iter().map(|entry| (name(entry), entry)).collect();
+    let mut push = |name: &str, change| {
+        changes.push(EntryChange { section: section.to_owned(), name: name.to_owned(), change });
+    };
+    for name in old.keys().filter(|name| !new.contains_key(*name)) {
+        push(name, ChangeKind::Removed);
+    }
+    for (name, entry) in &new {
+        match old.get(name) {
+            None => push(name, ChangeKind::Added),
+            Some(previous) if previous != entry => {
+                push(name, ChangeKind::Changed(changed_fields(*previous, *entry)));
+            }
+            Some(_) => {}
+        }
+    }
+}
+
+fn changed_fields<T: Serialize>(before: &T, after: &T) -> Vec<String> {
+    let (old, new) = (fields(before), fields(after));
+    let mut names: Vec<&String> = old.keys().chain(new.keys()).collect();
+    names.sort();
+    names.dedup();
+    let absent = serde_json::Value::Null;
+    names
+        .into_iter()
+        .map(|name| (name, old.get(name).unwrap_or(&absent), new.get(name).unwrap_or(&absent)))
+        .filter(|(_, old, new)| old != new)
+        .map(|(name, old, new)| format!("{name}: {old} -> {new}"))
+        .collect()
+}
+
+fn fields<T: Serialize>(entry: &T) -> serde_json::Map<String, serde_json::Value> {
+    match serde_json::to_value(entry) {
+        Ok(serde_json::Value::Object(fields)) => fields,
+        _ => serde_json::Map::new(),
+    }
+}
--- /dev/null
+++ b/crates/coord/src/failover.rs
@@ -0,0 +1,1 @@
+//! Failover.
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,10 @@
+//! Coordination layer: decisions as deterministic state machines.
+//!
+//! An event and the time go in, decisions or effects come out. Nothing here performs input or
+//! output, reads a clock or starts a thread; random numbers come from a generator passed in.
+
+pub mod failover;
+pub mod freshness;
+pub mod queue;
+pub mod rendezvous;
+pub mod routing;
--- /dev/null
+++ b/crates/coord/src/queue.rs
@@ -0,0 +1,220 @@
+//! Fair queue before a member: deficit round robin over the teams that wait.
+
+use std::collections::{HashMap, VecDeque};
+use std::hash::Hash;
+use std::time::{Duration, Instant};
+
+/// Requests that one team may have waiting.
+pub const TEAM_QUEUE_LIMIT: usize = 1_024;
+/// Weight of the newest sample in the smoothed holding time.
+const HOLD_SMOOTHING: f64 = 0.1;
+
+/// Refusal of a queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QueueRefusal {
+    /// The team has as many requests waiting as it may.
+    Full,
+    /// The request is not expected to start before its deadline.
+    Late {
+        /// Expected time until it would start.
+        expected: Duration,
+    },
+}
+
+/// Request that waits, with the time up to which starting it makes sense.
+#[derive(Clone, Debug)]
+struct WaitingRequest<R> {
+    request: R,
+    deadline: Instant,
+}
+
+/// Waiting requests and time account of one team.
+#[derive(Clone, Debug)]
+struct TeamQueue<R> {
+    waiting: VecDeque<WaitingRequest<R>>,
+    /// Time of service by which the team lags behind its fair share, in seconds.
+    deficit: f64,
+    running: usize,
+}
+
+impl<R> Default for TeamQueue<R> {
+    fn default() -> Self {
+        Self { waiting: VecDeque::new(), deficit: 0.0, running: 0 }
+    }
+}
+
+/// Fair queue for a bounded number of permits.
+///
+/// Teams take turns; a turn is charged with the time for which its permit was held, so a team of
+/// slow statements gets fewer of them. One team alone may hold every permit but one, unless
+/// nobody else used the queue of late.
+#[derive(Clone, Debug)]
+pub struct FairQueue<T, R> {
+    capacity: usize,
+    in_use: usize,
+    teams: HashMap<T, TeamQueue<R>>,
+    turns: VecDeque<T>,
+    hold: f64,
+    last_shared: Option<Instant>,
+}
+
+/// Time for which the last permit stays reserved after two teams used the queue.
+const RESERVE_TIME: Duration = Duration::from_secs(5);
+
+impl<T: Copy + Eq + Hash, R> FairQueue<T, R> {
+    /// Creates a queue for `capacity` permits.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            in_use: 0,
+            teams: HashMap::new(),
+            turns: VecDeque::new(),
+            hold: 0.0,
+            last_shared: None,
+        }
+    }
+
+    /// Changes the number of permits; permits in use above it are not taken away.
+    pub fn resize(&mut self, capacity: usize) {
+        self.capacity = capacity;
+    }
+
+    /// Returns the number of permits.
+    pub fn capacity(&self) -> usize {
+        self.capacity
+    }
+
+    /// Returns the permits in use.
+    pub fn in_use(&self) -> usize {
+        self.in_use
+    }
+
+    /// Returns the requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.teams.values().map(|team| team.waiting.len()).sum()
+    }
+
+    /// Takes a permit for `team` at once if one is free for it.
+    pub fn try_take(&mut self, team: T, now: Instant) -> bool {
+        self.note_sharing(team, now);
+        let waits = self.teams.get(&team).is_some_and(|queue| !queue.waiting.is_empty());
+        if waits || !self.may_run(team, now) || !self.turns.is_empty() {
+            return false;
+        }
+        self.start(team);
+        true
+    }
+
+    /// Lets a request wait for a permit.
+    pub fn push(
+        &mut self,
+        team: T,
+        request: R,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<(), QueueRefusal> {
+        let expected = self.expected_wait(team);
+        if now + expected > deadline {
+            return Err(QueueRefusal::Late { expected });
+        }
+        let queue = self.teams.entry(team).or_default();
+        if queue.waiting.len() >= TEAM_QUEUE_LIMIT {
+            return Err(QueueRefusal::Full);
+        }
+        if queue.waiting.is_empty() {
+            self.turns.push_back(team);
+        }
+        queue.waiting.push_back(WaitingRequest { request, deadline });
+        Ok(())
+    }
+
+    /// Returns a permit after it was held for `held`.
+    pub fn release(&mut self, team: T, held: Duration) {
+        self.in_use = self.in_use.saturating_sub(1);
+        let held = held.as_secs_f64();
+        self.hold += (held - self.hold) * HOLD_SMOOTHING;
+        let Some(queue) = self.teams.get_mut(&team) else {
+            return;
+        };
+        queue.running = queue.running.saturating_sub(1);
+        queue.deficit -= held;
+        if queue.waiting.is_empty() && queue.running == 0 {
+            self.teams.remove(&team);
+        }
+    }
+
+    /// Takes the next request that may run; requests past their deadline go to `expired`.
+    pub fn pop(&mut self, now: Instant, expired: &mut Vec<R>) -> Option<(T, R)> {
+        self.drop_expired(now, expired);
+        let team = self.next_team(now)?;
+        let queue = self.teams.get_mut(&team)?;
+        let next = queue.waiting.pop_front()?;
+        if queue.waiting.is_empty() {
+            self.turns.retain(|waiting| *waiting != team);
+        }
+        self.start(team);
+        Some((team, next.request))
+    }
+
+    /// Returns the time after which a request of `team` that comes now is expected to start.
+    pub fn expected_wait(&self, team: T) -> Duration {
+        let ahead = self.teams.get(&team).map_or(0, |queue| queue.waiting.len());
+        let rivals = self.turns.iter().filter(|waiting| **waiting != team).count();
+        let turns = ahead * (rivals + 1) + rivals;
+        let share = turns as f64 / self.capacity.max(1) as f64;
+        Duration::from_secs_f64((share * self.hold).clamp(0.0, 3_600.0))
+    }
+
+    fn drop_expired(&mut self, now: Instant, expired: &mut Vec<R>) {
+        for queue in self.teams.values_mut() {
+            while queue.waiting.front().is_some_and(|waiting| waiting.deadline <= now) {
+                expired.extend(queue.waiting.pop_front().map(|waiting| waiting.request));
+            }
+        }
+        let teams = &mut self.teams;
+        self.turns.retain(|team| teams.get(team).is_some_and(|queue| !queue.waiting.is_empty()));
+        teams.retain(|_, queue| queue.running > 0 || !queue.waiting.is_empty());
+    }
+
+    /// Picks the waiting team with the largest account; the order of arrival breaks ties.
+    fn next_team(&mut self, now: Instant) -> Option<T> {
+        let allowed: Vec<T> =
+            self.turns.iter().copied().filter(|team| self.may_run(*team, now)).collect();
+        let account = |team: &T| self.teams[team].deficit;
+        let best = allowed
+            .iter()
+            .copied()
+            .reduce(|best, team| if account(&team) > account(&best) { team } else { best })?;
+        self.level_accounts(account(&best));
+        self.turns.retain(|team| *team != best);
+        self.turns.push_back(best);
+        Some(best)
+    }
+
+    /// Moves every account so that the team served next stands at zero.
+    fn level_accounts(&mut self, account: f64) {
+        for queue in self.teams.values_mut() {
+            queue.deficit -= account;
+        }
+    }
+
+    fn may_run(&self, team: T, now: Instant) -> bool {
+        if self.in_use >= self.capacity {
+            return false;
+        }
+        let shared = self.last_shared.is_some_and(|at| now.duration_since(at) < RESERVE_TIME);
+        let running = self.teams.get(&team).map_or(0, |queue| queue.running);
+        !shared || self.capacity < 2 || running < self.capacity - 1
+    }
+
+    fn note_sharing(&mut self, team: T, now: Instant) {
+        if self.teams.keys().any(|other| *other != team) {
+            self.last_shared = Some(now);
+        }
+    }
+
+    fn start(&mut self, team: T) {
+        self.in_use += 1;
+        self.teams.entry(team).or_default().running += 1;
+    }
+}
--- /dev/null
+++ b/crates/coord/src/routing.rs
@@ -0,0 +1,82 @@
+//! Choice of the member that runs a request.
+
+use std::time::{Duration, Instant};
+
+use state::position::{LogPosition, MemberPosition, MemberRole};
+
+/// What one instance knows of a member.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberView {
+    /// Last position that the member reported.
+    pub position: MemberPosition,
+    /// Tells that the member answers this instance.
+    pub reachable: bool,
+    /// Local time up to which the member is known to be complete.
+    pub complete_at: Option<Instant>,
+    /// Statements of this instance that the member runs or that wait for it.
+    pub load: u32,
+    /// Tells that the member stands in the instance's availability zone.
+    pub near: bool,
+}
+
+/// What a request needs of the member that serves it.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadNeeds {
+    /// Greatest accepted age of the data; none means the primary's data.
+    pub stated_age: Option<Duration>,
+    /// Position that the session has seen; none means that the session stands behind a barrier.
+    pub seen: Option<LogPosition>,
+    /// Local time at which the session began.
+    pub began_at: Instant,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteTarget {
+    /// To the primary, the member with this index.
+    Primary(usize),
+    /// To the replica with this index.
+    Replica(usize),
+    /// Nowhere until a primary is known.
+    Wait,
+}
+
+/// Picks the member for a read.
+pub fn route_read(members: &[MemberView], needs: &ReadNeeds, now: Instant) -> RouteTarget {
+    let candidate = |view: &MemberView| {
+        view.reachable && view.position.role != MemberRole::Primary && serves(view, needs, now)
+    };
+    let replica = members
+        .iter()
+        .enumerate()
+        .filter(|(_, view)| candidate(view))
+        .min_by_key(|(index, view)| (view.load, !view.near, *index));
+    match replica {
+        Some((index, _)) => RouteTarget::Replica(index),
+        None => route_write(members),
+    }
+}
+
+/// Picks the member for a write: the reachable primary of the highest term.
+pub fn route_write(members: &[MemberView]) -> RouteTarget {
+    let highest = members.iter().map(|view| view.position.term).max().unwrap_or_default();
+    let primary = members.iter().position(|view| {
+        let position = &view.position;
+        view.reachable && position.role == MemberRole::Primary && position.term == highest
+    });
+    primary.map_or(RouteTarget::Wait, RouteTarget::Primary)
+}
+
+/// Tells whether a replica may serve a read.
+fn serves(view: &MemberView, needs: &ReadNeeds, now: Instant) -> bool {
+    let (Some(limit), Some(complete_at)) = (needs.stated_age, view.complete_at) else {
+        return false;
+    };
+    if now.saturating_duration_since(complete_at) > limit {
+        return false;
+    }
+    match needs.seen {
+        Some(seen) => view.position.covers(seen),
+        None => complete_at >= needs.began_at,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/environment.rs
@@ -0,0 +1,316 @@
+//! Starts and stops a whole environment.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use admin::api::{self, AdminError};
+use admin::settings::{AdminSettings, OperatorCredential};
+use net::clock::SystemClock;
+use net::platform::{PlatformClient, PlatformError};
+use net::store::{DocumentStore, StoreError};
+use proxy::instance::{self, InstanceError, RunningInstance};
+use proxy::settings::{MemberAddress, ProxySettings};
+use snafu::{ResultExt as _, Snafu};
+use standin::control::{self, StandinHub};
+use standin::group::{DatabaseGroup, GroupError, GroupSettings, MemberSettings};
+use state::credential::{KeyHash, generate_key};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use wire::platform::{InstanceRecord, InstanceState};
+
+use crate::profile::DeploymentProfile;
+
+/// Time that an environment has to come up.
+const START_LIMIT: Duration = Duration::from_secs(10);
+/// Name of the environment.
+pub const ENVIRONMENT: &str = "lab";
+/// Name of the operator.
+pub const OPERATOR: &str = "lab";
+
+/// Errors of starting an environment.
+#[derive(Debug, Snafu)]
+pub enum LabError {
+    /// A listener could not be opened.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address that was tried.
+        address: SocketAddr,
+        /// Cause reported by the system.
+        source: std::io::Error,
+    },
+    /// A database group did not start.
+    #[snafu(display("{source}"), context(false))]
+    Group {
+        /// Cause.
+        source: GroupError,
+    },
+    /// An instance did not start.
+    #[snafu(display("{source}"), context(false))]
+    Instance {
+        /// Cause.
+        source: InstanceError,
+    },
+    /// The administration API did not start.
+    #[snafu(display("{source}"), context(false))]
+    Admin {
+        /// Cause.
+        source: AdminError,
+    },
+    /// The platform's client could not be created.
+    #[snafu(display("{source}"), context(false))]
+    Platform {
+        /// Cause.
+        source: PlatformError,
+    },
+    /// The first document could not be stored.
+    #[snafu(display("{source}"), context(false))]
+    Store {
+        /// Cause.
+        source: StoreError,
+    },
+    /// The document cannot be written as TOML.
+    #[snafu(display("{source}"), context(false))]
+    Document {
+        /// Cause.
+        source: toml::ser::Error,
+    },
+    /// The environment did not come up in time.
+    #[snafu(display("the environment did not come up within {} s", START_LIMIT.as_secs()))]
+    Slow,
+}
+
+/// Choices for an environment.
+#[derive(Clone, Debug)]
+pub struct LabOptions {
+    /// Sizes of the deployment.
+    pub profile: DeploymentProfile,
+    /// Number of proxy instances.
+    pub instances: usize,
+    /// Port of the first instance; zero takes free ports.
+    pub first_port: u16,
+    /// Port of the administration API; zero takes a free one.
+    pub admin_port: u16,
+    /// Port of the stand-ins' interface; zero takes a free one.
+    pub control_port: u16,
+    /// Tells whether delays and connect times of the profile are emulated.
+    pub delays: bool,
+    /// Time that a statement takes besides the engine's own.
+    pub statement_time: Duration,
+}
+
+impl LabOptions {
+    /// Returns the usual choices for a deployment, on free ports.
+    pub fn of(profile: DeploymentProfile) -> Self {
+        Self {
+            profile,
+            instances: 3,
+            first_port: 0,
+            admin_port: 0,
+            control_port: 0,
+            delays: true,
+            statement_time: Duration::ZERO,
+        }
+    }
+}
+
+/// Running environment; everything ends when it is dropped.
+pub struct LabEnvironment {
+    /// Choices it was started with.
+    pub options: LabOptions,
+    /// Stand-ins.
+    pub hub: Arc<StandinHub>,
+    /// Proxy instances.
+    pub instances: Vec<RunningInstance>,
+    /// Address of the administration API.
+    pub admin: SocketAddr,
+    /// Address of the stand-ins' interface.
+    pub control: SocketAddr,
+    /// Keys of the teams, in the order of the profile.
+    pub keys: Vec<String>,
+    /// Token of the operator.
+    pub operator_token: String,
+    _tasks: JoinSet<()>,
+}
+
+impl LabEnvironment {
+    /// Starts an environment and waits until every instance serves.
+    pub async fn start(options: LabOptions) -> Result<Self, LabError> {
+        let hub = Arc::new(StandinHub::default());
+        let mut tasks = JoinSet::new();
+        let members = start_groups(&hub, &options).await?;
+        let (listener, control) = listen(options.control_port).await?;
+        let served = hub.clone();
+        tasks.spawn(async move { drop(control::serve(listener, served).await) });
+        let platform = format!("http://{control}");
+        let keys: Vec<String> = options.profile.teams.iter().map(|_| generate_key()).collect();
+        store_document(&platform, &options.profile, &keys).await?;
+        let operator_token = generate_key();
+        let admin = start_admin(&mut tasks, &options, &platform, &operator_token).await?;
+        let mut environment = Self {
+            options,
+            hub,
+            instances: Vec::new(),
+            admin,
+            control,
+            keys,
+            operator_token,
+            _tasks: tasks,
+        };
+        for number in 0..environment.options.instances {
+            let settings = environment.instance_settings(number, &platform, &members);
+            environment.start_instance(settings).await?;
+        }
+        environment.wait_until_ready().await?;
+        Ok(environment)
+    }
+
+    async fn start_instance(&mut self, settings: ProxySettings) -> Result<(), LabError> {
+        let record = InstanceRecord {
+            name: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            peer: settings.peer_listen,
+            state: InstanceState::Live,
+        };
+        self.hub.platform.put_instance(record);
+        self.instances.push(instance::start(settings, Arc::new(SystemClock)).await?);
+        Ok(())
+    }
+
+    fn instance_settings(
+        &self,
+        number: usize,
+        platform: &str,
+        members: &[MemberAddress],
+    ) -> ProxySettings {
+        let options = &self.options;
+        let port = match options.first_port {
+            0 => 0,
+            first => first + number as u16,
+        };
+        ProxySettings {
+            instance: format!("entry-{}", number + 1),
+            zone: options.profile.zones[number % options.profile.zones.len()].to_owned(),
+            environment: ENVIRONMENT.to_owned(),
+            listen: local(port),
+            peer_listen: local(0),
+            platform: platform.to_owned(),
+            members: members.to_vec(),
+            database_user: "hibiscus".to_owned(),
+            database_password: String::new(),
+            token_secret: "lab-token-secret".to_owned(),
+            expected_instances: options.instances,
+            max_callers: 20_000,
+            max_message_bytes: 16 * 1024 * 1024,
+            startup_timeout: Duration::from_secs(5),
+            connect_timeout: Duration::from_secs(1),
+            drain_deadline: Duration::from_secs(10),
+            drain_notice: Duration::from_millis(200),
+        }
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), LabError> {
+        let end = Instant::now() + START_LIMIT;
+        loop {
+            let ready = self.instances.iter().all(|running| {
+                let databases = running.instance.databases();
+                running.instance.revision() > 0
+                    && databases.iter().all(|database| database.primary().is_some())
+            });
+            if ready {
+                return Ok(());
+            }
+            if Instant::now() > end {
+                return SlowSnafu.fail();
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Returns the database group with this name.
+    pub fn group(&self, name: &str) -> Option<Arc<DatabaseGroup>> {
+        self.hub.groups.read().get(name).cloned()
+    }
+}
+
+fn local(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+async fn listen(port: u16) -> Result<(TcpListener, SocketAddr), LabError> {
+    let address = local(port);
+    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let address = listener.local_addr().context(ListenSnafu { address })?;
+    Ok((listener, address))
+}
+
+async fn start_groups(
+    hub: &StandinHub,
+    options: &LabOptions,
+) -> Result<Vec<MemberAddress>, LabError> {
+    let profile = &options.profile;
+    let mut members = Vec::new();
+    for (number, database) in profile.databases.iter().enumerate() {
+        // Each database starts with its primary in another availability zone.
+        let zones = (0..3).map(|step| profile.zones[(number + step) % 3]);
+        let settings = GroupSettings {
+            name: (*database).to_owned(),
+            members: zones
+                .map(|zone| MemberSettings {
+                    name: zone.to_owned(),
+                    zone: zone.to_owned(),
+                    listen: local(0),
+                })
+                .collect(),
+            slots: profile.slots as usize,
+            connections: profile.connections,
+            connect_ms: if options.delays { profile.connect_time.as_millis() as u64 } else { 0 },
+            zone_delay_us: if options.delays { profile.zone_delay.as_micros() as u64 } else { 0 },
+            statement_us: options.statement_time.as_micros() as u64,
+        };
+        let group = DatabaseGroup::start(settings).await?;
+        for (member, address) in group.members.iter().zip(&group.addresses) {
+            members.push(MemberAddress {
+                database: (*database).to_owned(),
+                member: member.name.clone(),
+                zone: member.zone.clone(),
+                address: *address,
+            });
+        }
+        hub.groups.write().insert((*database).to_owned(), Arc::new(group));
+    }
+    Ok(members)
+}
+
+async fn store_document(
+    platform: &str,
+    profile: &DeploymentProfile,
+    keys: &[String],
+) -> Result<(), LabError> {
+    let client = PlatformClient::new(platform, START_LIMIT)?;
+    let text = toml::to_string(&profile.document(keys))?;
+    let store = DocumentStore::new(&client, ENVIRONMENT);
+    store.replace(0, &text, "first", OPERATOR).await?;
+    Ok(())
+}
+
+async fn start_admin(
+    tasks: &mut JoinSet<()>,
+    options: &LabOptions,
+    platform: &str,
+    operator_token: &str,
+) -> Result<SocketAddr, LabError> {
+    let (listener, address) = listen(options.admin_port).await?;
+    let operator =
+        OperatorCredential { name: OPERATOR.to_owned(), hash: KeyHash::generate(operator_token) };
+    let settings = AdminSettings {
+        listen: address,
+        environment: ENVIRONMENT.to_owned(),
+        promote_from: None,
+        platform: platform.to_owned(),
+        operators: vec![operator],
+    };
+    tasks.spawn(async move { drop(api::serve_on(listener, settings).await) });
+    Ok(address)
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,83 @@
+//! `hibiscus-lab`: a whole environment in one process, for the first try.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use lab::environment::{LabEnvironment, LabError, LabOptions};
+use lab::profile::{DeploymentProfile, ProfileName};
+use telemetry::logging::LoggingSettings;
+use telemetry::program;
+
+const PROGRAM: &str = "hibiscus-lab";
+
+/// Stand-ins, proxies and the administration API in one process.
+#[derive(Debug, Parser)]
+#[command(name = PROGRAM, version)]
+struct LabArguments {
+    /// Deployment whose sizes are used.
+    #[arg(long, env = "HIBISCUS_LAB_PROFILE", default_value = "volksdans")]
+    profile: ProfileName,
+    /// Number of proxy instances.
+    #[arg(long, env = "HIBISCUS_LAB_INSTANCES", default_value_t = 3)]
+    instances: usize,
+    /// Port of the first proxy instance; the others follow.
+    #[arg(long, env = "HIBISCUS_LAB_PORT", default_value_t = 6432)]
+    port: u16,
+    /// Port of the administration API.
+    #[arg(long, env = "HIBISCUS_LAB_ADMIN_PORT", default_value_t = 6400)]
+    admin_port: u16,
+    /// Port of the stand-ins' interface, where faults are switched.
+    #[arg(long, env = "HIBISCUS_LAB_CONTROL_PORT", default_value_t = 7000)]
+    control_port: u16,
+    #[command(flatten)]
+    logging: LoggingSettings,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = LabArguments::parse();
+    if let Err(status) = program::begin(PROGRAM, &arguments.logging) {
+        return status;
+    }
+    program::end(PROGRAM, run(arguments).await)
+}
+
+async fn run(arguments: LabArguments) -> Result<(), LabError> {
+    let options = LabOptions {
+        instances: arguments.instances.max(1),
+        first_port: arguments.port,
+        admin_port: arguments.admin_port,
+        control_port: arguments.control_port,
+        ..LabOptions::of(DeploymentProfile::of(arguments.profile))
+    };
+    let environment = LabEnvironment::start(options).await?;
+    describe(&environment);
+    program::stop_signal().await;
+    Ok(())
+}
+
+fn describe(environment: &LabEnvironment) {
+    let profile = &environment.options.profile;
+    println!("environment {} is up", profile.name.label());
+    println!();
+    println!("teams and keys:");
+    for (team, key) in profile.teams.iter().zip(&environment.keys) {
+        println!("  {:<14} {key}", team.name);
+    }
+    println!();
+    println!("proxies:");
+    let (team, key) = (profile.teams[0].name, &environment.keys[0]);
+    for running in &environment.instances {
+        let (instance, address) = (&running.instance.settings, running.address);
+        let database = profile.databases[0];
+        println!(
+            "  {} in {:<8} postgres://{team}:{key}@{address}/{database}",
+            instance.instance, instance.zone
+        );
+    }
+    println!();
+    println!("databases: {}", profile.databases.join(", "));
+    println!("administration: http://{}", environment.admin);
+    println!("operator token: {}", environment.operator_token);
+    println!("stand-ins and faults: http://{}", environment.control);
+}
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,8 @@
+//! Transport layer: clock, sockets to members, connection pools and the platform's services.
+
+pub mod clock;
+pub mod member;
+pub mod platform;
+pub mod pool;
+pub mod socket;
+pub mod store;
--- /dev/null
+++ b/crates/net/src/member.rs
@@ -0,0 +1,313 @@
+//! Connection to a member of a database group.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use pgwire::messages::startup::{Authentication, Password, SecretKey, Startup};
+use pgwire::messages::{DecodeContext, Message as _, PgWireBackendMessage};
+use snafu::{OptionExt as _, ResultExt as _, Snafu};
+use state::position::{MemberPosition, MemberStatus};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use wire::frame::{FrameHeader, RawFrame};
+use wire::frontend;
+use wire::group::{GroupCommand, NOT_PRIMARY, POSITION_PARAMETER};
+use wire::reply::{self, BlockState};
+
+use crate::socket::{FramedSocket, SocketError};
+
+/// Largest frame accepted from a member, in bytes.
+const MEMBER_FRAME_LIMIT: usize = 1 << 30;
+/// Prefix of the application name by which a member learns the caller's availability zone.
+const APPLICATION_PREFIX: &str = "hibiscus/";
+
+/// Errors of a connection to a member.
+#[derive(Debug, Snafu)]
+pub enum MemberError {
+    /// The member did not accept the connection.
+    #[snafu(display("cannot connect to {address}: {source}"))]
+    Connect {
+        /// Address that was tried.
+        address: SocketAddr,
+        /// Cause reported by the system.
+        source: std::io::Error,
+    },
+    /// The member did not answer in time.
+    #[snafu(display("no answer within {} ms", limit.as_millis()))]
+    Silent {
+        /// Time that was waited.
+        limit: Duration,
+    },
+    /// The connection failed.
+    #[snafu(display("{source}"), context(false))]
+    Socket {
+        /// Cause reported by the socket.
+        source: SocketError,
+    },
+    /// The member answered with an error.
+    #[snafu(display("the member refused: {sqlstate} {message}"))]
+    Refused {
+        /// SQLSTATE of the error.
+        sqlstate: String,
+        /// Message of the error.
+        message: String,
+    },
+    /// The member sent something unexpected.
+    #[snafu(display("the member broke the protocol: {what}"))]
+    Protocol {
+        /// What was expected.
+        what: &'static str,
+    },
+}
+
+impl MemberError {
+    /// Tells whether the member refused because it is not the primary.
+    pub fn is_not_primary(&self) -> bool {
+        matches!(self, Self::Refused { sqlstate, .. } if sqlstate == NOT_PRIMARY)
+    }
+}
+
+/// Where and as whom to connect.
+#[derive(Clone, Debug)]
+pub struct MemberTarget {
+    /// Address of the member.
+    pub address: SocketAddr,
+    /// Name of the database.
+    pub database: String,
+    /// User name.
+    pub user: String,
+    /// Password, if the member asks for one.
+    pub password: String,
+    /// Availability zone of this instance.
+    pub zone: String,
+    /// Time that opening a connection may take.
+    pub connect_timeout: Duration,
+}
+
+/// Open connection with what the proxy knows of its state.
+#[derive(Debug)]
+pub struct MemberConnection {
+    socket: FramedSocket,
+    address: SocketAddr,
+    process: i32,
+    secret: Option<SecretKey>,
+    position: Option<MemberPosition>,
+    state: BlockState,
+    proved_at: Instant,
+    /// Identifiers of the statements prepared on this connection.
+    pub prepared: HashSet<u64>,
+    /// Fingerprint of the session parameters set on this connection.
+    pub parameters: u64,
+}
+
+impl MemberConnection {
+    /// Opens a connection and waits until the member is ready.
+    pub async fn open(target: &MemberTarget) -> Result<Self, MemberError> {
+        let limit = target.connect_timeout;
+        let open = timeout(limit, Self::open_untimed(target)).await;
+        open.ok().context(SilentSnafu { limit })?
+    }
+
+    async fn open_untimed(target: &MemberTarget) -> Result<Self, MemberError> {
+        let address = target.address;
+        let stream = TcpStream::connect(address).await.context(ConnectSnafu { address })?;
+        let mut connection = Self {
+            socket: FramedSocket::new(stream, MEMBER_FRAME_LIMIT),
+            address,
+            process: 0,
+            secret: None,
+            position: None,
+            state: BlockState::Idle,
+            proved_at: Instant::now(),
+            prepared: HashSet::new(),
+            parameters: 0,
+        };
+        connection.start(target).await?;
+        Ok(connection)
+    }
+
+    async fn start(&mut self, target: &MemberTarget) -> Result<(), MemberError> {
+        let mut startup = Startup::new();
+        for (name, value) in [
+            ("user", target.user.clone()),
+            ("database", target.database.clone()),
+            ("application_name", format!("{APPLICATION_PREFIX}{}", target.zone)),
+        ] {
+            startup.parameters.insert(name.to_owned(), value);
+        }
+        let mut output = BytesMut::new();
+        startup.encode(&mut output).ok().context(ProtocolSnafu { what: "startup" })?;
+        self.socket.write(&output).await?;
+        let context = DecodeContext::default();
+        loop {
+            let frame = self.next_frame().await?;
+            match frame.tag {
+                reply::READY => return Ok(()),
+                reply::ERROR => return Err(refusal(frame.body())),
+                reply::PARAMETER | reply::NOTICE => continue,
+                _ => {}
+            }
+            let message = reply::decode(frame, &context);
+            match message.context(ProtocolSnafu { what: "startup answer" })? {
+                PgWireBackendMessage::Authentication(Authentication::Ok) => {}
+                PgWireBackendMessage::Authentication(Authentication::CleartextPassword) => {
+                    self.send_password(&target.password).await?;
+                }
+                PgWireBackendMessage::Authentication(_) => {
+                    return ProtocolSnafu { what: "no password or a cleartext one" }.fail();
+                }
+                PgWireBackendMessage::BackendKeyData(key) => {
+                    self.process = key.pid;
+                    self.secret = Some(key.secret_key);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    async fn send_password(&mut self, password: &str) -> Result<(), MemberError> {
+        let mut output = BytesMut::new();
+        let message = Password::new(password.to_owned());
+        message.encode(&mut output).ok().context(ProtocolSnafu { what: "password" })?;
+        Ok(self.socket.write(&output).await?)
+    }
+
+    /// Sends bytes.
+    pub async fn send(&mut self, bytes: &[u8]) -> Result<(), MemberError> {
+        Ok(self.socket.write(bytes).await?)
+    }
+
+    /// Reads one frame and takes note of positions and of the transaction state.
+    pub async fn next_frame(&mut self) -> Result<RawFrame, MemberError> {
+        loop {
+            if let Some(frame) = self.take_frame()? {
+                return Ok(frame);
+            }
+            self.socket.fill().await?;
+        }
+    }
+
+    /// Splits off a frame that has been read whole and takes note of what it says.
+    pub fn take_frame(&mut self) -> Result<Option<RawFrame>, MemberError> {
+        let Some(frame) = self.socket.take_frame()? else {
+            return Ok(None);
+        };
+        match frame.tag {
+            reply::PARAMETER => self.note_parameter(frame.body()),
+            reply::READY => {
+                let state = reply::read_ready(frame.body());
+                self.state = state.context(ProtocolSnafu { what: "transaction state" })?;
+                self.proved_at = Instant::now();
+            }
+            _ => {}
+        }
+        Ok(Some(frame))
+    }
+
+    /// Returns the header of the next frame, whole or not.
+    pub fn peek_header(&self) -> Result<Option<FrameHeader>, MemberError> {
+        Ok(self.socket.peek_header()?)
+    }
+
+    /// Returns the bytes read and not yet taken.
+    pub fn input(&mut self) -> &mut BytesMut {
+        self.socket.input()
+    }
+
+    /// Reads at least one byte.
+    pub async fn fill(&mut self) -> Result<(), MemberError> {
+        Ok(self.socket.fill().await?)
+    }
+
+    fn note_parameter(&mut self, body: &[u8]) {
+        if let Some((POSITION_PARAMETER, value)) = reply::read_parameter(body) {
+            self.position = value.parse().ok().or(self.position);
+        }
+    }
+
+    /// Returns the position that the member reported last on this connection.
+    pub fn position(&self) -> Option<MemberPosition> {
+        self.position
+    }
+
+    /// Returns the transaction state that the member reported last.
+    pub fn state(&self) -> BlockState {
+        self.state
+    }
+
+    /// Returns when the connection last completed an exchange.
+    pub fn proved_at(&self) -> Instant {
+        self.proved_at
+    }
+
+    /// Runs a group command and returns the text it answers.
+    pub async fn command(
+        &mut self,
+        command: &GroupCommand,
+        limit: Duration,
+    ) -> Result<String, MemberError> {
+        let mut output = BytesMut::new();
+        frontend::put_query(&mut output, &command.to_string());
+        self.send(&output).await?;
+        let answer = timeout(limit, self.read_command_answer()).await;
+        answer.ok().context(SilentSnafu { limit })?
+    }
+
+    /// Asks for the member's status.
+    pub async fn status(&mut self, limit: Duration) -> Result<MemberStatus, MemberError> {
+        let text = self.command(&GroupCommand::Status, limit).await?;
+        text.parse().ok().context(ProtocolSnafu { what: "status" })
+    }
+
+    /// Reads the answer to one group command sent before.
+    pub async fn read_command_answer(&mut self) -> Result<String, MemberError> {
+        let mut answer = Err(MemberError::Protocol { what: "a row" });
+        loop {
+            let frame = self.next_frame().await?;
+            match frame.tag {
+                reply::ROW => {
+                    let column = reply::read_row(frame.body()).into_iter().next().flatten();
+                    answer = column.context(ProtocolSnafu { what: "a text column" });
+                }
+                reply::ERROR => answer = Err(refusal(frame.body())),
+                reply::READY => return answer,
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns what a cancel request for the running statement needs.
+    pub fn cancel_handle(&self) -> Option<CancelHandle> {
+        let secret = self.secret.clone()?;
+        Some(CancelHandle { address: self.address, process: self.process, secret })
+    }
+}
+
+/// Names a running statement in a cancel request.
+#[derive(Clone, Debug)]
+pub struct CancelHandle {
+    address: SocketAddr,
+    process: i32,
+    secret: SecretKey,
+}
+
+impl CancelHandle {
+    /// Sends the cancel request on a connection of its own.
+    pub async fn send(&self) -> std::io::Result<()> {
+        use pgwire::messages::cancel::CancelRequest;
+        let mut output = BytesMut::new();
+        let request = CancelRequest::new(self.process, self.secret.clone());
+        request.encode(&mut output).map_err(std::io::Error::other)?;
+        let mut stream = TcpStream::connect(self.address).await?;
+        stream.write_all(&output).await?;
+        stream.shutdown().await
+    }
+}
+
+fn refusal(body: &[u8]) -> MemberError {
+    let field = |code| reply::read_error_field(body, code).unwrap_or_default().to_owned();
+    MemberError::Refused { sqlstate: field(b'C'), message: field(b'M') }
+}
--- /dev/null
+++ b/crates/net/src/platform.rs
@@ -0,0 +1,155 @@
+//! Platform services: interfaces and their HTTP client.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::time::Duration;
+
+use metrics::counter;
+use reqwest::{Client, Response, StatusCode};
+use snafu::{ResultExt as _, Snafu};
+use telemetry::meter;
+use wire::platform::{InstanceRecord, TableRow, TableTransaction, TransactionReply};
+
+/// Future of an interface's operation.
+pub type PlatformFuture<'a, T> =
+    Pin<Box<dyn Future<Output = Result<T, PlatformError>> + Send + 'a>>;
+
+/// Errors of the platform's services.
+#[derive(Debug, Snafu)]
+pub enum PlatformError {
+    /// The operation did not take effect.
+    #[snafu(display("the platform's service is down"))]
+    Down,
+    /// The operation may have taken effect.
+    #[snafu(display("no answer from the platform's service: {source}"))]
+    Unknown {
+        /// Cause reported by the HTTP client.
+        source: reqwest::Error,
+    },
+    /// The service answered with an unexpected status.
+    #[snafu(display("the platform's service answered {status}"))]
+    Status {
+        /// Status of the answer.
+        status: StatusCode,
+    },
+}
+
+/// Transactional table service.
+pub trait TableService: Send + Sync {
+    /// Runs a transaction.
+    fn transact(&self, transaction: TableTransaction) -> PlatformFuture<'_, TransactionReply>;
+    /// Reads one row.
+    fn row(&self, key: String) -> PlatformFuture<'_, Option<TableRow>>;
+    /// Reads the rows whose key starts with a prefix.
+    fn scan(&self, prefix: String) -> PlatformFuture<'_, Vec<TableRow>>;
+}
+
+/// Object store.
+pub trait ObjectStore: Send + Sync {
+    /// Writes an object.
+    fn put(&self, name: String, bytes: Vec<u8>) -> PlatformFuture<'_, ()>;
+    /// Reads an object.
+    fn get(&self, name: String) -> PlatformFuture<'_, Option<Vec<u8>>>;
+}
+
+/// Lagging list of instances.
+pub trait InstanceList: Send + Sync {
+    /// Reads the list.
+    fn instances(&self) -> PlatformFuture<'_, Vec<InstanceRecord>>;
+}
+
+/// Client of the platform's services over HTTP.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    base: String,
+    client: Client,
+}
+
+impl PlatformClient {
+    /// Creates a client for the services at `base`, such as `http://127.0.0.1:7000`.
+    pub fn new(base: impl Into<String>, timeout: Duration) -> Result<Self, PlatformError> {
+        let client = Client::builder().timeout(timeout).build().context(UnknownSnafu)?;
+        Ok(Self { base: base.into(), client })
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.base)
+    }
+}
+
+fn count(kind: &'static str, answered: bool) {
+    let outcome = if answered { "answered" } else { "failed" };
+    counter!(meter::PLATFORM, "kind" => kind, "outcome" => outcome).increment(1);
+}
+
+fn checked(
+    kind: &'static str,
+    answer: Result<Response, reqwest::Error>,
+) -> Result<Response, PlatformError> {
+    count(kind, answer.is_ok());
+    let response = answer.map_err(|source| {
+        if source.is_connect() { PlatformError::Down } else { PlatformError::Unknown { source } }
+    })?;
+    match response.status() {
+        status if status.is_success() => Ok(response),
+        StatusCode::SERVICE_UNAVAILABLE => DownSnafu.fail(),
+        status => StatusSnafu { status }.fail(),
+    }
+}
+
+impl TableService for PlatformClient {
+    fn transact(&self, transaction: TableTransaction) -> PlatformFuture<'_, TransactionReply> {
+        Box::pin(async move {
+            let request = self.client.post(self.url("/table/transact")).json(&transaction);
+            let response = checked("transact", request.send().await)?;
+            response.json().await.context(UnknownSnafu)
+        })
+    }
+
+    fn row(&self, key: String) -> PlatformFuture<'_, Option<TableRow>> {
+        Box::pin(async move {
+            let request = self.client.get(self.url("/table/row")).query(&[("key", key)]);
+            let response = checked("row", request.send().await)?;
+            response.json().await.context(UnknownSnafu)
+        })
+    }
+
+    fn scan(&self, prefix: String) -> PlatformFuture<'_, Vec<TableRow>> {
+        Box::pin(async move {
+            let request = self.client.get(self.url("/table/scan")).query(&[("key", prefix)]);
+            let response = checked("scan", request.send().await)?;
+            response.json().await.context(UnknownSnafu)
+        })
+    }
+}
+
+impl ObjectStore for PlatformClient {
+    fn put(&self, name: String, bytes: Vec<u8>) -> PlatformFuture<'_, ()> {
+        Box::pin(async move {
+            let request = self.client.put(self.url("/object")).query(&[("key", name)]).body(bytes);
+            checked("put", request.send().await).map(|_| ())
+        })
+    }
+
+    fn get(&self, name: String) -> PlatformFuture<'_, Option<Vec<u8>>> {
+        Box::pin(async move {
+            let request = self.client.get(self.url("/object")).query(&[("key", name)]);
+            let response = match checked("get", request.send().await) {
+                Err(PlatformError::Status { status: StatusCode::NOT_FOUND }) => return Ok(None),
+                other => other?,
+            };
+            let bytes = response.bytes().await.context(UnknownSnafu)?;
+            Ok(Some(bytes.to_vec()))
+        })
+    }
+}
+
+impl InstanceList for PlatformClient {
+    fn instances(&self) -> PlatformFuture<'_, Vec<InstanceRecord>> {
+        Box::pin(async move {
+            let request = self.client.get(self.url("/instances"));
+            let response = checked("instances", request.send().await)?;
+            response.json().await.context(UnknownSnafu)
+        })
+    }
+}
--- /dev/null
+++ b/crates/net/src/pool.rs
@@ -0,0 +1,226 @@
+//! Pool of connections to one member, shared by the teams through a fair queue.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coord::queue::{FairQueue, QueueRefusal};
+use parking_lot::Mutex;
+use snafu::Snafu;
+use state::catalog::TeamKey;
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+use wire::group::TOO_MANY_CONNECTIONS;
+
+use crate::member::{MemberConnection, MemberError, MemberTarget};
+
+/// Idle time after which a connection is proven before it carries a request.
+const PROVE_AFTER: Duration = Duration::from_secs(1);
+/// Time that such a proof may take.
+const PROVE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Idle time after which a connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(120);
+
+/// Errors of taking a connection.
+#[derive(Debug, Snafu)]
+pub enum PoolError {
+    /// The queue refused the request.
+    #[snafu(display("the queue is full"))]
+    Full,
+    /// The request cannot start before its deadline.
+    #[snafu(display("no connection before the deadline"))]
+    Late {
+        /// Time after which a retry may pass.
+        retry_after: Duration,
+    },
+    /// A connection could not be opened.
+    #[snafu(display("{source}"))]
+    Open {
+        /// Cause reported by the connection.
+        source: MemberError,
+    },
+}
+
+/// Right to use one connection, returned to the queue when dropped.
+#[derive(Debug)]
+struct PoolPermit {
+    pool: Arc<PoolShared>,
+    team: TeamKey,
+    since: Instant,
+}
+
+impl Drop for PoolPermit {
+    fn drop(&mut self) {
+        let held = self.since.elapsed();
+        self.pool.state.lock().queue.release(self.team, held);
+        self.pool.dispatch();
+    }
+}
+
+#[derive(Debug)]
+struct PoolState {
+    queue: FairQueue<TeamKey, oneshot::Sender<PoolPermit>>,
+    idle: Vec<MemberConnection>,
+    /// Raised when every idle connection became useless.
+    epoch: u64,
+}
+
+#[derive(Debug)]
+struct PoolShared {
+    target: MemberTarget,
+    state: Mutex<PoolState>,
+}
+
+impl PoolShared {
+    /// Grants free permits to the requests whose turn it is.
+    fn dispatch(self: &Arc<Self>) {
+        loop {
+            let mut expired = Vec::new();
+            let next = self.state.lock().queue.pop(Instant::now(), &mut expired);
+            // A dropped sender tells its request that it came too late.
+            drop(expired);
+            let Some((team, sender)) = next else {
+                return;
+            };
+            let permit = PoolPermit { pool: self.clone(), team, since: Instant::now() };
+            // A request that gave up returns the permit by dropping it.
+            drop(sender.send(permit));
+        }
+    }
+}
+
+/// Pool of connections to one member.
+#[derive(Clone, Debug)]
+pub struct MemberPool {
+    shared: Arc<PoolShared>,
+}
+
+/// Connection taken from a pool; dropping it closes it.
+#[derive(Debug)]
+pub struct PooledConnection {
+    connection: MemberConnection,
+    epoch: u64,
+    permit: PoolPermit,
+}
+
+impl PooledConnection {
+    /// Returns the connection.
+    pub fn get(&mut self) -> &mut MemberConnection {
+        &mut self.connection
+    }
+
+    /// Returns the connection to the pool; its last exchange must be complete.
+    pub fn recycle(self) {
+        let Self { connection, epoch, permit } = self;
+        let mut state = permit.pool.state.lock();
+        if state.epoch == epoch && state.idle.len() < state.queue.capacity() {
+            state.idle.push(connection);
+        }
+        drop(state);
+        drop(permit);
+    }
+}
+
+impl MemberPool {
+    /// Creates a pool that opens at most `capacity` connections.
+    pub fn new(target: MemberTarget, capacity: usize) -> Self {
+        let state = PoolState { queue: FairQueue::new(capacity), idle: Vec::new(), epoch: 0 };
+        Self { shared: Arc::new(PoolShared { target, state: Mutex::new(state) }) }
+    }
+
+    /// Changes the number of connections that the pool may open.
+    pub fn resize(&self, capacity: usize) {
+        let mut state = self.shared.state.lock();
+        state.queue.resize(capacity);
+        let spare = capacity.saturating_sub(state.queue.in_use());
+        let surplus = state.idle.len().saturating_sub(spare);
+        state.idle.drain(..surplus);
+        drop(state);
+        self.shared.dispatch();
+    }
+
+    /// Returns the requests running and waiting.
+    pub fn load(&self) -> u32 {
+        let state = self.shared.state.lock();
+        (state.queue.in_use() + state.queue.waiting()) as u32
+    }
+
+    /// Closes every idle connection, and those in use once they are returned.
+    pub fn discard_idle(&self) {
+        let mut state = self.shared.state.lock();
+        state.epoch += 1;
+        state.idle.clear();
+    }
+
+    /// Closes connections that have been idle for long.
+    pub fn close_idle(&self, now: Instant) {
+        let mut state = self.shared.state.lock();
+        state.idle.retain(|idle| now.duration_since(idle.proved_at()) < IDLE_LIMIT);
+    }
+
+    /// Takes a connection, waiting for the team's turn until `deadline`.
+    pub async fn take(
+        &self,
+        team: TeamKey,
+        deadline: Instant,
+    ) -> Result<PooledConnection, PoolError> {
+        let permit = self.take_permit(team, deadline).await?;
+        while let Some((connection, epoch)) = self.pop_idle() {
+            if let Some(connection) = prove(connection).await {
+                return Ok(PooledConnection { connection, epoch, permit });
+            }
+        }
+        let epoch = self.shared.state.lock().epoch;
+        let open = MemberConnection::open(&self.shared.target);
+        let opened = timeout_at(deadline.into(), open).await;
+        match opened {
+            Ok(Ok(connection)) => Ok(PooledConnection { connection, epoch, permit }),
+            Ok(Err(MemberError::Refused { sqlstate, .. })) if sqlstate == TOO_MANY_CONNECTIONS => {
+                LateSnafu { retry_after: PROVE_TIMEOUT }.fail()
+            }
+            Ok(Err(source)) => Err(PoolError::Open { source }),
+            Err(_) => LateSnafu { retry_after: PROVE_TIMEOUT }.fail(),
+        }
+    }
+
+    async fn take_permit(&self, team: TeamKey, deadline: Instant) -> Result<PoolPermit, PoolError> {
+        let now = Instant::now();
+        let receiver = {
+            let mut state = self.shared.state.lock();
+            if state.queue.try_take(team, now) {
+                drop(state);
+                return Ok(PoolPermit { pool: self.shared.clone(), team, since: now });
+            }
+            let (sender, receiver) = oneshot::channel();
+            match state.queue.push(team, sender, deadline, now) {
+                Ok(()) => receiver,
+                Err(QueueRefusal::Full) => return FullSnafu.fail(),
+                Err(QueueRefusal::Late { expected }) => {
+                    return LateSnafu { retry_after: expected }.fail();
+                }
+            }
+        };
+        self.shared.dispatch();
+        match timeout_at(deadline.into(), receiver).await {
+            Ok(Ok(permit)) => Ok(permit),
+            _ => {
+                let retry_after = self.shared.state.lock().queue.expected_wait(team);
+                LateSnafu { retry_after }.fail()
+            }
+        }
+    }
+
+    fn pop_idle(&self) -> Option<(MemberConnection, u64)> {
+        let mut state = self.shared.state.lock();
+        let connection = state.idle.pop()?;
+        Some((connection, state.epoch))
+    }
+}
+
+/// Returns the connection if it was used a moment ago or answers now.
+async fn prove(mut connection: MemberConnection) -> Option<MemberConnection> {
+    if connection.proved_at().elapsed() < PROVE_AFTER {
+        return Some(connection);
+    }
+    connection.status(PROVE_TIMEOUT).await.ok()?;
+    Some(connection)
+}
--- /dev/null
+++ b/crates/net/src/socket.rs
@@ -0,0 +1,109 @@
+//! Socket that reads whole frames and keeps no buffer while it is idle.
+
+use std::io;
+
+use bytes::BytesMut;
+use snafu::{ResultExt as _, Snafu};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use wire::frame::{self, FrameError, FrameHeader, RawFrame};
+
+/// Bytes reserved before a read.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Errors of a framed socket.
+#[derive(Debug, Snafu)]
+pub enum SocketError {
+    /// The other end closed the connection.
+    #[snafu(display("the connection was closed"))]
+    Closed,
+    /// The socket failed.
+    #[snafu(display("the connection failed: {source}"))]
+    Failed {
+        /// Cause reported by the system.
+        source: io::Error,
+    },
+    /// The bytes are no frame.
+    #[snafu(display("{source}"), context(false))]
+    Malformed {
+        /// Cause reported by the framing.
+        source: FrameError,
+    },
+}
+
+/// Connection whose input is split into frames.
+#[derive(Debug)]
+pub struct FramedSocket {
+    stream: TcpStream,
+    input: BytesMut,
+    limit: usize,
+}
+
+impl FramedSocket {
+    /// Wraps a stream; frames above `limit` bytes are refused.
+    pub fn new(stream: TcpStream, limit: usize) -> Self {
+        let _ = stream.set_nodelay(true);
+        Self { stream, input: BytesMut::new(), limit }
+    }
+
+    /// Returns the bytes read and not yet taken.
+    pub fn input(&mut self) -> &mut BytesMut {
+        &mut self.input
+    }
+
+    /// Splits off a frame that has been read whole.
+    pub fn take_frame(&mut self) -> Result<Option<RawFrame>, SocketError> {
+        Ok(frame::split_frame(&mut self.input, self.limit)?)
+    }
+
+    /// Returns the header of the next frame, whole or not.
+    pub fn peek_header(&self) -> Result<Option<FrameHeader>, SocketError> {
+        Ok(frame::peek_header(&self.input, self.limit)?)
+    }
+
+    /// Reads until a whole frame is there and splits it off.
+    pub async fn read_frame(&mut self) -> Result<RawFrame, SocketError> {
+        loop {
+            if let Some(frame) = self.take_frame()? {
+                return Ok(frame);
+            }
+            self.fill().await?;
+        }
+    }
+
+    /// Reads at least one byte.
+    pub async fn fill(&mut self) -> Result<(), SocketError> {
+        loop {
+            if self.input.is_empty() {
+                // An idle connection must not hold a buffer.
+                self.input = BytesMut::new();
+            }
+            self.stream.readable().await.context(FailedSnafu)?;
+            self.input.reserve(READ_BYTES);
+            match self.stream.try_read_buf(&mut self.input) {
+                Ok(0) => return ClosedSnafu.fail(),
+                Ok(_) => return Ok(()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(source) => return Err(SocketError::Failed { source }),
+            }
+        }
+    }
+
+    /// Writes all of `bytes`.
+    pub async fn write(&mut self, bytes: &[u8]) -> Result<(), SocketError> {
+        let written = match self.stream.try_write(bytes) {
+            Ok(written) => written,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
+            Err(source) => return Err(SocketError::Failed { source }),
+        };
+        if written < bytes.len() {
+            self.stream.write_all(&bytes[written..]).await.context(FailedSnafu)?;
+        }
+        Ok(())
+    }
+
+    /// Closes the sending side after everything written was sent.
+    pub async fn shutdown(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/net/src/store.rs
@@ -0,0 +1,200 @@
+//! Documents in the platform's services: a head row for each environment, bodies as objects.
+
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt as _, ResultExt as _, Snafu};
+use state::credential::digest_text;
+use wire::platform::{RowCheck, RowWrite, TableRow, TableTransaction, TransactionReply};
+
+use crate::platform::{ObjectStore, PlatformError, TableService};
+
+/// Errors of the document store.
+#[derive(Debug, Snafu)]
+pub enum StoreError {
+    /// The platform's service failed.
+    #[snafu(display("{source}"), context(false))]
+    Platform {
+        /// Cause reported by the service.
+        source: PlatformError,
+    },
+    /// A row cannot be read.
+    #[snafu(display("row {key} is malformed: {source}"))]
+    Row {
+        /// Key of the row.
+        key: String,
+        /// Cause reported by the JSON reader.
+        source: serde_json::Error,
+    },
+    /// A body is missing or does not match its digest.
+    #[snafu(display("document body {digest} is missing or damaged"))]
+    Body {
+        /// Digest of the body.
+        digest: String,
+    },
+}
+
+/// Revision in force in one environment.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct DocumentHead {
+    /// Revision, counted from 1.
+    pub revision: u64,
+    /// Digest of the document's bytes.
+    pub digest: String,
+    /// Identifier of the request that made the revision.
+    pub request: String,
+    /// Operator who made the revision.
+    pub operator: String,
+}
+
+/// Document with its head.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoredDocument {
+    /// Head of the revision.
+    pub head: DocumentHead,
+    /// Text of the document.
+    pub text: String,
+}
+
+/// Answer to an attempt to replace a document.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReplaceOutcome {
+    /// The document is accepted under this head.
+    Accepted(DocumentHead),
+    /// Another revision is in force.
+    Conflict(DocumentHead),
+}
+
+/// Reads and replaces documents.
+pub struct DocumentStore<'a, P> {
+    platform: &'a P,
+    environment: &'a str,
+}
+
+impl<'a, P: TableService + ObjectStore> DocumentStore<'a, P> {
+    /// Creates a store for one environment.
+    pub fn new(platform: &'a P, environment: &'a str) -> Self {
+        Self { platform, environment }
+    }
+
+    /// Reads the head in force, or none before the first document.
+    pub async fn head(&self) -> Result<Option<DocumentHead>, StoreError> {
+        Ok(self.head_row().await?.map(|(head, _)| head))
+    }
+
+    /// Reads the document of a head.
+    pub async fn body(&self, head: &DocumentHead) -> Result<String, StoreError> {
+        let digest = &head.digest;
+        let bytes = self.platform.get(object_name(digest)).await?;
+        let text = bytes.and_then(|bytes| String::from_utf8(bytes).ok());
+        let text = text.filter(|text| digest_text(text.as_bytes()) == *digest);
+        text.context(BodySnafu { digest })
+    }
+
+    /// Reads the document in force.
+    pub async fn current(&self) -> Result<Option<StoredDocument>, StoreError> {
+        let Some(head) = self.head().await? else {
+            return Ok(None);
+        };
+        let text = self.body(&head).await?;
+        Ok(Some(StoredDocument { head, text }))
+    }
+
+    /// Tells whether a document of this digest was ever in force in the environment.
+    pub async fn was_in_force(&self, digest: &str) -> Result<bool, StoreError> {
+        Ok(self.platform.row(self.history_key(digest)).await?.is_some())
+    }
+
+    /// Replaces the revision `expected`; zero stands for none.
+    ///
+    /// A request that was carried out before is answered with the head it made, so a caller whose
+    /// answer was lost repeats it safely.
+    pub async fn replace(
+        &self,
+        expected: u64,
+        text: &str,
+        request: &str,
+        operator: &str,
+    ) -> Result<ReplaceOutcome, StoreError> {
+        if let Some(head) = self.request_head(request).await? {
+            return Ok(ReplaceOutcome::Accepted(head));
+        }
+        let current = self.head_row().await?;
+        let (revision, row) = current.as_ref().map_or((0, 0), |(head, row)| (head.revision, *row));
+        if let Some((head, _)) = current.filter(|_| revision != expected) {
+            return Ok(ReplaceOutcome::Conflict(head));
+        }
+        let digest = digest_text(text.as_bytes());
+        self.platform.put(object_name(&digest), text.as_bytes().to_vec()).await?;
+        let head = DocumentHead {
+            revision: expected + 1,
+            digest,
+            request: request.to_owned(),
+            operator: operator.to_owned(),
+        };
+        let transaction = self.replacement(&head, row)?;
+        match self.platform.transact(transaction).await {
+            Ok(TransactionReply::Applied { .. }) => Ok(ReplaceOutcome::Accepted(head)),
+            Ok(TransactionReply::Conflict { .. }) => self.lost_race(request).await,
+            // The write may have taken effect; its request row tells.
+            Err(error) => match self.request_head(request).await? {
+                Some(head) => Ok(ReplaceOutcome::Accepted(head)),
+                None => Err(error.into()),
+            },
+        }
+    }
+
+    async fn lost_race(&self, request: &str) -> Result<ReplaceOutcome, StoreError> {
+        if let Some(head) = self.request_head(request).await? {
+            return Ok(ReplaceOutcome::Accepted(head));
+        }
+        let head = self.head().await?;
+        let digest = "head";
+        Ok(ReplaceOutcome::Conflict(head.context(BodySnafu { digest })?))
+    }
+
+    fn replacement(&self, head: &DocumentHead, row: u64) -> Result<TableTransaction, StoreError> {
+        let key = self.head_key();
+        let value = serde_json::to_string(head).context(RowSnafu { key: key.clone() })?;
+        let request = self.request_key(&head.request);
+        Ok(TableTransaction {
+            checks: vec![
+                RowCheck { key: key.clone(), revision: row },
+                RowCheck { key: request.clone(), revision: 0 },
+            ],
+            writes: vec![
+                RowWrite { key, value: Some(value.clone()) },
+                RowWrite { key: request, value: Some(value.clone()) },
+                RowWrite { key: self.history_key(&head.digest), value: Some(value) },
+            ],
+        })
+    }
+
+    async fn head_row(&self) -> Result<Option<(DocumentHead, u64)>, StoreError> {
+        let row = self.platform.row(self.head_key()).await?;
+        row.map(|row| read_head(&row).map(|head| (head, row.revision))).transpose()
+    }
+
+    async fn request_head(&self, request: &str) -> Result<Option<DocumentHead>, StoreError> {
+        let row = self.platform.row(self.request_key(request)).await?;
+        row.as_ref().map(read_head).transpose()
+    }
+
+    fn head_key(&self) -> String {
+        format!("environment/{}/head", self.environment)
+    }
+
+    fn request_key(&self, request: &str) -> String {
+        format!("environment/{}/request/{request}", self.environment)
+    }
+
+    fn history_key(&self, digest: &str) -> String {
+        format!("environment/{}/history/{digest}", self.environment)
+    }
+}
+
+fn object_name(digest: &str) -> String {
+    format!("document/{digest}")
+}
+
+fn read_head(row: &TableRow) -> Result<DocumentHead, StoreError> {
+    serde_json::from_str(&row.value).context(RowSnafu { key: row.key.clone() })
+}
--- /dev/null
+++ b/crates/proxy/src/counters.rs
@@ -0,0 +1,98 @@
+//! Counters of an instance, resolved once so that a request does not look them up.
+
+use std::collections::HashMap;
+
+use metrics::{Counter, counter};
+use telemetry::meter;
+use wire::refusal::RefusalReason;
+
+/// Why a request is tried again.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum RetryReason {
+    /// The member said that it is not the primary.
+    NotPrimary,
+    /// The answer's position does not cover the session.
+    StaleAnswer,
+    /// The connection could not be opened.
+    ConnectFailed,
+    /// The connection was lost while it carried a read.
+    ReadLost,
+    /// The connection was lost while it carried an idempotent write.
+    IdempotentLost,
+    /// The group proved that the write whose answer was lost did not run.
+    ProvedAbsent,
+}
+
+impl RetryReason {
+    /// Every reason.
+    pub const ALL: &[Self] = &[
+        Self::NotPrimary,
+        Self::StaleAnswer,
+        Self::ConnectFailed,
+        Self::ReadLost,
+        Self::IdempotentLost,
+        Self::ProvedAbsent,
+    ];
+
+    /// Returns the label used in metrics and logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NotPrimary => "not_primary",
+            Self::StaleAnswer => "stale_answer",
+            Self::ConnectFailed => "connect_failed",
+            Self::ReadLost => "read_lost",
+            Self::IdempotentLost => "idempotent_lost",
+            Self::ProvedAbsent => "proved_absent",
+        }
+    }
+}
+
+/// Counters of one instance.
+pub struct InstanceCounters {
+    /// Reads served by replicas.
+    pub replica_reads: Counter,
+    /// Reads served by the primary.
+    pub primary_reads: Counter,
+    /// Requests answered.
+    pub requests: Counter,
+    refusals: HashMap<RefusalReason, Counter>,
+    retries: HashMap<RetryReason, Counter>,
+}
+
+impl InstanceCounters {
+    /// Resolves the counters of the instance called `instance`.
+    pub fn new(instance: &str) -> Self {
+        let name = instance.to_owned();
+        let refusal = |reason: &RefusalReason| {
+            let counter =
+                counter!(meter::REFUSALS, "instance" => name.clone(), "reason" => reason.label());
+            (*reason, counter)
+        };
+        let retry = |reason: &RetryReason| {
+            let counter =
+                counter!(meter::RETRIES, "instance" => name.clone(), "reason" => reason.label());
+            (*reason, counter)
+        };
+        Self {
+            replica_reads: counter!(meter::READS, "instance" => name.clone(), "by" => "replica"),
+            primary_reads: counter!(meter::READS, "instance" => name.clone(), "by" => "primary"),
+            requests: counter!(meter::REQUESTS, "instance" => name.clone()),
+            refusals: RefusalReason::ALL.iter().map(refusal).collect(),
+            retries: RetryReason::ALL.iter().map(retry).collect(),
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: RefusalReason) {
+        if let Some(counter) = self.refusals.get(&reason) {
+            counter.increment(1);
+        }
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, reason: RetryReason) {
+        if let Some(counter) = self.retries.get(&reason) {
+            counter.increment(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exposition.rs
@@ -0,0 +1,23 @@
+//! Serves the metrics in Prometheus text format.
+
+use std::net::SocketAddr;
+
+use axum::Router;
+use axum::routing::get;
+use metrics_exporter_prometheus::PrometheusHandle;
+use snafu::ResultExt as _;
+use tokio::net::TcpListener;
+
+use crate::instance::{InstanceError, ListenSnafu};
+
+/// Starts serving metrics on `address`.
+pub async fn serve(address: SocketAddr, recorder: PrometheusHandle) -> Result<(), InstanceError> {
+    let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+    let render = move || {
+        let recorder = recorder.clone();
+        async move { recorder.render() }
+    };
+    let router = Router::new().route("/metrics", get(render));
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    Ok(())
+}
--- /dev/null
+++ b/crates/proxy/src/parameter.rs
@@ -0,0 +1,90 @@
+//! Parameters that a session may set and show without a member's help.
+
+use std::collections::BTreeMap;
+
+/// Parameters that are told to a caller at startup.
+pub const REPORTED: &[(&str, &str)] = &[
+    ("server_version", "15.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("IntervalStyle", "postgres"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+    ("is_superuser", "off"),
+];
+/// Parameters that only name or time things on the caller's side.
+const FREE: &[&str] = &["application_name", "client_min_messages", "extra_float_digits"];
+/// Parameter that limits the time of a statement, in milliseconds.
+pub const STATEMENT_TIMEOUT: &str = "statement_timeout";
+/// Parameter that carries the session token.
+pub const SESSION_TOKEN: &str = "hibiscus.session";
+/// Parameter that names the instance.
+pub const INSTANCE_NAME: &str = "hibiscus.instance";
+
+/// Why a parameter cannot be set.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ParameterRefusal {
+    /// The parameter would change results on pooled connections.
+    NotOffered,
+    /// Only one value of the parameter works.
+    ValueFixed(&'static str),
+}
+
+/// Parameters of one session; nothing is stored until one is set.
+#[derive(Clone, Debug, Default)]
+pub struct SessionParameters {
+    values: BTreeMap<String, String>,
+}
+
+impl SessionParameters {
+    /// Sets a parameter.
+    pub fn set(&mut self, name: &str, value: &str) -> Result<(), ParameterRefusal> {
+        if FREE.contains(&name) || name == STATEMENT_TIMEOUT {
+            self.values.insert(name.to_owned(), value.to_owned());
+            return Ok(());
+        }
+        let fixed = match name {
+            "client_encoding" => "UTF8",
+            "datestyle" => "ISO, MDY",
+            "intervalstyle" => "postgres",
+            "timezone" => "UTC",
+            "standard_conforming_strings" => "on",
+            _ => return Err(ParameterRefusal::NotOffered),
+        };
+        let plain = |text: &str| text.to_ascii_lowercase().replace(['-', ' '], "");
+        let accepted = plain(fixed).starts_with(&plain(value)) || plain(value) == "default";
+        if accepted { Ok(()) } else { Err(ParameterRefusal::ValueFixed(fixed)) }
+    }
+
+    /// Returns the value of a parameter, or none if there is no such parameter.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        if let Some(value) = self.values.get(name) {
+            return Some(value);
+        }
+        if FREE.contains(&name) {
+            return Some("");
+        }
+        if name == STATEMENT_TIMEOUT {
+            return Some("0");
+        }
+        let reported = REPORTED.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        reported.map(|(_, value)| *value)
+    }
+
+    /// Returns the limit on the time of a statement, in milliseconds.
+    pub fn statement_timeout_ms(&self) -> Option<u64> {
+        let text = self.values.get(STATEMENT_TIMEOUT)?;
+        let number = text.trim_end_matches("ms").trim_end_matches('s').trim();
+        let value: u64 = number.parse().ok()?;
+        let seconds = text.ends_with('s') && !text.ends_with("ms");
+        let millis = if seconds { value * 1_000 } else { value };
+        (millis > 0).then_some(millis)
+    }
+
+    /// Forgets every value.
+    pub fn reset(&mut self) {
+        self.values.clear();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/session/local.rs
@@ -0,0 +1,159 @@
+//! Answers that the proxy gives without a member: parameters, empty queries, ends of lost
+//! transactions.
+
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::messages::data::{
+    DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
+};
+use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
+use wire::refusal::{RefusalReason, RequestRefusal};
+use wire::reply;
+use wire::statement::SessionStatement;
+
+use super::CallerSession;
+use super::batch::{BatchMessage, CallerBatch};
+use super::request::RequestBody;
+use crate::parameter::{INSTANCE_NAME, ParameterRefusal, SESSION_TOKEN};
+
+/// Type identifier of text columns.
+const TEXT_OID: u32 = 25;
+
+/// Answer to a statement that no member sees.
+pub(super) enum LocalAnswer {
+    /// Command with a tag and no rows.
+    Command(&'static str),
+    /// One row with one text column.
+    Value {
+        /// Name of the column.
+        name: String,
+        /// Value of the column.
+        value: String,
+    },
+    /// Nothing ran.
+    Empty,
+}
+
+impl CallerSession {
+    /// Runs a statement on the session's parameters.
+    pub(super) fn run_parameter(
+        &mut self,
+        statement: &SessionStatement,
+    ) -> Result<LocalAnswer, RequestRefusal> {
+        match statement {
+            SessionStatement::Set { name, value } => self.set_parameter(name, value),
+            SessionStatement::Show { name } => self.show_parameter(name),
+            SessionStatement::Reset => {
+                self.parameters.reset();
+                Ok(LocalAnswer::Command("RESET"))
+            }
+        }
+    }
+
+    fn set_parameter(&mut self, name: &str, value: &str) -> Result<LocalAnswer, RequestRefusal> {
+        if name == SESSION_TOKEN {
+            let decoded = self.instance.tokens.decode(value);
+            let positions = decoded.map_err(|error| {
+                RequestRefusal::new(RefusalReason::InvalidToken, error.to_string())
+            })?;
+            self.positions.merge(&positions);
+            self.positions_moved = true;
+            return Ok(LocalAnswer::Command("SET"));
+        }
+        match self.parameters.set(name, value) {
+            Ok(()) => Ok(LocalAnswer::Command("SET")),
+            Err(refusal) => {
+                let detail = match refusal {
+                    ParameterRefusal::NotOffered => {
+                        format!("parameter {name:?} cannot be set through the proxy")
+                    }
+                    ParameterRefusal::ValueFixed(value) => {
+                        format!("parameter {name:?} is fixed to {value:?}")
+                    }
+                };
+                Err(RequestRefusal::new(RefusalReason::Unsupported, detail))
+            }
+        }
+    }
+
+    fn show_parameter(&self, name: &str) -> Result<LocalAnswer, RequestRefusal> {
+        let value = match name {
+            SESSION_TOKEN => self.instance.tokens.encode(&self.positions),
+            INSTANCE_NAME => self.instance.settings.instance.clone(),
+            name => {
+                let known = self.parameters.get(name).map(str::to_owned);
+                known.ok_or_else(|| {
+                    let detail = format!("parameter {name:?} is not known");
+                    RequestRefusal::new(RefusalReason::Unsupported, detail)
+                })?
+            }
+        };
+        Ok(LocalAnswer::Value { name: name.to_owned(), value })
+    }
+
+    /// Writes a local answer in the form that the request's messages ask for.
+    pub(super) fn put_local(&mut self, body: &RequestBody, answer: &LocalAnswer) {
+        match body {
+            RequestBody::Simple(_) => {
+                if let LocalAnswer::Value { name, .. } = answer {
+                    self.put_description(name);
+                }
+                self.put_execution(answer);
+            }
+            RequestBody::Batch(batch) => self.put_local_batch(batch, answer),
+        }
+    }
+
+    fn put_local_batch(&mut self, batch: &CallerBatch, answer: &LocalAnswer) {
+        for message in batch.messages() {
+            let output = &mut self.output;
+            match message {
+                BatchMessage::Parse { .. } => {
+                    reply::put(output, PgWireBackendMessage::ParseComplete(ParseComplete::new()));
+                }
+                BatchMessage::Bind { .. } => {
+                    reply::put(output, PgWireBackendMessage::BindComplete(BindComplete::new()));
+                }
+                BatchMessage::CloseStatement | BatchMessage::ClosePortal(_) => {
+                    reply::put(output, PgWireBackendMessage::CloseComplete(CloseComplete::new()));
+                }
+                BatchMessage::DescribeStatement { .. } => {
+                    let types = ParameterDescription::new(Vec::new());
+                    reply::put(output, PgWireBackendMessage::ParameterDescription(types));
+                    self.put_shape(answer);
+                }
+                BatchMessage::DescribePortal(_) => self.put_shape(answer),
+                BatchMessage::Execute(_) => self.put_execution(answer),
+            }
+        }
+    }
+
+    fn put_shape(&mut self, answer: &LocalAnswer) {
+        match answer {
+            LocalAnswer::Value { name, .. } => self.put_description(name),
+            LocalAnswer::Command(_) | LocalAnswer::Empty => {
+                reply::put(&mut self.output, PgWireBackendMessage::NoData(NoData::new()));
+            }
+        }
+    }
+
+    fn put_description(&mut self, name: &str) {
+        let field = FieldDescription::new(name.to_owned(), 0, 0, TEXT_OID, -1, -1, 0);
+        let message = RowDescription::new(vec![field]);
+        reply::put(&mut self.output, PgWireBackendMessage::RowDescription(message));
+    }
+
+    fn put_execution(&mut self, answer: &LocalAnswer) {
+        match answer {
+            LocalAnswer::Command(tag) => reply::put_complete(&mut self.output, tag),
+            LocalAnswer::Empty => reply::put_empty(&mut self.output),
+            LocalAnswer::Value { value, .. } => {
+                let mut data = bytes::BytesMut::new();
+                data.extend_from_slice(&(value.len() as i32).to_be_bytes());
+                data.extend_from_slice(value.as_bytes());
+                let row = PgWireBackendMessage::DataRow(DataRow::new(data, 1));
+                reply::put(&mut self.output, row);
+                reply::put_complete(&mut self.output, "SHOW");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/session/settle.rs
@@ -0,0 +1,60 @@
+//! Finds out from the group whether a write took effect whose answer was lost.
+
+use std::time::{Duration, Instant};
+
+use coord::routing::RouteTarget;
+use state::position::LogPosition;
+use telemetry::event::LogEvent;
+use telemetry::log_event;
+use tokio::time::{sleep, timeout_at};
+use wire::group::GroupCommand;
+
+use super::CallerSession;
+
+/// Pause between two questions to the group.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(20);
+/// Time that one question may take.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the group says of a labelled transaction.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum SettledOutcome {
+    /// It is in the log at this position, and a majority holds it.
+    Committed(LogPosition),
+    /// It is not in the log and never will be.
+    Absent,
+    /// No primary answered before the deadline.
+    Unknown,
+}
+
+impl CallerSession {
+    /// Asks the current primary for the outcome of a labelled transaction until the deadline.
+    pub(super) async fn settle(&self, label: &str, deadline: Instant) -> SettledOutcome {
+        let command = GroupCommand::Outcome(label.to_owned());
+        while self.instance.now() < deadline {
+            match timeout_at(deadline.into(), self.ask_outcome(&command)).await {
+                Ok(Some(outcome)) => {
+                    log_event!(LogEvent::OutcomeSettled, "label={label} outcome={outcome:?}");
+                    return outcome;
+                }
+                Ok(None) => sleep(SETTLE_INTERVAL).await,
+                Err(_) => break,
+            }
+        }
+        SettledOutcome::Unknown
+    }
+
+    async fn ask_outcome(&self, command: &GroupCommand) -> Option<SettledOutcome> {
+        let RouteTarget::Primary(index) = self.database.route_write() else {
+            return None;
+        };
+        let mut connection = self.database.members[index].open_control().await.ok()?;
+        let answer = connection.command(command, SETTLE_TIMEOUT).await.ok()?;
+        if answer == "absent" {
+            return Some(SettledOutcome::Absent);
+        }
+        let index = answer.strip_prefix("committed ")?.parse().ok()?;
+        let term = connection.position()?.term;
+        Some(SettledOutcome::Committed(LogPosition::new(term, index)))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/control.rs
@@ -0,0 +1,195 @@
+//! HTTP interface of the stand-ins: the platform's services and the switches for faults.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Json, Response};
+use axum::routing::{get, post, put};
+use parking_lot::RwLock;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt as _, Snafu};
+use tokio::net::TcpListener;
+use wire::platform::{InstanceRecord, TableTransaction};
+
+use crate::fault::FaultChange;
+use crate::group::DatabaseGroup;
+use crate::platform::{PlatformFailure, PlatformFault, PlatformService};
+
+/// Largest accepted body in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Error of serving the interface.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot serve on {address}: {source}"))]
+pub struct ControlError {
+    /// Address that was tried.
+    pub address: SocketAddr,
+    /// Cause reported by the system.
+    pub source: std::io::Error,
+}
+
+/// Stand-ins that one process serves.
+#[derive(Default)]
+pub struct StandinHub {
+    /// Platform services.
+    pub platform: PlatformService,
+    /// Database groups by name.
+    pub groups: RwLock<HashMap<String, Arc<DatabaseGroup>>>,
+}
+
+/// Parameters of a row or object request.
+#[derive(Deserialize)]
+struct KeyQuery {
+    key: String,
+}
+
+/// Member as shown by the interface.
+#[derive(Serialize)]
+struct MemberView {
+    name: String,
+    zone: String,
+    address: SocketAddr,
+    status: String,
+    connections: u32,
+}
+
+type HubState = State<Arc<StandinHub>>;
+
+/// Serves the interface on `listener` until the task ends.
+pub async fn serve(listener: TcpListener, hub: Arc<StandinHub>) -> Result<(), ControlError> {
+    let address =
+        listener.local_addr().context(ControlSnafu { address: SocketAddr::from(([0; 4], 0)) })?;
+    axum::serve(listener, router(hub)).await.context(ControlSnafu { address })
+}
+
+fn router(hub: Arc<StandinHub>) -> Router {
+    Router::new()
+        .route("/table/transact", post(transact))
+        .route("/table/row", get(read_row))
+        .route("/table/scan", get(scan))
+        .route("/object", get(read_object).put(write_object))
+        .route("/instances", get(list_instances))
+        .route("/control/instance", put(put_instance))
+        .route("/control/instance/{name}", axum::routing::delete(remove_instance))
+        .route("/control/platform", get(platform_fault).put(set_platform_fault))
+        .route("/control/counts", get(counts))
+        .route("/control/group/{group}", get(group_view))
+        .route("/control/group/{group}/{member}", put(change_member))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(hub)
+}
+
+impl IntoResponse for PlatformFailure {
+    fn into_response(self) -> Response {
+        match self {
+            Self::Down => (StatusCode::SERVICE_UNAVAILABLE, "the service is down").into_response(),
+            Self::AnswerLost => (StatusCode::GATEWAY_TIMEOUT, "the answer is lost").into_response(),
+        }
+    }
+}
+
+async fn transact(State(hub): HubState, Json(body): Json<TableTransaction>) -> Response {
+    match hub.platform.transact(body).await {
+        Ok(reply) => Json(reply).into_response(),
+        Err(failure) => failure.into_response(),
+    }
+}
+
+async fn read_row(State(hub): HubState, Query(query): Query<KeyQuery>) -> Response {
+    match hub.platform.row(&query.key).await {
+        Ok(row) => Json(row).into_response(),
+        Err(failure) => failure.into_response(),
+    }
+}
+
+async fn scan(State(hub): HubState, Query(query): Query<KeyQuery>) -> Response {
+    match hub.platform.scan(&query.key).await {
+        Ok(rows) => Json(rows).into_response(),
+        Err(failure) => failure.into_response(),
+    }
+}
+
+async fn read_object(State(hub): HubState, Query(query): Query<KeyQuery>) -> Response {
+    match hub.platform.object(&query.key).await {
+        Ok(Some(bytes)) => bytes.into_response(),
+        Ok(None) => StatusCode::NOT_FOUND.into_response(),
+        Err(failure) => failure.into_response(),
+    }
+}
+
+async fn write_object(
+    State(hub): HubState,
+    Query(query): Query<KeyQuery>,
+    body: Bytes,
+) -> Response {
+    match hub.platform.put_object(&query.key, body.to_vec()).await {
+        Ok(()) => StatusCode::NO_CONTENT.into_response(),
+        Err(failure) => failure.into_response(),
+    }
+}
+
+async fn list_instances(State(hub): HubState) -> Json<Vec<InstanceRecord>> {
+    Json(hub.platform.instances())
+}
+
+async fn put_instance(State(hub): HubState, Json(record): Json<InstanceRecord>) -> StatusCode {
+    hub.platform.put_instance(record);
+    StatusCode::NO_CONTENT
+}
+
+async fn remove_instance(State(hub): HubState, Path(name): Path<String>) -> StatusCode {
+    hub.platform.remove_instance(&name);
+    StatusCode::NO_CONTENT
+}
+
+async fn platform_fault(State(hub): HubState) -> Json<PlatformFault> {
+    Json(hub.platform.fault())
+}
+
+async fn set_platform_fault(State(hub): HubState, Json(fault): Json<PlatformFault>) -> StatusCode {
+    hub.platform.set_fault(fault);
+    StatusCode::NO_CONTENT
+}
+
+async fn counts(State(hub): HubState) -> Response {
+    Json(hub.platform.counts()).into_response()
+}
+
+async fn group_view(State(hub): HubState, Path(name): Path<String>) -> Response {
+    let Some(group) = hub.groups.read().get(&name).cloned() else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    let views: Vec<MemberView> = group
+        .members
+        .iter()
+        .zip(&group.addresses)
+        .map(|(member, address)| MemberView {
+            name: member.name.clone(),
+            zone: member.zone.clone(),
+            address: *address,
+            status: member.core.lock().status().to_string(),
+            connections: member.connections.load(std::sync::atomic::Ordering::SeqCst),
+        })
+        .collect();
+    Json(views).into_response()
+}
+
+async fn change_member(
+    State(hub): HubState,
+    Path((group, member)): Path<(String, String)>,
+    Json(change): Json<FaultChange>,
+) -> StatusCode {
+    let Some(group) = hub.groups.read().get(&group).cloned() else {
+        return StatusCode::NOT_FOUND;
+    };
+    let Some(member) = group.member(&member) else {
+        return StatusCode::NOT_FOUND;
+    };
+    member.change_fault(&change);
+    StatusCode::NO_CONTENT
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,257 @@
+//! Embedded SQL engine of one member: a database in a temporary directory, gone with the member.
+
+use std::path::{Path, PathBuf};
+
+use bytes::{BufMut as _, BytesMut};
+use rusqlite::types::Value;
+use rusqlite::{Connection, ErrorCode, OpenFlags};
+use snafu::{ResultExt as _, Snafu};
+use tempfile::TempDir;
+
+use crate::infer;
+use crate::value::{self, ValueFormat, oid, oid_of_declaration};
+
+/// Prepared statements that each connection keeps.
+const STATEMENT_CACHE: usize = 64;
+
+/// File name of a database inside its directory.
+const DATABASE_FILE: &str = "member.db";
+
+/// Errors of the embedded engine.
+#[derive(Debug, Snafu)]
+pub enum EngineError {
+    /// Another connection holds a lock; the caller tries again.
+    #[snafu(display("the database is locked"))]
+    Busy,
+    /// The engine refused the statement.
+    #[snafu(display("{message}"))]
+    Statement {
+        /// SQLSTATE that fits the refusal best.
+        sqlstate: &'static str,
+        /// Engine's message.
+        message: String,
+    },
+    /// The database could not be opened.
+    #[snafu(display("cannot open the database: {source}"))]
+    Open {
+        /// Cause reported by the engine.
+        source: rusqlite::Error,
+    },
+    /// The directory of the database could not be created.
+    #[snafu(display("cannot create a temporary directory: {source}"))]
+    Directory {
+        /// Cause reported by the system.
+        source: std::io::Error,
+    },
+}
+
+impl From<rusqlite::Error> for EngineError {
+    fn from(error: rusqlite::Error) -> Self {
+        let code = error.sqlite_error_code();
+        let sqlstate = match code {
+            Some(ErrorCode::DatabaseBusy | ErrorCode::DatabaseLocked) => return Self::Busy,
+            Some(ErrorCode::ConstraintViolation) => "23505",
+            Some(ErrorCode::ReadOnly) => "25006",
+            _ => "42601",
+        };
+        let message = error.to_string();
+        let sqlstate = if message.contains("no such table") { "42P01" } else { sqlstate };
+        Self::Statement { sqlstate, message }
+    }
+}
+
+/// Column of a result.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ResultColumn {
+    /// Name shown to the caller.
+    pub name: String,
+    /// Type identifier.
+    pub oid: u32,
+}
+
+/// Shape of a statement before it runs.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct StatementShape {
+    /// Types of the parameters.
+    pub parameters: Vec<u32>,
+    /// Columns of the result, empty if the statement returns none.
+    pub columns: Vec<ResultColumn>,
+    /// Tells that the statement does not write.
+    pub readonly: bool,
+}
+
+/// Rows of a result, each the body of a data row message.
+#[derive(Clone, Debug, Default)]
+pub struct StatementResult {
+    /// Columns of the result.
+    pub columns: Vec<ResultColumn>,
+    /// Column values of each row, encoded.
+    pub rows: Vec<BytesMut>,
+    /// Rows changed by a write.
+    pub changed: usize,
+}
+
+/// Database of one member.
+#[derive(Debug)]
+pub struct MemberEngine {
+    path: PathBuf,
+    /// Connection that applies the log.
+    applier: Connection,
+    /// Removes the files when the member is dropped.
+    _directory: TempDir,
+}
+
+impl MemberEngine {
+    /// Creates an empty database.
+    pub fn create() -> Result<Self, EngineError> {
+        let directory =
+            tempfile::Builder::new().prefix("hibiscus-").tempdir().context(DirectorySnafu)?;
+        let path = directory.path().join(DATABASE_FILE);
+        let applier = open(&path)?;
+        // Readers must not block the writer, and nothing here has to survive a crash.
+        applier.execute_batch("PRAGMA journal_mode=WAL; PRAGMA synchronous=OFF;")?;
+        Ok(Self { path, applier, _directory: directory })
+    }
+
+    /// Opens one more connection to the database.
+    pub fn connect(&self) -> Result<EngineConnection, EngineError> {
+        let connection = open(&self.path)?;
+        connection.execute_batch("PRAGMA synchronous=OFF;")?;
+        Ok(EngineConnection { connection })
+    }
+
+    /// Runs one logged statement outside any session.
+    pub fn replay(&self, sql: &str, parameters: &[Value]) -> Result<(), EngineError> {
+        execute(&self.applier, sql, parameters)
+    }
+
+    /// Runs a transaction control statement on the connection that applies the log.
+    pub fn control(&self, sql: &str) -> Result<(), EngineError> {
+        Ok(self.applier.execute_batch(sql)?)
+    }
+}
+
+fn open(path: &Path) -> Result<Connection, EngineError> {
+    let flags = OpenFlags::SQLITE_OPEN_READ_WRITE
+        | OpenFlags::SQLITE_OPEN_CREATE
+        | OpenFlags::SQLITE_OPEN_NO_MUTEX;
+    let connection = Connection::open_with_flags(path, flags).context(OpenSnafu)?;
+    connection.set_prepared_statement_cache_capacity(STATEMENT_CACHE);
+    Ok(connection)
+}
+
+/// Connection of one session to its member's database.
+#[derive(Debug)]
+pub struct EngineConnection {
+    connection: Connection,
+}
+
+impl EngineConnection {
+    /// Runs a transaction control statement.
+    pub fn control(&self, sql: &str) -> Result<(), EngineError> {
+        Ok(self.connection.execute_batch(sql)?)
+    }
+
+    /// Describes a statement without running it.
+    pub fn describe(&self, sql: &str, declared: &[u32]) -> Result<StatementShape, EngineError> {
+        let statement = self.connection.prepare_cached(sql)?;
+        let mut parameters =
+            infer::parameter_types(&self.connection, sql, statement.parameter_count());
+        for (slot, declared) in parameters.iter_mut().zip(declared) {
+            if *declared != 0 {
+                *slot = *declared;
+            }
+        }
+        Ok(StatementShape {
+            parameters,
+            columns: columns_of(&statement),
+            readonly: statement.readonly(),
+        })
+    }
+
+    /// Tells whether a statement only reads.
+    pub fn is_readonly(&self, sql: &str) -> Result<bool, EngineError> {
+        Ok(self.connection.prepare_cached(sql)?.readonly())
+    }
+
+    /// Runs a statement and encodes its rows.
+    pub fn run(
+        &self,
+        sql: &str,
+        parameters: &[Value],
+        formats: &[i16],
+    ) -> Result<StatementResult, EngineError> {
+        let mut statement = self.connection.prepare_cached(sql)?;
+        bind(&mut statement, parameters)?;
+        let columns = columns_of(&statement);
+        let mut result = StatementResult { columns, ..StatementResult::default() };
+        let mut rows = statement.raw_query();
+        while let Some(row) = rows.next()? {
+            let mut body = BytesMut::with_capacity(32 * result.columns.len());
+            body.put_i16(result.columns.len() as i16);
+            for (index, column) in result.columns.iter().enumerate() {
+                let format = ValueFormat::pick(formats, index);
+                value::encode(&mut body, row.get_ref(index)?, column.oid, format);
+            }
+            result.rows.push(body);
+        }
+        drop(rows);
+        if !statement.readonly() {
+            result.changed = self.connection.changes() as usize;
+        }
+        Ok(result)
+    }
+}
+
+fn execute(connection: &Connection, sql: &str, parameters: &[Value]) -> Result<(), EngineError> {
+    let mut statement = connection.prepare_cached(sql)?;
+    bind(&mut statement, parameters)?;
+    let mut rows = statement.raw_query();
+    while rows.next()?.is_some() {}
+    Ok(())
+}
+
+fn bind(statement: &mut rusqlite::Statement<'_>, values: &[Value]) -> Result<(), EngineError> {
+    for (index, value) in values.iter().enumerate() {
+        // The engine numbers `$1` by first appearance, so the name decides the slot.
+        let named = statement.parameter_index(&format!("${}", index + 1))?;
+        if let Some(slot) = named {
+            statement.raw_bind_parameter(slot, value)?;
+        }
+    }
+    Ok(())
+}
+
+fn columns_of(statement: &rusqlite::Statement<'_>) -> Vec<ResultColumn> {
+    let columns = statement.columns();
+    columns
+        .iter()
+        .map(|column| {
+            let oid = match column.decl_type() {
+                Some(declaration) => oid_of_declaration(declaration),
+                None => infer::expression_type(column.name()),
+            };
+            ResultColumn { name: short_name(column.name()), oid }
+        })
+        .collect()
+}
+
+/// Shortens the engine's name of a computed column to PostgreSQL's form.
+fn short_name(name: &str) -> String {
+    match name.split_once('(') {
+        Some((function, _)) if !function.is_empty() => function.to_lowercase(),
+        _ if name.parse::<f64>().is_ok() => "?column?".to_owned(),
+        _ => name.to_owned(),
+    }
+}
+
+/// Returns the fixed size of a type, or -1 if it varies.
+pub fn type_size(type_oid: u32) -> i16 {
+    match type_oid {
+        oid::BOOL => 1,
+        oid::INT2 => 2,
+        oid::INT4 | oid::FLOAT4 => 4,
+        oid::INT8 | oid::FLOAT8 => 8,
+        _ => -1,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/group.rs
@@ -0,0 +1,252 @@
+//! Database group: members, log shipping between them, and their listeners.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt as _, Snafu};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+use crate::engine::EngineError;
+use crate::member::{BatchAnswer, GroupMember, MemberError};
+use crate::session;
+
+/// Longest time between two batches to a replica.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(50);
+/// Entries sent in one batch.
+const BATCH_ENTRIES: usize = 256;
+/// Time after which a blocked link or apply step is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(2);
+/// Term under which a new group starts.
+const FIRST_TERM: u64 = 1;
+
+/// Errors of starting a group.
+#[derive(Debug, Snafu)]
+pub enum GroupError {
+    /// A member's engine could not be created.
+    #[snafu(display("{source}"), context(false))]
+    Engine {
+        /// Cause reported by the engine.
+        source: EngineError,
+    },
+    /// The first promotion failed.
+    #[snafu(display("{source}"), context(false))]
+    Promotion {
+        /// Cause reported by the member.
+        source: MemberError,
+    },
+    /// A listener could not be opened.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address that was tried.
+        address: SocketAddr,
+        /// Cause reported by the system.
+        source: std::io::Error,
+    },
+}
+
+/// Settings of one member.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberSettings {
+    /// Logical name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address to listen on; port 0 takes a free one.
+    pub listen: SocketAddr,
+}
+
+/// Settings of one group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct GroupSettings {
+    /// Name of the database.
+    pub name: String,
+    /// Members, the first of which is the first primary.
+    pub members: Vec<MemberSettings>,
+    /// Statements that a member runs at once.
+    pub slots: usize,
+    /// Connections that a member accepts.
+    pub connections: u32,
+    /// Time that opening a connection takes, in milliseconds.
+    pub connect_ms: u64,
+    /// One-way delay between availability zones, in microseconds.
+    pub zone_delay_us: u64,
+    /// Time that a statement takes besides the engine's own, in microseconds.
+    pub statement_us: u64,
+}
+
+impl Default for GroupSettings {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            members: Vec::new(),
+            slots: 3,
+            connections: 25,
+            connect_ms: 10,
+            zone_delay_us: 0,
+            statement_us: 0,
+        }
+    }
+}
+
+/// Running group.
+#[derive(Debug)]
+pub struct DatabaseGroup {
+    /// Settings the group was started with.
+    pub settings: GroupSettings,
+    /// Members in the order of the settings.
+    pub members: Vec<Arc<GroupMember>>,
+    /// Addresses on which the members listen.
+    pub addresses: Vec<SocketAddr>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for DatabaseGroup {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl DatabaseGroup {
+    /// Starts the members, promotes the first one and lets the others follow it.
+    pub async fn start(settings: GroupSettings) -> Result<Self, GroupError> {
+        let mut members = Vec::new();
+        for (index, member) in settings.members.iter().enumerate() {
+            let created = GroupMember::create(index, &member.name, &member.zone, settings.slots)?;
+            members.push(Arc::new(created));
+        }
+        elect_first(&members)?;
+        let shared = Arc::new(settings.clone());
+        let mut tasks = Vec::new();
+        let mut addresses = Vec::new();
+        for (member, settings) in members.iter().zip(&settings.members) {
+            let address = settings.listen;
+            let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+            addresses.push(listener.local_addr().context(ListenSnafu { address })?);
+            let size = members.len();
+            let serve = session::serve(listener, member.clone(), shared.clone(), size);
+            tasks.push(tokio::spawn(serve));
+            tasks.push(tokio::spawn(apply(member.clone())));
+            for replica in members.iter().filter(|other| other.index != member.index) {
+                let ship = ship(member.clone(), replica.clone(), shared.clone());
+                tasks.push(tokio::spawn(ship));
+            }
+        }
+        Ok(Self { settings, members, addresses, tasks })
+    }
+
+    /// Finds a member by its logical name.
+    pub fn member(&self, name: &str) -> Option<&Arc<GroupMember>> {
+        self.members.iter().find(|member| member.name == name)
+    }
+}
+
+fn elect_first(members: &[Arc<GroupMember>]) -> Result<(), GroupError> {
+    let Some(first) = members.first() else {
+        return Ok(());
+    };
+    first.update(|core| core.fence(FIRST_TERM))?;
+    first.update(|core| core.promote(FIRST_TERM))?;
+    for replica in &members[1..] {
+        replica.update(|core| core.follow(FIRST_TERM, &first.name))?;
+    }
+    Ok(())
+}
+
+/// Sends the log of `from` to `to` for as long as `from` is a primary.
+async fn ship(from: Arc<GroupMember>, to: Arc<GroupMember>, settings: Arc<GroupSettings>) {
+    let delay = zone_delay(&settings, &from.zone, &to.zone);
+    let mut changes = from.changed.subscribe();
+    let mut held = 0;
+    loop {
+        changes.borrow_and_update();
+        let sent_at = Instant::now();
+        let batch = from.core.lock().batch_after(held, BATCH_ENTRIES);
+        if let Some(batch) = batch.filter(|_| is_linked(&from, &to)) {
+            pause(delay).await;
+            let answer = to.update(|core| core.append(&from.name, &batch));
+            pause(delay).await;
+            match answer {
+                Ok(BatchAnswer::Held(index)) if is_linked(&from, &to) => {
+                    held = index;
+                    let term = batch.term;
+                    from.update(|core| core.acknowledge(to.index, term, index, sent_at));
+                }
+                Ok(BatchAnswer::Earlier(index)) => {
+                    held = index;
+                    continue;
+                }
+                Ok(_) => sleep(RETRY_INTERVAL).await,
+                Err(error) => log::error!("member {} cannot take a batch: {error}", to.name),
+            }
+        }
+        // Acknowledgements wake the task as well; only a new entry or a barrier is worth a batch
+        // before the next heartbeat.
+        let heartbeat_at = Instant::now() + HEARTBEAT_INTERVAL;
+        while !is_batch_due(&from, held, sent_at) {
+            match timeout_at(heartbeat_at, changes.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return,
+                Err(_) => break,
+            }
+        }
+    }
+}
+
+fn is_batch_due(from: &GroupMember, held: u64, sent_at: Instant) -> bool {
+    let core = from.core.lock();
+    let ships = core.is_primary() && !core.fault.cut && !core.fault.stopped && !core.fault.paused;
+    ships && (core.last_index() > held || core.barrier_at().is_some_and(|at| at > sent_at))
+}
+
+fn is_linked(from: &GroupMember, to: &GroupMember) -> bool {
+    let isolated = |member: &GroupMember| {
+        let fault = member.fault();
+        fault.cut || fault.stopped || fault.paused
+    };
+    !isolated(from) && !isolated(to)
+}
+
+/// Applies received entries when their lag is over.
+async fn apply(member: Arc<GroupMember>) {
+    let mut changes = member.changed.subscribe();
+    loop {
+        changes.borrow_and_update();
+        let next = member.core.lock().apply_due();
+        match next {
+            Ok(Some(due)) => {
+                sleep_until(due).await;
+                member.changed.send_modify(|count| *count += 1);
+            }
+            Ok(None) => {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+            Err(MemberError::Engine { source: EngineError::Busy }) => sleep(RETRY_INTERVAL).await,
+            Err(error) => {
+                log::error!("member {} cannot apply its log: {error}", member.name);
+                sleep(HEARTBEAT_INTERVAL).await;
+            }
+        }
+    }
+}
+
+/// Returns the one-way delay between two availability zones.
+pub fn zone_delay(settings: &GroupSettings, one: &str, other: &str) -> Duration {
+    if one == other {
+        return Duration::ZERO;
+    }
+    Duration::from_micros(settings.zone_delay_us)
+}
+
+async fn pause(delay: Duration) {
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/session.rs
@@ -0,0 +1,420 @@
+//! PostgreSQL sessions of one member.
+
+mod extended;
+mod simple;
+mod transaction;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use log::debug;
+use parking_lot::Mutex;
+use pgwire::messages::startup::{Authentication, BackendKeyData, SecretKey};
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage, PgWireFrontendMessage, SslNegotiationMetaMessage,
+};
+use state::position::MemberPosition;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use wire::group::{NOT_PRIMARY, POSITION_PARAMETER, TERM_REFUSED, TOO_MANY_CONNECTIONS};
+use wire::reply::{self, BlockState};
+
+use crate::engine::{EngineConnection, EngineError};
+use crate::group::{GroupSettings, zone_delay};
+use crate::member::{GroupMember, LoggedStatement, MemberError};
+
+pub(crate) use extended::{PortalState, PreparedStatement};
+
+/// User name whose connections do not count against the connection limit.
+pub const CONTROL_USER: &str = "hibiscus-control";
+/// Application name by which a proxy tells its availability zone.
+pub const ZONE_PREFIX: &str = "hibiscus/";
+/// Bytes collected before they are written to the socket.
+const WRITE_THRESHOLD: usize = 64 * 1024;
+/// Time after which the locks of a transaction are freed whose caller cannot be reached.
+const IDLE_TRANSACTION_LIMIT: Duration = Duration::from_secs(1);
+/// Interval at which a paused session looks whether it may go on.
+const PAUSE_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Why a session ends.
+#[derive(Debug)]
+pub(crate) enum SessionEnd {
+    /// The caller closed the connection or sent something unreadable.
+    Closed,
+    /// The member drops the connection without a word.
+    Dropped,
+    /// The socket failed.
+    Socket,
+}
+
+impl From<std::io::Error> for SessionEnd {
+    fn from(_: std::io::Error) -> Self {
+        Self::Socket
+    }
+}
+
+/// Refusal of a statement.
+#[derive(Clone, Debug)]
+pub(crate) struct StatementRefusal {
+    pub(crate) sqlstate: &'static str,
+    pub(crate) message: String,
+}
+
+impl StatementRefusal {
+    pub(crate) fn new(sqlstate: &'static str, message: impl Into<String>) -> Self {
+        Self { sqlstate, message: message.into() }
+    }
+}
+
+impl From<EngineError> for StatementRefusal {
+    fn from(error: EngineError) -> Self {
+        match error {
+            EngineError::Busy => Self::new("40001", "could not serialize access"),
+            EngineError::Statement { sqlstate, message } => Self::new(sqlstate, message),
+            other => Self::new("XX000", other.to_string()),
+        }
+    }
+}
+
+impl From<MemberError> for StatementRefusal {
+    fn from(error: MemberError) -> Self {
+        match error {
+            MemberError::NotPrimary => Self::new(NOT_PRIMARY, error.to_string()),
+            MemberError::TermRefused { .. } => Self::new(TERM_REFUSED, error.to_string()),
+            MemberError::Engine { source } => source.into(),
+        }
+    }
+}
+
+/// Cancel requests of one member, by the process number given at startup.
+pub(crate) type CancelRegistry = Mutex<HashMap<i32, Arc<Notify>>>;
+
+/// Session of one connection.
+pub(crate) struct MemberSession {
+    pub(crate) member: Arc<GroupMember>,
+    pub(crate) settings: Arc<GroupSettings>,
+    pub(crate) group_size: usize,
+    pub(crate) socket: TcpStream,
+    pub(crate) input: BytesMut,
+    pub(crate) output: BytesMut,
+    pub(crate) engine: EngineConnection,
+    pub(crate) generation: u64,
+    pub(crate) number: u64,
+    pub(crate) delay: Duration,
+    pub(crate) state: BlockState,
+    pub(crate) writer: Option<tokio::sync::OwnedMutexGuard<()>>,
+    pub(crate) logged: Vec<LoggedStatement>,
+    pub(crate) label: Option<String>,
+    pub(crate) unconfirmed: Option<u64>,
+    pub(crate) committed: bool,
+    pub(crate) reported: Option<MemberPosition>,
+    pub(crate) statements: HashMap<String, PreparedStatement>,
+    pub(crate) portals: HashMap<String, PortalState>,
+    pub(crate) skipping: bool,
+    pub(crate) cancel: Arc<Notify>,
+}
+
+/// Accepts connections for as long as the member lives.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    member: Arc<GroupMember>,
+    settings: Arc<GroupSettings>,
+    group_size: usize,
+) {
+    let registry = Arc::new(CancelRegistry::default());
+    loop {
+        let Ok((socket, _)) = listener.accept().await else {
+            sleep(PAUSE_INTERVAL).await;
+            continue;
+        };
+        let _ = socket.set_nodelay(true);
+        if member.fault().stopped {
+            continue;
+        }
+        let (member, settings) = (member.clone(), settings.clone());
+        let registry = registry.clone();
+        tokio::spawn(async move {
+            let mut changes = member.changed.subscribe();
+            let stopped = async {
+                loop {
+                    if member.fault().stopped || changes.changed().await.is_err() {
+                        return;
+                    }
+                }
+            };
+            let run = accept(socket, member.clone(), settings, group_size, registry);
+            tokio::select! {
+                end = run => debug!("session of {} ended: {end:?}", member.name),
+                () = stopped => debug!("session of {} dropped", member.name),
+            }
+        });
+    }
+}
+
+/// Counts a connection against the limit for as long as it lives.
+struct ConnectionCount(Arc<GroupMember>);
+
+impl Drop for ConnectionCount {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn accept(
+    mut socket: TcpStream,
+    member: Arc<GroupMember>,
+    settings: Arc<GroupSettings>,
+    group_size: usize,
+    registry: Arc<CancelRegistry>,
+) -> Result<(), SessionEnd> {
+    hold_while_paused(&member).await;
+    let mut input = BytesMut::with_capacity(4096);
+    let Some(startup) = read_startup(&mut socket, &mut input, &registry).await? else {
+        return Ok(());
+    };
+    let user = startup.get("user").cloned().unwrap_or_default();
+    let zone = startup
+        .get("application_name")
+        .and_then(|name| name.strip_prefix(ZONE_PREFIX))
+        .unwrap_or(&member.zone)
+        .to_owned();
+    let mut count = None;
+    if user != CONTROL_USER {
+        sleep(Duration::from_millis(settings.connect_ms)).await;
+        let before = member.connections.fetch_add(1, Ordering::SeqCst);
+        count = Some(ConnectionCount(member.clone()));
+        if before >= settings.connections {
+            let mut output = BytesMut::new();
+            reply::put_error(&mut output, TOO_MANY_CONNECTIONS, "too many connections");
+            socket.write_all(&output).await?;
+            return Ok(());
+        }
+    }
+    let (engine, generation) = {
+        let core = member.core.lock();
+        (core.connect().map_err(|_| SessionEnd::Dropped)?, core.generation)
+    };
+    let number = member.opened.fetch_add(1, Ordering::SeqCst) + 1;
+    let cancel = Arc::new(Notify::new());
+    registry.lock().insert(number as i32, cancel.clone());
+    let delay = 2 * zone_delay(&settings, &zone, &member.zone);
+    let mut session = MemberSession {
+        member,
+        settings,
+        group_size,
+        socket,
+        input,
+        output: BytesMut::new(),
+        engine,
+        generation,
+        number,
+        delay,
+        state: BlockState::Idle,
+        writer: None,
+        logged: Vec::new(),
+        label: None,
+        unconfirmed: None,
+        committed: false,
+        reported: None,
+        statements: HashMap::new(),
+        portals: HashMap::new(),
+        skipping: false,
+        cancel,
+    };
+    let end = session.run().await;
+    session.abandon();
+    registry.lock().remove(&(number as i32));
+    drop(count);
+    end
+}
+
+/// Reads messages up to the startup; returns none if the connection was for a cancel request.
+async fn read_startup(
+    socket: &mut TcpStream,
+    input: &mut BytesMut,
+    registry: &CancelRegistry,
+) -> Result<Option<std::collections::BTreeMap<String, String>>, SessionEnd> {
+    let mut context = DecodeContext::default();
+    loop {
+        let message =
+            PgWireFrontendMessage::decode(input, &context).map_err(|_| SessionEnd::Closed)?;
+        match message {
+            Some(PgWireFrontendMessage::SslNegotiation(SslNegotiationMetaMessage::None)) => {
+                context.awaiting_frontend_ssl = false;
+            }
+            Some(PgWireFrontendMessage::SslNegotiation(_)) => socket.write_all(b"N").await?,
+            Some(PgWireFrontendMessage::CancelRequest(cancel)) => {
+                if let Some(notify) = registry.lock().get(&cancel.pid) {
+                    notify.notify_one();
+                }
+                return Ok(None);
+            }
+            Some(PgWireFrontendMessage::Startup(startup)) => {
+                return Ok(Some(startup.parameters));
+            }
+            Some(_) => return Err(SessionEnd::Closed),
+            None => {
+                if socket.read_buf(input).await? == 0 {
+                    return Err(SessionEnd::Closed);
+                }
+            }
+        }
+    }
+}
+
+async fn hold_while_paused(member: &GroupMember) {
+    while member.fault().paused {
+        sleep(PAUSE_INTERVAL).await;
+    }
+}
+
+impl MemberSession {
+    async fn run(&mut self) -> Result<(), SessionEnd> {
+        self.greet().await?;
+        let mut context = DecodeContext::default();
+        context.awaiting_frontend_ssl = false;
+        context.awaiting_frontend_startup = false;
+        loop {
+            let message = PgWireFrontendMessage::decode(&mut self.input, &context)
+                .map_err(|_| SessionEnd::Closed)?;
+            match message {
+                Some(PgWireFrontendMessage::Terminate(_)) => return Ok(()),
+                Some(message) => self.handle(message).await?,
+                None => {
+                    self.flush().await?;
+                    self.read().await?;
+                }
+            }
+        }
+    }
+
+    async fn greet(&mut self) -> Result<(), SessionEnd> {
+        reply::put(&mut self.output, PgWireBackendMessage::Authentication(Authentication::Ok));
+        for (name, value) in [
+            ("server_version", "15.0"),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("DateStyle", "ISO, MDY"),
+            ("integer_datetimes", "on"),
+            ("standard_conforming_strings", "on"),
+        ] {
+            reply::put_parameter(&mut self.output, name, value);
+        }
+        let key = BackendKeyData::new(self.number as i32, SecretKey::I32(self.number as i32));
+        reply::put(&mut self.output, PgWireBackendMessage::BackendKeyData(key));
+        self.put_ready();
+        self.flush().await
+    }
+
+    /// Waits for bytes; an open transaction ends when the member loses the primary role.
+    async fn read(&mut self) -> Result<(), SessionEnd> {
+        let mut changes = self.member.changed.subscribe();
+        loop {
+            if self.state != BlockState::Idle && self.is_outdated() {
+                reply::put_error(&mut self.output, NOT_PRIMARY, "the primary was replaced");
+                self.flush().await?;
+                return Err(SessionEnd::Dropped);
+            }
+            let in_transaction = self.state != BlockState::Idle;
+            tokio::select! {
+                read = self.socket.read_buf(&mut self.input) => {
+                    if read? == 0 {
+                        return Err(SessionEnd::Closed);
+                    }
+                    break;
+                }
+                _ = changes.changed(), if in_transaction => {}
+            }
+        }
+        hold_while_paused(&self.member).await;
+        if self.number <= self.member.silenced.load(Ordering::SeqCst) {
+            // The connection went silent: it stays open and never answers, but a transaction does
+            // not keep its locks for good.
+            sleep(IDLE_TRANSACTION_LIMIT).await;
+            self.abandon();
+            std::future::pending::<()>().await;
+        }
+        if !self.delay.is_zero() {
+            sleep(self.delay).await;
+        }
+        Ok(())
+    }
+
+    async fn handle(&mut self, message: PgWireFrontendMessage) -> Result<(), SessionEnd> {
+        if self.skipping && !matches!(message, PgWireFrontendMessage::Sync(_)) {
+            return Ok(());
+        }
+        match message {
+            PgWireFrontendMessage::Query(query) => self.simple_query(&query.query).await,
+            PgWireFrontendMessage::Sync(_) => self.sync().await,
+            PgWireFrontendMessage::Flush(_) => self.flush().await,
+            other => {
+                if let Err(refusal) = self.extended_message(other).await? {
+                    self.refuse(&refusal);
+                    self.skipping = true;
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// Replaces the engine's connection after the database was rebuilt.
+    pub(crate) fn refresh_engine(&mut self) -> Result<(), StatementRefusal> {
+        if !self.is_outdated() {
+            return Ok(());
+        }
+        if self.state != BlockState::Idle {
+            return Err(StatementRefusal::new(NOT_PRIMARY, "the primary was replaced"));
+        }
+        let core = self.member.core.lock();
+        self.engine = core.connect()?;
+        self.generation = core.generation;
+        Ok(())
+    }
+
+    fn is_outdated(&self) -> bool {
+        self.member.core.lock().generation != self.generation
+    }
+
+    pub(crate) fn refuse(&mut self, refusal: &StatementRefusal) {
+        if self.state == BlockState::Open {
+            self.state = BlockState::Failed;
+        }
+        reply::put_error(&mut self.output, refusal.sqlstate, &refusal.message);
+    }
+
+    /// Reports the member's position if it moved since the last report.
+    pub(crate) fn report_position(&mut self) {
+        let position = self.member.core.lock().position();
+        if self.reported != Some(position) {
+            self.reported = Some(position);
+            reply::put_parameter(&mut self.output, POSITION_PARAMETER, &position.to_string());
+        }
+    }
+
+    pub(crate) fn put_ready(&mut self) {
+        self.report_position();
+        reply::put_ready(&mut self.output, self.state);
+    }
+
+    pub(crate) async fn flush_if_large(&mut self) -> Result<(), SessionEnd> {
+        if self.output.len() >= WRITE_THRESHOLD {
+            self.flush().await?;
+        }
+        Ok(())
+    }
+
+    async fn flush(&mut self) -> Result<(), SessionEnd> {
+        hold_while_paused(&self.member).await;
+        if !self.output.is_empty() {
+            self.socket.write_all(&self.output).await?;
+            self.output.clear();
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,8 @@
+//! Logging as numbered events, metrics and the settings that all programs share.
+
+pub use log;
+
+pub mod event;
+pub mod logging;
+pub mod meter;
+pub mod program;
--- /dev/null
+++ b/crates/wire/src/frontend.rs
@@ -0,0 +1,190 @@
+//! Fields of caller messages that the proxy reads or replaces; everything else passes as bytes.
+
+use bytes::{BufMut as _, BytesMut};
+use snafu::{OptionExt as _, Snafu};
+
+use crate::frame::RawFrame;
+
+/// Tag of a simple query.
+pub const QUERY: u8 = b'Q';
+/// Tag of a parse message.
+pub const PARSE: u8 = b'P';
+/// Tag of a bind message.
+pub const BIND: u8 = b'B';
+/// Tag of a describe message.
+pub const DESCRIBE: u8 = b'D';
+/// Tag of an execute message.
+pub const EXECUTE: u8 = b'E';
+/// Tag of a close message.
+pub const CLOSE: u8 = b'C';
+/// Tag of a flush message.
+pub const FLUSH: u8 = b'H';
+/// Tag of a sync message.
+pub const SYNC: u8 = b'S';
+/// Tag of a terminate message.
+pub const TERMINATE: u8 = b'X';
+/// Tag of a password message.
+pub const PASSWORD: u8 = b'p';
+
+/// Error of reading a caller message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("the {field} of a message of type {tag:?} is malformed", tag = char::from(*tag)))]
+pub struct FieldError {
+    /// Tag of the message.
+    pub tag: u8,
+    /// Field that could not be read.
+    pub field: &'static str,
+}
+
+/// Parse message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ParseFields<'a> {
+    /// Name of the statement, empty for the unnamed one.
+    pub name: &'a str,
+    /// Statement text.
+    pub query: &'a str,
+    /// Parameter types as they stand in the message.
+    pub types: &'a [u8],
+}
+
+/// Bind message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BindFields<'a> {
+    /// Name of the portal.
+    pub portal: &'a str,
+    /// Name of the statement.
+    pub statement: &'a str,
+    /// Formats and parameter values as they stand in the message.
+    pub values: &'a [u8],
+}
+
+/// Object that a describe or close message names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ObjectKind {
+    /// Prepared statement.
+    Statement,
+    /// Portal.
+    Portal,
+}
+
+/// Describe or close message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ObjectFields<'a> {
+    /// Kind of the object.
+    pub kind: ObjectKind,
+    /// Name of the object.
+    pub name: &'a str,
+}
+
+/// Reads the text of a simple query.
+pub fn read_query(frame: &RawFrame) -> Result<&str, FieldError> {
+    let mut reader = FieldReader::new(frame);
+    reader.text("query")
+}
+
+/// Reads a parse message.
+pub fn read_parse(frame: &RawFrame) -> Result<ParseFields<'_>, FieldError> {
+    let mut reader = FieldReader::new(frame);
+    let name = reader.text("name")?;
+    let query = reader.text("query")?;
+    Ok(ParseFields { name, query, types: reader.rest })
+}
+
+/// Reads a bind message.
+pub fn read_bind(frame: &RawFrame) -> Result<BindFields<'_>, FieldError> {
+    let mut reader = FieldReader::new(frame);
+    let portal = reader.text("portal")?;
+    let statement = reader.text("statement")?;
+    Ok(BindFields { portal, statement, values: reader.rest })
+}
+
+/// Reads a describe or close message.
+pub fn read_object(frame: &RawFrame) -> Result<ObjectFields<'_>, FieldError> {
+    let mut reader = FieldReader::new(frame);
+    let kind = match reader.byte("kind")? {
+        b'S' => ObjectKind::Statement,
+        b'P' => ObjectKind::Portal,
+        _ => return FieldSnafu { tag: frame.tag, field: "kind" }.fail(),
+    };
+    Ok(ObjectFields { kind, name: reader.text("name")? })
+}
+
+/// Reads the portal name of an execute message.
+pub fn read_execute(frame: &RawFrame) -> Result<&str, FieldError> {
+    FieldReader::new(frame).text("portal")
+}
+
+/// Writes a simple query.
+pub fn put_query(buffer: &mut BytesMut, query: &str) {
+    put_frame(buffer, QUERY, |body| put_text(body, query));
+}
+
+/// Writes a parse message.
+pub fn put_parse(buffer: &mut BytesMut, fields: &ParseFields<'_>) {
+    put_frame(buffer, PARSE, |body| {
+        put_text(body, fields.name);
+        put_text(body, fields.query);
+        body.put_slice(fields.types);
+    });
+}
+
+/// Writes a bind message.
+pub fn put_bind(buffer: &mut BytesMut, fields: &BindFields<'_>) {
+    put_frame(buffer, BIND, |body| {
+        put_text(body, fields.portal);
+        put_text(body, fields.statement);
+        body.put_slice(fields.values);
+    });
+}
+
+/// Writes a describe or close message under `tag`.
+pub fn put_object(buffer: &mut BytesMut, tag: u8, fields: &ObjectFields<'_>) {
+    put_frame(buffer, tag, |body| {
+        body.put_u8(if fields.kind == ObjectKind::Statement { b'S' } else { b'P' });
+        put_text(body, fields.name);
+    });
+}
+
+/// Writes a message without a body.
+pub fn put_empty(buffer: &mut BytesMut, tag: u8) {
+    put_frame(buffer, tag, |_| {});
+}
+
+fn put_text(body: &mut BytesMut, text: &str) {
+    body.put_slice(text.as_bytes());
+    body.put_u8(0);
+}
+
+fn put_frame(buffer: &mut BytesMut, tag: u8, write: impl FnOnce(&mut BytesMut)) {
+    buffer.put_u8(tag);
+    let start = buffer.len();
+    buffer.put_u32(0);
+    write(buffer);
+    let length = (buffer.len() - start) as u32;
+    buffer[start..start + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+struct FieldReader<'a> {
+    tag: u8,
+    rest: &'a [u8],
+}
+
+impl<'a> FieldReader<'a> {
+    fn new(frame: &'a RawFrame) -> Self {
+        Self { tag: frame.tag, rest: frame.body() }
+    }
+
+    fn byte(&mut self, field: &'static str) -> Result<u8, FieldError> {
+        let (first, rest) = self.rest.split_first().context(FieldSnafu { tag: self.tag, field })?;
+        self.rest = rest;
+        Ok(*first)
+    }
+
+    fn text(&mut self, field: &'static str) -> Result<&'a str, FieldError> {
+        let context = FieldSnafu { tag: self.tag, field };
+        let end = self.rest.iter().position(|byte| *byte == 0).context(context)?;
+        let text = std::str::from_utf8(&self.rest[..end]).ok().context(context)?;
+        self.rest = &self.rest[end + 1..];
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,9 @@
+//! Protocol layer: PostgreSQL frames and messages, statement classes, refusals and group commands.
+
+pub mod frame;
+pub mod frontend;
+pub mod group;
+pub mod platform;
+pub mod refusal;
+pub mod reply;
+pub mod statement;
--- /dev/null
+++ b/crates/wire/src/reply.rs
@@ -0,0 +1,173 @@
+//! Writes and reads messages towards callers with the `pgwire` codec.
+
+use bytes::BytesMut;
+use pgwire::messages::response::{
+    CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, TransactionStatus,
+};
+use pgwire::messages::startup::ParameterStatus;
+use pgwire::messages::{DecodeContext, Message as _, PgWireBackendMessage};
+
+use crate::frame::{HEADER_BYTES, RawFrame};
+use crate::refusal::RequestRefusal;
+
+/// Tag of an error.
+pub const ERROR: u8 = b'E';
+/// Tag of a ready-for-query message.
+pub const READY: u8 = b'Z';
+/// Tag of a parameter status.
+pub const PARAMETER: u8 = b'S';
+/// Tag of a completed command.
+pub const COMPLETE: u8 = b'C';
+/// Tag of an empty query's answer.
+pub const EMPTY: u8 = b'I';
+/// Tag of a suspended portal.
+pub const SUSPENDED: u8 = b's';
+/// Tag of a completed parse.
+pub const PARSED: u8 = b'1';
+/// Tag of a completed bind.
+pub const BOUND: u8 = b'2';
+/// Tag of a completed close.
+pub const CLOSED: u8 = b'3';
+/// Tag of a row description.
+pub const DESCRIPTION: u8 = b'T';
+/// Tag of the answer that a statement returns no rows.
+pub const NO_DATA: u8 = b'n';
+/// Tag of a data row.
+pub const ROW: u8 = b'D';
+/// Tag of a notice.
+pub const NOTICE: u8 = b'N';
+/// Tag of a notification.
+pub const NOTIFICATION: u8 = b'A';
+
+/// Transaction state that a ready-for-query message reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BlockState {
+    /// Outside a transaction.
+    Idle,
+    /// Inside a transaction.
+    Open,
+    /// Inside a transaction that can only be rolled back.
+    Failed,
+}
+
+impl BlockState {
+    fn status(self) -> TransactionStatus {
+        match self {
+            Self::Idle => TransactionStatus::Idle,
+            Self::Open => TransactionStatus::Transaction,
+            Self::Failed => TransactionStatus::Error,
+        }
+    }
+}
+
+/// Reads the state from the body of a ready-for-query message.
+pub fn read_ready(body: &[u8]) -> Option<BlockState> {
+    match body.first()? {
+        b'I' => Some(BlockState::Idle),
+        b'T' => Some(BlockState::Open),
+        b'E' => Some(BlockState::Failed),
+        _ => None,
+    }
+}
+
+/// Reads name and value from the body of a parameter status.
+pub fn read_parameter(body: &[u8]) -> Option<(&str, &str)> {
+    let mut parts = body.split(|byte| *byte == 0);
+    let name = std::str::from_utf8(parts.next()?).ok()?;
+    let value = std::str::from_utf8(parts.next()?).ok()?;
+    Some((name, value))
+}
+
+/// Reads one field of an error or notice by its code.
+pub fn read_error_field(body: &[u8], code: u8) -> Option<&str> {
+    let mut parts = body.split(|byte| *byte == 0);
+    let field = parts.find(|part| part.first() == Some(&code))?;
+    std::str::from_utf8(&field[1..]).ok()
+}
+
+/// Reads the text columns of a data row.
+pub fn read_row(body: &[u8]) -> Vec<Option<String>> {
+    let mut columns = Vec::new();
+    let mut rest = body.get(2..).unwrap_or_default();
+    while let Some((length, tail)) = rest.split_first_chunk::<4>() {
+        let length = i32::from_be_bytes(*length);
+        if length < 0 {
+            columns.push(None);
+            rest = tail;
+            continue;
+        }
+        let Some((value, tail)) = tail.split_at_checked(length as usize) else {
+            break;
+        };
+        columns.push(Some(String::from_utf8_lossy(value).into_owned()));
+        rest = tail;
+    }
+    columns
+}
+
+/// Decodes a member's message, or none if it is malformed.
+pub fn decode(frame: RawFrame, context: &DecodeContext) -> Option<PgWireBackendMessage> {
+    let mut bytes = frame.bytes;
+    debug_assert!(bytes.len() >= HEADER_BYTES);
+    PgWireBackendMessage::decode(&mut bytes, context).ok().flatten()
+}
+
+/// Writes one message.
+pub fn put(buffer: &mut BytesMut, message: PgWireBackendMessage) {
+    message.encode(buffer).expect("messages written here stay below the codec's limits");
+}
+
+/// Writes a ready-for-query message.
+pub fn put_ready(buffer: &mut BytesMut, state: BlockState) {
+    put(buffer, PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(state.status())));
+}
+
+/// Writes a parameter status.
+pub fn put_parameter(buffer: &mut BytesMut, name: &str, value: &str) {
+    let message = ParameterStatus::new(name.to_owned(), value.to_owned());
+    put(buffer, PgWireBackendMessage::ParameterStatus(message));
+}
+
+/// Writes the completion of a command.
+pub fn put_complete(buffer: &mut BytesMut, tag: &str) {
+    put(buffer, PgWireBackendMessage::CommandComplete(CommandComplete::new(tag.to_owned())));
+}
+
+/// Writes the answer to an empty query.
+pub fn put_empty(buffer: &mut BytesMut) {
+    put(buffer, PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new()));
+}
+
+/// Writes an error that closes no connection.
+pub fn put_error(buffer: &mut BytesMut, sqlstate: &str, message: &str) {
+    put_fields(buffer, "ERROR", sqlstate, message, None);
+}
+
+/// Writes a refusal; `fatal` tells that the connection closes after it.
+pub fn put_refusal(buffer: &mut BytesMut, refusal: &RequestRefusal, fatal: bool) {
+    let severity = if fatal { "FATAL" } else { "ERROR" };
+    let hint =
+        refusal.retry_after.map(|delay| format!("retry after {} ms", delay.as_millis().max(1)));
+    put_fields(buffer, severity, refusal.reason.sqlstate(), &refusal.to_string(), hint);
+}
+
+fn put_fields(
+    buffer: &mut BytesMut,
+    severity: &str,
+    sqlstate: &str,
+    message: &str,
+    hint: Option<String>,
+) {
+    let mut fields = vec![
+        (b'S', severity.to_owned()),
+        (b'V', severity.to_owned()),
+        (b'C', sqlstate.to_owned()),
+        (b'M', message.to_owned()),
+    ];
+    fields.extend(hint.map(|hint| (b'H', hint)));
+    let error = ErrorResponse::new(fields);
+    // A detail longer than the codec's limit is not worth a lost connection.
+    if error.encode(buffer).is_err() {
+        put_fields(buffer, severity, sqlstate, "message too long", None);
+    }
+}
