--- /dev/null
+++ b/crates/coord/src/ledger.rs
@@ -0,0 +1,264 @@
+//! Ledger of a team's allotments: shares of rate and burst that instances hold and move.
+//!
+//! The shares of all instances never add up to more than the whole. A share moves by cumulative
+//! totals: the giver shrinks and raises the total given to the taker, and the taker grows by the
+//! difference to the total it has taken. Lost, repeated or reordered messages change nothing.
+//! Shares lost with an instance come back by a new epoch: every holder reports its share while it
+//! enters the epoch, and what nobody reports is issued again once the old epoch has run out.
+
+use std::collections::HashMap;
+
+use slotmap::SecondaryMap;
+use state::catalog::TeamKey;
+
+/// The whole of a team's rate and burst, in parts.
+pub const WHOLE: u64 = 1_000_000;
+/// Demand below which an instance still keeps a share, as a part of the whole.
+const FLOOR_DEMAND: f64 = 0.005;
+/// Smallest part that is worth moving.
+const SMALLEST_MOVE: u64 = WHOLE / 1_000;
+/// Part of its headroom that a giver keeps.
+const KEPT_HEADROOM: f64 = 1.05;
+
+/// Number drawn by an instance when it starts.
+pub type Incarnation = u64;
+
+/// Cumulative totals moved from one instance to another in one epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MovedTotals {
+    /// Parts moved so far.
+    pub share: u64,
+    /// Tokens moved so far.
+    pub tokens: f64,
+}
+
+/// Increase that an instance takes from a message.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TakenGrant {
+    /// Parts by which the share grew.
+    pub share: u64,
+    /// Tokens that came with them.
+    pub tokens: f64,
+}
+
+/// Account of one team on one instance.
+#[derive(Clone, Debug, Default)]
+struct ShareAccount {
+    /// Parts issued to this instance in the current epoch.
+    issued: u64,
+    given: HashMap<Incarnation, MovedTotals>,
+    taken: HashMap<Incarnation, MovedTotals>,
+    acknowledged: HashMap<Incarnation, u64>,
+    /// Statements a second that callers ask for, as a part of the team's rate.
+    demand: f64,
+}
+
+impl ShareAccount {
+    fn share(&self) -> u64 {
+        let taken: u64 = self.taken.values().map(|totals| totals.share).sum();
+        let given: u64 = self.given.values().map(|totals| totals.share).sum();
+        (self.issued + taken).saturating_sub(given)
+    }
+}
+
+/// Shares of one instance.
+#[derive(Clone, Debug)]
+pub struct ShareLedger {
+    epoch: u64,
+    accounts: SecondaryMap<TeamKey, ShareAccount>,
+    /// What was reported when the epoch was entered, so a repeated question gets the same answer.
+    reported: Vec<(TeamKey, u64)>,
+    /// Last epoch for which this instance issued what nobody reported.
+    issued_epoch: u64,
+}
+
+impl Default for ShareLedger {
+    fn default() -> Self {
+        Self { epoch: 0, accounts: SecondaryMap::new(), reported: Vec::new(), issued_epoch: 0 }
+    }
+}
+
+impl ShareLedger {
+    /// Returns the epoch of the shares.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the share of a team.
+    pub fn share(&self, team: TeamKey) -> u64 {
+        self.accounts.get(team).map_or(0, ShareAccount::share)
+    }
+
+    /// Returns the teams with an account.
+    pub fn teams(&self) -> Vec<TeamKey> {
+        self.accounts.keys().collect()
+    }
+
+    /// Sets what callers ask for, as a part of the team's rate.
+    pub fn set_demand(&mut self, team: TeamKey, demand: f64) {
+        self.account(team).demand = demand;
+    }
+
+    /// Returns what callers ask for, as a part of the team's rate.
+    pub fn demand(&self, team: TeamKey) -> f64 {
+        self.accounts.get(team).map_or(0.0, |account| account.demand)
+    }
+
+    /// Forgets a team that is no longer declared.
+    pub fn remove(&mut self, team: TeamKey) {
+        self.accounts.remove(team);
+    }
+
+    /// Enters a higher epoch with the shares held now, and returns the report of them.
+    ///
+    /// A question that was answered before gets the same report; one about a lower epoch none.
+    pub fn enter_epoch(&mut self, epoch: u64) -> Option<&[(TeamKey, u64)]> {
+        if epoch < self.epoch {
+            return None;
+        }
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.reported = self.fold();
+        }
+        Some(&self.reported)
+    }
+
+    /// Enters a higher epoch without a report: the shares of the lower one are lost.
+    pub fn forfeit_epoch(&mut self, epoch: u64) {
+        if epoch <= self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        for (_, account) in &mut self.accounts {
+            *account = ShareAccount { demand: account.demand, ..ShareAccount::default() };
+        }
+        self.reported.clear();
+    }
+
+    /// Claims the right to issue what nobody reported in the current epoch, at most once.
+    pub fn claim_issue(&mut self, epoch: u64) -> bool {
+        if epoch != self.epoch || epoch <= self.issued_epoch {
+            return false;
+        }
+        self.issued_epoch = epoch;
+        true
+    }
+
+    /// Adds parts that nobody holds in the current epoch.
+    pub fn issue(&mut self, team: TeamKey, share: u64) {
+        self.account(team).issued += share;
+    }
+
+    /// Returns the parts that a taker gets when it asks: afterwards giver and taker have about the
+    /// same ratio of share to demand.
+    pub fn plan_gift(&self, team: TeamKey, taker_share: u64, taker_demand: f64) -> u64 {
+        let Some(account) = self.accounts.get(team) else {
+            return 0;
+        };
+        fair_part(account.share(), account.demand, taker_share, taker_demand)
+    }
+
+    /// Moves parts and the tokens taken from the bucket for them, and returns the totals to send.
+    ///
+    /// The bucket must have shrunk before the totals are sent.
+    pub fn give(
+        &mut self,
+        team: TeamKey,
+        taker: Incarnation,
+        part: u64,
+        tokens: f64,
+    ) -> MovedTotals {
+        let account = self.account(team);
+        let part = part.min(account.share());
+        let totals = account.given.entry(taker).or_default();
+        if part > 0 {
+            totals.share += part;
+            totals.tokens += tokens;
+        }
+        *totals
+    }
+
+    /// Returns the parts that asking a giver would bring, to pick whom to ask.
+    pub fn expected_gift(&self, team: TeamKey, giver_share: u64, giver_demand: f64) -> u64 {
+        let own = self.accounts.get(team);
+        let (share, demand) = own.map_or((0, 0.0), |account| (account.share(), account.demand));
+        fair_part(giver_share, giver_demand, share, demand)
+    }
+
+    /// Takes what a giver's totals add to those taken before, in the same epoch only.
+    pub fn take(
+        &mut self,
+        team: TeamKey,
+        giver: Incarnation,
+        epoch: u64,
+        totals: MovedTotals,
+    ) -> Option<TakenGrant> {
+        if epoch != self.epoch {
+            return None;
+        }
+        let taken = self.account(team).taken.entry(giver).or_default();
+        if totals.share <= taken.share {
+            return None;
+        }
+        let share = totals.share - taken.share;
+        let tokens = (totals.tokens - taken.tokens).max(0.0);
+        *taken = totals;
+        Some(TakenGrant { share, tokens })
+    }
+
+    /// Records that a taker has taken parts up to `share`, in the same epoch only.
+    pub fn acknowledge(&mut self, team: TeamKey, taker: Incarnation, epoch: u64, share: u64) {
+        if epoch == self.epoch {
+            let acknowledged = self.account(team).acknowledged.entry(taker).or_default();
+            *acknowledged = share.max(*acknowledged);
+        }
+    }
+
+    /// Returns the totals that a taker has not acknowledged yet.
+    pub fn unacknowledged(&self, taker: Incarnation) -> Vec<(TeamKey, MovedTotals)> {
+        let pending = |(team, account): (TeamKey, &ShareAccount)| {
+            let totals = account.given.get(&taker).copied()?;
+            let known = account.acknowledged.get(&taker).copied().unwrap_or_default();
+            (totals.share > known).then_some((team, totals))
+        };
+        self.accounts.iter().filter_map(pending).collect()
+    }
+
+    /// Returns the parts taken from a giver, by which it learns what arrived.
+    pub fn taken_from(&self, team: TeamKey, giver: Incarnation) -> u64 {
+        let account = self.accounts.get(team);
+        account.and_then(|account| account.taken.get(&giver)).map_or(0, |totals| totals.share)
+    }
+
+    fn account(&mut self, team: TeamKey) -> &mut ShareAccount {
+        if !self.accounts.contains_key(team) {
+            self.accounts.insert(team, ShareAccount::default());
+        }
+        &mut self.accounts[team]
+    }
+
+    /// Replaces every account by its share, which is issued anew in the next epoch.
+    fn fold(&mut self) -> Vec<(TeamKey, u64)> {
+        let mut report = Vec::new();
+        for (team, account) in &mut self.accounts {
+            let share = account.share();
+            let demand = account.demand;
+            *account = ShareAccount { issued: share, demand, ..ShareAccount::default() };
+            if share > 0 {
+                report.push((team, share));
+            }
+        }
+        report
+    }
+}
+
+/// Returns the part by which the giver's and the taker's ratios of share to demand become equal.
+fn fair_part(giver_share: u64, giver_demand: f64, taker_share: u64, taker_demand: f64) -> u64 {
+    let giver_demand = giver_demand.max(FLOOR_DEMAND);
+    let taker_demand = taker_demand.max(FLOOR_DEMAND);
+    let (giver, taker) = (giver_share as f64, taker_share as f64);
+    let even = (giver * taker_demand - taker * giver_demand * KEPT_HEADROOM)
+        / (giver_demand * KEPT_HEADROOM + taker_demand);
+    let part = even.max(0.0) as u64;
+    if part < SMALLEST_MOVE { 0 } else { part.min(giver_share) }
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -3,8 +3,10 @@
 //! An event and the time go in, decisions or effects come out. Nothing here performs input or
 //! output, reads a clock or starts a thread; random numbers come from a generator passed in.
 
+pub mod confirmation;
 pub mod failover;
 pub mod freshness;
+pub mod ledger;
 pub mod queue;
 pub mod rendezvous;
 pub mod routing;
--- a/crates/lab/src/environment.rs
+++ b/crates/lab/src/environment.rs
@@ -98,6 +98,8 @@
     pub delays: bool,
     /// Time that a statement takes besides the engine's own.
     pub statement_time: Duration,
+    /// Factor on the teams' rates and bursts.
+    pub rate_factor: f64,
 }
 
 impl LabOptions {
@@ -111,6 +113,7 @@
             control_port: 0,
             delays: true,
             statement_time: Duration::ZERO,
+            rate_factor: 1.0,
         }
     }
 }
@@ -145,7 +148,7 @@
         tasks.spawn(async move { drop(control::serve(listener, served).await) });
         let platform = format!("http://{control}");
         let keys: Vec<String> = options.profile.teams.iter().map(|_| generate_key()).collect();
-        store_document(&platform, &options.profile, &keys).await?;
+        store_document(&platform, &options, &keys).await?;
         let operator_token = generate_key();
         let admin = start_admin(&mut tasks, &options, &platform, &operator_token).await?;
         let mut environment = Self {
@@ -167,14 +170,12 @@
     }
 
     async fn start_instance(&mut self, settings: ProxySettings) -> Result<(), LabError> {
-        let record = InstanceRecord {
-            name: settings.instance.clone(),
-            zone: settings.zone.clone(),
-            peer: settings.peer_listen,
-            state: InstanceState::Live,
-        };
+        let (name, zone) = (settings.instance.clone(), settings.zone.clone());
+        let running = instance::start(settings, Arc::new(SystemClock)).await?;
+        let peer = running.peer_address;
+        let record = InstanceRecord { name, zone, peer, state: InstanceState::Live };
         self.hub.platform.put_instance(record);
-        self.instances.push(instance::start(settings, Arc::new(SystemClock)).await?);
+        self.instances.push(running);
         Ok(())
     }
 
@@ -215,7 +216,7 @@
         loop {
             let ready = self.instances.iter().all(|running| {
                 let databases = running.instance.databases();
-                running.instance.revision() > 0
+                running.instance.is_ready()
                     && databases.iter().all(|database| database.primary().is_some())
             });
             if ready {
@@ -285,11 +286,16 @@
 
 async fn store_document(
     platform: &str,
-    profile: &DeploymentProfile,
+    options: &LabOptions,
     keys: &[String],
 ) -> Result<(), LabError> {
     let client = PlatformClient::new(platform, START_LIMIT)?;
-    let text = toml::to_string(&profile.document(keys))?;
+    let mut document = options.profile.document(keys);
+    for team in &mut document.teams {
+        team.rate *= options.rate_factor;
+        team.burst *= options.rate_factor;
+    }
+    let text = toml::to_string(&document)?;
     let store = DocumentStore::new(&client, ENVIRONMENT);
     store.replace(0, &text, "first", OPERATOR).await?;
     Ok(())
--- /dev/null
+++ b/crates/lab/tests/common/mod.rs
@@ -0,0 +1,151 @@
+//! What the end-to-end tests share: an environment, connections, waiting.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lab::environment::{LabEnvironment, LabOptions};
+use lab::profile::{DeploymentProfile, ProfileName};
+use standin::fault::FaultChange;
+use tokio::time::{Instant, sleep};
+use tokio_postgres::error::SqlState;
+use tokio_postgres::{AsyncMessage, Client, Config, Error, NoTls};
+
+/// Longest time that a condition is waited for.
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Names each end-to-end case and runs it in an environment of its own.
+#[macro_export]
+macro_rules! lab_cases {
+    ($($name:ident($instances:literal);)*) => {
+        mod cases {
+            $(
+                #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+                async fn $name() {
+                    let environment = super::common::environment($instances).await;
+                    super::$name(environment).await;
+                }
+            )*
+        }
+    };
+}
+
+/// Starts an environment without emulated delays.
+pub async fn environment(instances: usize) -> LabEnvironment {
+    let profile = DeploymentProfile::of(ProfileName::Volksdans);
+    let options =
+        LabOptions { instances, delays: false, rate_factor: 100.0, ..LabOptions::of(profile) };
+    LabEnvironment::start(options).await.expect("the environment starts")
+}
+
+/// Connection of a caller with the last session token it was told.
+pub struct TestCaller {
+    pub client: Client,
+    token: std::sync::Arc<std::sync::Mutex<String>>,
+}
+
+impl TestCaller {
+    /// Returns the last session token.
+    pub async fn token(&self) -> String {
+        let row = self.client.simple_query("SHOW hibiscus.session").await.expect("token");
+        for message in row {
+            if let tokio_postgres::SimpleQueryMessage::Row(row) = message {
+                return row.get(0).unwrap_or_default().to_owned();
+            }
+        }
+        self.token.lock().expect("token").clone()
+    }
+
+    /// Runs statements and returns the first column of every row.
+    pub async fn values(&self, sql: &str) -> Result<Vec<String>, Error> {
+        let messages = self.client.simple_query(sql).await?;
+        let rows = messages.into_iter().filter_map(|message| match message {
+            tokio_postgres::SimpleQueryMessage::Row(row) => row.get(0).map(str::to_owned),
+            _ => None,
+        });
+        Ok(rows.collect())
+    }
+}
+
+/// Returns the settings of a connection to an instance as the first team.
+pub fn config(environment: &LabEnvironment, instance: usize) -> Config {
+    config_at(environment, environment.instances[instance].address)
+}
+
+/// Returns the settings of a connection to an address as the first team.
+pub fn config_at(environment: &LabEnvironment, address: SocketAddr) -> Config {
+    let profile = &environment.options.profile;
+    let mut config = Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user(profile.teams[0].name)
+        .password(&environment.keys[0])
+        .dbname(profile.databases[0])
+        .connect_timeout(Duration::from_secs(5));
+    config
+}
+
+/// Opens a connection.
+pub async fn connect_with(config: &Config) -> Result<TestCaller, Error> {
+    let (client, mut connection) = config.connect(NoTls).await?;
+    let token = std::sync::Arc::new(std::sync::Mutex::new(String::new()));
+    tokio::spawn(async move {
+        while let Some(Ok(message)) =
+            std::future::poll_fn(|context| connection.poll_message(context)).await
+        {
+            if let AsyncMessage::Notice(notice) = message {
+                drop(notice);
+            }
+        }
+    });
+    Ok(TestCaller { client, token })
+}
+
+/// Opens a connection to an instance as the first team.
+pub async fn connect(environment: &LabEnvironment, instance: usize) -> TestCaller {
+    connect_with(&config(environment, instance)).await.expect("the caller connects")
+}
+
+/// Returns the SQLSTATE of an error.
+pub fn sqlstate(error: &Error) -> String {
+    error.code().map(SqlState::code).unwrap_or_default().to_owned()
+}
+
+/// Changes the faults of a member of the first database.
+pub fn fault(environment: &LabEnvironment, member: &str, change: FaultChange) {
+    let database = environment.options.profile.databases[0];
+    let group = environment.group(database).expect("the group runs");
+    group.member(member).expect("the member exists").change_fault(&change);
+}
+
+/// Returns the name of the primary of the first database, as an instance sees it.
+pub fn primary(environment: &LabEnvironment, instance: usize) -> Option<String> {
+    let database = environment.options.profile.databases[0];
+    let handles = environment.instances[instance].instance.databases();
+    let handle = handles.iter().find(|handle| *handle.name == *database)?;
+    let (index, _) = handle.primary()?;
+    Some(handle.members[index].name.to_string())
+}
+
+/// Waits until a condition holds.
+pub async fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "waited in vain for: {what}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Waits until the groups' replicas hold what their primary holds.
+pub async fn wait_for_replicas(environment: &LabEnvironment) {
+    let database = environment.options.profile.databases[0];
+    let group = environment.group(database).expect("the group runs");
+    wait_for("replicas to catch up", || {
+        let applied: Vec<u64> =
+            group.members.iter().map(|member| member.core.lock().position().applied).collect();
+        applied.iter().all(|index| *index == applied[0])
+    })
+    .await;
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod member;
+pub mod peer;
 pub mod platform;
 pub mod pool;
 pub mod socket;
--- a/crates/net/src/store.rs
+++ b/crates/net/src/store.rs
@@ -24,6 +24,12 @@
         /// Cause reported by the JSON reader.
         source: serde_json::Error,
     },
+    /// The platform's service took too long.
+    #[snafu(display("no answer from the platform's service within {} ms", limit.as_millis()))]
+    Slow {
+        /// Time that was waited.
+        limit: std::time::Duration,
+    },
     /// A body is missing or does not match its digest.
     #[snafu(display("document body {digest} is missing or damaged"))]
     Body {
@@ -179,7 +185,7 @@
     }
 
     fn head_key(&self) -> String {
-        format!("environment/{}/head", self.environment)
+        format!("{}head", current_prefix(self.environment))
     }
 
     fn request_key(&self, request: &str) -> String {
@@ -191,6 +197,104 @@
     }
 }
 
+/// Head and epoch as one read finds them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CurrentRows {
+    /// Head of the document in force.
+    pub head: Option<DocumentHead>,
+    /// Epoch of the allotment ledger.
+    pub epoch: Option<LedgerEpoch>,
+    /// Table revision of the epoch's row, zero if it is absent.
+    pub epoch_row: u64,
+}
+
+/// Epoch of the allotment ledger.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct LedgerEpoch {
+    /// Number of the epoch, counted from 1.
+    pub number: u64,
+    /// Incarnation of the instance that issues what nobody reports.
+    pub issuer: u64,
+}
+
+impl<P: TableService + ObjectStore> DocumentStore<'_, P> {
+    /// Reads head and epoch together.
+    pub async fn current_rows(&self) -> Result<CurrentRows, StoreError> {
+        let prefix = current_prefix(self.environment);
+        let mut current = CurrentRows::default();
+        for row in self.platform.scan(prefix.clone()).await? {
+            match row.key.strip_prefix(&prefix) {
+                Some("head") => current.head = Some(read_head(&row)?),
+                Some("epoch") => {
+                    let epoch = serde_json::from_str(&row.value);
+                    current.epoch = Some(epoch.context(RowSnafu { key: row.key.clone() })?);
+                    current.epoch_row = row.revision;
+                }
+                _ => {}
+            }
+        }
+        Ok(current)
+    }
+
+    /// Starts an epoch if the row still has revision `row`; false if another instance was first.
+    pub async fn start_epoch(&self, row: u64, epoch: &LedgerEpoch) -> Result<bool, StoreError> {
+        let key = format!("{}epoch", current_prefix(self.environment));
+        let value = serde_json::to_string(epoch).context(RowSnafu { key: key.clone() })?;
+        let transaction = TableTransaction {
+            checks: vec![RowCheck { key: key.clone(), revision: row }],
+            writes: vec![RowWrite { key, value: Some(value) }],
+        };
+        let reply = self.platform.transact(transaction).await;
+        if let Ok(TransactionReply::Applied { .. }) = reply {
+            return Ok(true);
+        }
+        // A lost answer or a conflict is settled by reading back who issues the epoch.
+        Ok(self.current_rows().await?.epoch.as_ref() == Some(epoch))
+    }
+
+    /// Records a finished promotion, unless a higher term is recorded.
+    pub async fn record_primary(
+        &self,
+        database: &str,
+        term: u64,
+        primary: &str,
+        instance: &str,
+    ) -> Result<(), StoreError> {
+        let key = format!("environment/{}/primary/{database}", self.environment);
+        let row = self.platform.row(key.clone()).await?;
+        let recorded: Option<PrimaryRecord> =
+            row.as_ref().and_then(|row| serde_json::from_str(&row.value).ok());
+        if recorded.is_some_and(|recorded| recorded.term >= term) {
+            return Ok(());
+        }
+        let record =
+            PrimaryRecord { term, primary: primary.to_owned(), instance: instance.to_owned() };
+        let value = serde_json::to_string(&record).context(RowSnafu { key: key.clone() })?;
+        let revision = row.map_or(0, |row| row.revision);
+        let transaction = TableTransaction {
+            checks: vec![RowCheck { key: key.clone(), revision }],
+            writes: vec![RowWrite { key, value: Some(value) }],
+        };
+        self.platform.transact(transaction).await?;
+        Ok(())
+    }
+}
+
+/// Record of the last promotion of a database.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct PrimaryRecord {
+    /// Term of the primary.
+    pub term: u64,
+    /// Logical name of the primary.
+    pub primary: String,
+    /// Instance that promoted it.
+    pub instance: String,
+}
+
+fn current_prefix(environment: &str) -> String {
+    format!("environment/{environment}/current/")
+}
+
 fn object_name(digest: &str) -> String {
     format!("document/{digest}")
 }
--- /dev/null
+++ b/crates/proxy/src/allotment.rs
@@ -0,0 +1,317 @@
+//! This instance's shares of the teams' limits: the ledger tied to the buckets.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use coord::ledger::{Incarnation, MovedTotals, ShareLedger, WHOLE};
+use parking_lot::Mutex;
+use slotmap::SecondaryMap;
+use state::catalog::{DocumentCatalog, TeamEntry, TeamKey};
+use tokio::sync::Notify;
+use wire::peer::{HeldShare, TeamShare};
+
+use crate::limiter::TeamLimiter;
+
+/// Weight of the newest measurement in the smoothed demand.
+const DEMAND_SMOOTHING: f64 = 0.5;
+/// Least demand that an instance states when it is short, as a part of the team's rate.
+const SHORT_DEMAND: f64 = 0.05;
+
+/// Ledger of this instance and the buckets that follow it.
+#[derive(Default)]
+pub struct AllotmentBook {
+    ledger: Mutex<ShareLedger>,
+    measured_at: Mutex<Option<Instant>>,
+    shortage: Notify,
+    short_teams: Mutex<SecondaryMap<TeamKey, ()>>,
+    arrived: Notify,
+    issued: Mutex<IssuedTeams>,
+}
+
+/// Teams whose whole this instance has issued or counted in an epoch that it started.
+#[derive(Debug, Default)]
+struct IssuedTeams {
+    epoch: u64,
+    names: HashSet<Arc<str>>,
+}
+
+impl AllotmentBook {
+    /// Returns the epoch of the shares.
+    pub fn epoch(&self) -> u64 {
+        self.ledger.lock().epoch()
+    }
+
+    /// Brings the buckets in line with a document: rates, bursts, teams that went.
+    pub fn apply_catalog(
+        &self,
+        before: &DocumentCatalog,
+        after: &DocumentCatalog,
+        limiter: &TeamLimiter,
+        now: Instant,
+    ) {
+        let mut ledger = self.ledger.lock();
+        for (key, _) in before.teams() {
+            if after.team(key).is_none() {
+                ledger.remove(key);
+                limiter.remove(key);
+            }
+        }
+        for (key, team) in after.teams() {
+            resize(&ledger, limiter, key, team, now);
+        }
+    }
+
+    /// Measures what callers asked for since the last measurement.
+    pub fn measure(&self, catalog: &DocumentCatalog, limiter: &TeamLimiter, now: Instant) {
+        let Some(since) = self.measured_at.lock().replace(now) else {
+            return;
+        };
+        let seconds = now.duration_since(since).as_secs_f64().max(0.001);
+        let mut ledger = self.ledger.lock();
+        for (key, team) in catalog.teams() {
+            let asked = limiter.drain_asked(key) / seconds / team.rate.max(1e-9);
+            let demand = ledger.demand(key);
+            ledger.set_demand(key, demand + (asked - demand) * DEMAND_SMOOTHING);
+        }
+    }
+
+    /// Notes that a team had no token, and wakes the task that asks for more.
+    pub fn note_shortage(&self, team: TeamKey) {
+        self.short_teams.lock().insert(team, ());
+        self.shortage.notify_one();
+    }
+
+    /// Waits for a shortage and returns the teams concerned.
+    pub async fn wait_for_shortage(&self) -> Vec<TeamKey> {
+        self.shortage.notified().await;
+        let short = std::mem::take(&mut *self.short_teams.lock());
+        short.keys().collect()
+    }
+
+    /// Waits until a share arrived or the time is over.
+    pub async fn wait_for_arrival(&self, limit: Duration) {
+        let _ = tokio::time::timeout(limit, self.arrived.notified()).await;
+    }
+
+    /// Returns share and demand with which this instance asks for more.
+    pub fn ask_terms(&self, team: TeamKey) -> (u64, f64) {
+        let ledger = self.ledger.lock();
+        let share = ledger.share(team);
+        let held = share as f64 / WHOLE as f64;
+        (share, ledger.demand(team).max(2.0 * held).max(SHORT_DEMAND))
+    }
+
+    /// Returns the parts that asking a peer is expected to bring.
+    pub fn expected_gift(&self, team: TeamKey, peer_share: u64, peer_demand: f64) -> u64 {
+        self.ledger.lock().expected_gift(team, peer_share, peer_demand)
+    }
+
+    /// Gives a peer its part of a team's share and returns the totals to send.
+    #[allow(clippy::too_many_arguments)]
+    pub fn give(
+        &self,
+        limiter: &TeamLimiter,
+        key: TeamKey,
+        team: &TeamEntry,
+        taker: Incarnation,
+        taker_share: u64,
+        taker_demand: f64,
+        now: Instant,
+    ) -> MovedTotals {
+        let mut ledger = self.ledger.lock();
+        let part = ledger.plan_gift(key, taker_share, taker_demand);
+        move_part(&mut ledger, limiter, key, team, taker, part, now)
+    }
+
+    /// Gives every share to a peer, for an instance that leaves.
+    pub fn give_everything(
+        &self,
+        limiter: &TeamLimiter,
+        catalog: &DocumentCatalog,
+        taker: Incarnation,
+        now: Instant,
+    ) {
+        let mut ledger = self.ledger.lock();
+        for (key, team) in catalog.teams() {
+            let part = ledger.share(key);
+            move_part(&mut ledger, limiter, key, team, taker, part, now);
+        }
+    }
+
+    /// Takes what a peer's totals add, and grows the bucket.
+    pub fn take(
+        &self,
+        limiter: &TeamLimiter,
+        key: TeamKey,
+        team: &TeamEntry,
+        giver: Incarnation,
+        epoch: u64,
+        totals: MovedTotals,
+        now: Instant,
+    ) {
+        let mut ledger = self.ledger.lock();
+        let Some(grant) = ledger.take(key, giver, epoch, totals) else {
+            return;
+        };
+        resize(&ledger, limiter, key, team, now);
+        limiter.update(key, now, |bucket| bucket.deposit(grant.tokens, now));
+        drop(ledger);
+        self.arrived.notify_waiters();
+    }
+
+    /// Records what a peer has taken from this instance.
+    pub fn acknowledge(&self, key: TeamKey, taker: Incarnation, epoch: u64, share: u64) {
+        self.ledger.lock().acknowledge(key, taker, epoch, share);
+    }
+
+    /// Returns the shares to tell a peer, with what it has not acknowledged.
+    pub fn shares_for(
+        &self,
+        catalog: &DocumentCatalog,
+        peer: Option<Incarnation>,
+    ) -> Vec<TeamShare> {
+        let ledger = self.ledger.lock();
+        let pending = peer.map(|peer| ledger.unacknowledged(peer)).unwrap_or_default();
+        let totals = |key: TeamKey| {
+            let found = pending.iter().find(|(team, _)| *team == key);
+            found.map(|(_, totals)| *totals).unwrap_or_default()
+        };
+        let mut shares = Vec::new();
+        for (key, team) in catalog.teams() {
+            let given = totals(key);
+            let taken_share = peer.map_or(0, |peer| ledger.taken_from(key, peer));
+            let (share, demand) = (ledger.share(key), ledger.demand(key));
+            if share > 0 || demand > 0.0 || given.share > 0 || taken_share > 0 {
+                shares.push(TeamShare {
+                    team: team.name.to_string(),
+                    share,
+                    demand,
+                    given_share: given.share,
+                    given_tokens: given.tokens,
+                    taken_share,
+                });
+            }
+        }
+        shares
+    }
+
+    /// Tells whether every peer has acknowledged what it was given.
+    pub fn is_settled(&self, peers: &[Incarnation]) -> bool {
+        let ledger = self.ledger.lock();
+        peers.iter().all(|peer| ledger.unacknowledged(*peer).is_empty())
+    }
+
+    /// Enters an epoch and returns the report of the shares held; none about a lower epoch.
+    pub fn enter_epoch(&self, epoch: u64, catalog: &DocumentCatalog) -> Option<Vec<HeldShare>> {
+        let mut ledger = self.ledger.lock();
+        let report = ledger.enter_epoch(epoch)?;
+        let held = |(key, share): &(TeamKey, u64)| {
+            let team = catalog.team(*key)?;
+            Some(HeldShare { team: team.name.to_string(), share: *share })
+        };
+        Some(report.iter().filter_map(held).collect())
+    }
+
+    /// Enters an epoch without a report and loses every share.
+    pub fn forfeit_epoch(
+        &self,
+        epoch: u64,
+        catalog: &DocumentCatalog,
+        limiter: &TeamLimiter,
+        now: Instant,
+    ) {
+        let mut ledger = self.ledger.lock();
+        ledger.forfeit_epoch(epoch);
+        for (key, team) in catalog.teams() {
+            resize(&ledger, limiter, key, team, now);
+        }
+    }
+
+    /// Claims the right to issue what nobody reported in an epoch, at most once.
+    pub fn claim_issue(&self, epoch: u64) -> bool {
+        let claimed = self.ledger.lock().claim_issue(epoch);
+        if claimed {
+            *self.issued.lock() = IssuedTeams { epoch, names: HashSet::new() };
+        }
+        claimed
+    }
+
+    /// Adds parts of a team that nobody holds; only in an epoch that this instance started.
+    ///
+    /// Tokens come along only if nothing can have been admitted before.
+    pub fn issue(
+        &self,
+        limiter: &TeamLimiter,
+        key: TeamKey,
+        team: &TeamEntry,
+        share: u64,
+        tokens: f64,
+        now: Instant,
+    ) {
+        if !self.issued.lock().names.insert(team.name.clone()) {
+            return;
+        }
+        let mut ledger = self.ledger.lock();
+        ledger.issue(key, share);
+        resize(&ledger, limiter, key, team, now);
+        limiter.update(key, now, |bucket| bucket.deposit(tokens, now));
+        drop(ledger);
+        self.arrived.notify_waiters();
+    }
+
+    /// Issues teams that were declared after this instance started the current epoch.
+    pub fn issue_new_teams(&self, catalog: &DocumentCatalog, limiter: &TeamLimiter, now: Instant) {
+        let epoch = self.epoch();
+        let new: Vec<_> = {
+            let issued = self.issued.lock();
+            let is_new = |team: &TeamEntry| !issued.names.contains(&team.name);
+            let own = issued.epoch == epoch && epoch > 0;
+            catalog.teams().filter(|(_, team)| own && is_new(team)).collect()
+        };
+        for (key, team) in new {
+            self.issue(limiter, key, team, WHOLE, 0.0, now);
+        }
+    }
+
+    /// Returns the share of every team.
+    pub fn shares(&self, catalog: &DocumentCatalog) -> Vec<(TeamKey, u64)> {
+        let ledger = self.ledger.lock();
+        catalog.teams().map(|(key, _)| (key, ledger.share(key))).collect()
+    }
+}
+
+/// Shrinks the bucket first, so that the moved part is in use on one instance at a time.
+fn move_part(
+    ledger: &mut ShareLedger,
+    limiter: &TeamLimiter,
+    key: TeamKey,
+    team: &TeamEntry,
+    taker: Incarnation,
+    part: u64,
+    now: Instant,
+) -> MovedTotals {
+    let own = ledger.share(key);
+    let part = part.min(own);
+    if part == 0 {
+        return ledger.give(key, taker, 0, 0.0);
+    }
+    let tokens = limiter.update(key, now, |bucket| {
+        let moved = bucket.available(now) * part as f64 / own as f64;
+        bucket.withdraw(moved, now)
+    });
+    let totals = ledger.give(key, taker, part, tokens);
+    resize(ledger, limiter, key, team, now);
+    totals
+}
+
+fn resize(
+    ledger: &ShareLedger,
+    limiter: &TeamLimiter,
+    key: TeamKey,
+    team: &TeamEntry,
+    now: Instant,
+) {
+    let part = ledger.share(key) as f64 / WHOLE as f64;
+    limiter.update(key, now, |bucket| bucket.resize(team.rate * part, team.burst * part, now));
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,6 +1,9 @@
 //! Proxy instance: callers' sessions, routing to members and its part of the coordination.
 
+pub mod allotment;
+pub mod beat;
 pub mod cancel;
+pub mod census;
 pub mod counters;
 pub mod database;
 pub mod document;
@@ -10,7 +13,11 @@
 pub mod limiter;
 pub mod listener;
 pub mod parameter;
+pub mod peers;
+pub mod service;
 pub mod session;
 pub mod settings;
+pub mod share;
 pub mod startup;
+pub mod steward;
 pub mod watcher;
--- a/crates/proxy/src/limiter.rs
+++ b/crates/proxy/src/limiter.rs
@@ -1,6 +1,6 @@
-//! This instance's part of each team's rate and burst.
+//! Buckets of the teams on this instance.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use slotmap::{Key as _, SecondaryMap};
@@ -9,10 +9,22 @@
 
 /// Independently locked parts of the limiter.
 const SHARDS: usize = 16;
+/// Time after which a team without a bucket is told to come back.
+const UNKNOWN_DELAY: Duration = Duration::from_millis(100);
+
+/// Bucket of a team with the tokens that were asked for.
+#[derive(Debug)]
+struct MeteredBucket {
+    bucket: TokenBucket,
+    asked: f64,
+}
+
+type LimiterShard = Mutex<SecondaryMap<TeamKey, MeteredBucket>>;
 
 /// Buckets of all teams, split into shards.
+#[derive(Debug)]
 pub struct TeamLimiter {
-    shards: Vec<Mutex<SecondaryMap<TeamKey, TokenBucket>>>,
+    shards: Vec<LimiterShard>,
 }
 
 impl Default for TeamLimiter {
@@ -26,11 +38,29 @@
     pub fn take(&self, team: TeamKey, cost: f64, now: Instant) -> Result<(), BucketDelay> {
         let mut buckets = self.shard(team).lock();
         match buckets.get_mut(team) {
-            Some(bucket) => bucket.take(cost, now),
-            None => Err(BucketDelay { retry_after: std::time::Duration::from_millis(100) }),
+            Some(metered) => {
+                metered.asked += cost;
+                metered.bucket.take(cost, now)
+            }
+            None => Err(BucketDelay { retry_after: UNKNOWN_DELAY }),
         }
     }
 
+    /// Takes tokens for a request whose demand was counted by an earlier try.
+    pub fn retake(&self, team: TeamKey, cost: f64, now: Instant) -> Result<(), BucketDelay> {
+        let taken = self.take(team, cost, now);
+        if let Some(metered) = self.shard(team).lock().get_mut(team) {
+            metered.asked -= cost;
+        }
+        taken
+    }
+
+    /// Returns the tokens asked for since the last call.
+    pub fn drain_asked(&self, team: TeamKey) -> f64 {
+        let mut buckets = self.shard(team).lock();
+        buckets.get_mut(team).map_or(0.0, |metered| std::mem::take(&mut metered.asked))
+    }
+
     /// Runs an operation on a team's bucket, which starts empty.
     pub fn update<T>(
         &self,
@@ -40,9 +70,10 @@
     ) -> T {
         let mut buckets = self.shard(team).lock();
         if !buckets.contains_key(team) {
-            buckets.insert(team, TokenBucket::empty(0.0, 0.0, now));
+            let bucket = TokenBucket::empty(0.0, 0.0, now);
+            buckets.insert(team, MeteredBucket { bucket, asked: 0.0 });
         }
-        operation(&mut buckets[team])
+        operation(&mut buckets[team].bucket)
     }
 
     /// Forgets a team.
@@ -50,7 +81,7 @@
         self.shard(team).lock().remove(team);
     }
 
-    fn shard(&self, team: TeamKey) -> &Mutex<SecondaryMap<TeamKey, TokenBucket>> {
+    fn shard(&self, team: TeamKey) -> &LimiterShard {
         &self.shards[team.data().as_ffi() as usize % SHARDS]
     }
 }
--- /dev/null
+++ b/crates/proxy/src/service.rs
@@ -0,0 +1,161 @@
+//! Answers the questions of other instances.
+
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status};
+use tower::limit::ConcurrencyLimitLayer;
+use wire::peer::peer_server::{Peer, PeerServer};
+use wire::peer::{
+    Announcement, AnnouncementReply, BeatReply, BeatRequest, CensusReply, CensusRequest,
+    DocumentBody, FetchRequest, HeldShare, MemberReport, ReportReply, ReportRequest, ShareReply,
+    ShareRequest, WitnessReply, WitnessRequest,
+};
+
+use crate::database::DatabaseHandle;
+use crate::instance::{InstancePhase, ProxyInstance};
+use crate::{beat, census, document, share};
+
+/// Questions answered at once.
+const MAX_QUESTIONS: usize = 512;
+
+/// Peer service of an instance.
+struct PeerService {
+    instance: Arc<ProxyInstance>,
+}
+
+/// Serves other instances until the task ends.
+pub async fn serve(listener: TcpListener, instance: Arc<ProxyInstance>) {
+    let service = PeerServer::new(PeerService { instance });
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let served = Server::builder()
+        .layer(ConcurrencyLimitLayer::new(MAX_QUESTIONS))
+        .add_service(service)
+        .serve_with_incoming(incoming)
+        .await;
+    if let Err(error) = served {
+        log::error!("the peer service ended: {error}");
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn beat(&self, request: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
+        beat::answer(&self.instance, request.into_inner()).map(Response::new)
+    }
+
+    async fn fetch_document(
+        &self,
+        _: Request<FetchRequest>,
+    ) -> Result<Response<DocumentBody>, Status> {
+        let stored = self.instance.document();
+        let stored = stored.ok_or_else(|| Status::not_found("no document is in force"))?;
+        Ok(Response::new(DocumentBody {
+            revision: stored.head.revision,
+            digest: stored.head.digest.clone(),
+            request: stored.head.request.clone(),
+            operator: stored.head.operator.clone(),
+            text: stored.text.clone(),
+        }))
+    }
+
+    async fn announce(
+        &self,
+        request: Request<Announcement>,
+    ) -> Result<Response<AnnouncementReply>, Status> {
+        let announcement = request.into_inner();
+        let instance = &self.instance;
+        if announcement.revision > instance.revision() {
+            instance.request_poll();
+            let known = instance.peers.all();
+            let source =
+                known.into_iter().find(|peer| peer.address.to_string() == announcement.source);
+            if let Some(source) = source {
+                document::fetch_from(instance.clone(), source.handle);
+            }
+        }
+        Ok(Response::new(AnnouncementReply { revision: instance.revision() }))
+    }
+
+    async fn witness(
+        &self,
+        request: Request<WitnessRequest>,
+    ) -> Result<Response<WitnessReply>, Status> {
+        let request = request.into_inner();
+        let databases = self.instance.databases();
+        let database = databases.iter().find(|database| *database.name == *request.database);
+        let member = database.and_then(|database| {
+            database.members.iter().find(|member| *member.name == *request.member)
+        });
+        Ok(Response::new(WitnessReply {
+            zone: self.instance.settings.zone.clone(),
+            known: member.is_some(),
+            reachable: member.is_some_and(|member| member.record().reachable),
+        }))
+    }
+
+    async fn ask_share(
+        &self,
+        request: Request<ShareRequest>,
+    ) -> Result<Response<ShareReply>, Status> {
+        Ok(Response::new(share::answer(&self.instance, &request.into_inner())))
+    }
+
+    async fn census(
+        &self,
+        request: Request<CensusRequest>,
+    ) -> Result<Response<CensusReply>, Status> {
+        Ok(Response::new(census::answer(&self.instance, request.into_inner())))
+    }
+
+    async fn report(&self, _: Request<ReportRequest>) -> Result<Response<ReportReply>, Status> {
+        Ok(Response::new(report(&self.instance)))
+    }
+}
+
+fn report(instance: &ProxyInstance) -> ReportReply {
+    let catalog = instance.catalog();
+    let shares = instance.book.shares(&catalog);
+    let held = |(key, share): (_, u64)| {
+        let team = catalog.team(key)?;
+        Some(HeldShare { team: team.name.to_string(), share })
+    };
+    let databases = instance.databases();
+    ReportReply {
+        summary: Some(beat::summary(instance)),
+        callers: instance.callers.load(std::sync::atomic::Ordering::Relaxed) as u64,
+        phase: phase_label(instance.phase()).to_owned(),
+        members: databases.iter().flat_map(|database| members(instance, database)).collect(),
+        shares: shares.into_iter().filter_map(held).collect(),
+    }
+}
+
+fn members(instance: &ProxyInstance, database: &DatabaseHandle) -> Vec<MemberReport> {
+    let now = instance.now();
+    let report = |(index, member): (usize, &crate::database::MemberHandle)| {
+        let record = member.record();
+        let position = record.status.map(|status| status.position);
+        MemberReport {
+            database: database.name.to_string(),
+            member: member.name.to_string(),
+            zone: member.zone.clone(),
+            role: position.map_or('?', |position| position.role.letter()).to_string(),
+            term: position.map_or(0, |position| position.term),
+            applied: position.map_or(0, |position| position.applied),
+            reachable: record.reachable,
+            age_ms: database.age(index, now).map(|age| age.as_millis() as u64),
+        }
+    };
+    database.members.iter().enumerate().map(report).collect()
+}
+
+fn phase_label(phase: InstancePhase) -> &'static str {
+    match phase {
+        InstancePhase::Serving => "serving",
+        InstancePhase::Leaving => "leaving",
+        InstancePhase::Draining => "draining",
+        InstancePhase::Closed => "closed",
+    }
+}
--- a/crates/proxy/src/session/admit.rs
+++ b/crates/proxy/src/session/admit.rs
@@ -11,6 +11,12 @@
 use super::request::CallerRequest;
 use super::{CallerSession, SessionEnd};
 use crate::instance::InstancePhase;
+use crate::share;
+
+/// Time for which a request waits for a share that another instance is expected to give.
+const SHARE_PATIENCE: Duration = Duration::from_millis(50);
+/// Interval at which such a request looks for tokens.
+const SHARE_POLL: Duration = Duration::from_millis(10);
 
 /// Rules under which a request runs.
 pub(super) struct RequestTerms {
@@ -77,6 +83,10 @@
         if self.pinned.is_none() {
             self.check_open_for_work()?;
         }
+        if self.key.is_some() && !self.instance.is_document_valid(self.instance.now()) {
+            let detail = "the instance cannot tell whether the key is still in force";
+            return Err(RequestRefusal::new(RefusalReason::KeyUnconfirmed, detail));
+        }
         let kind =
             if class.kind == StatementKind::Read { RouteKind::Read } else { RouteKind::Write };
         let route = self.entry.route(kind, &class.tables).cloned();
@@ -104,22 +114,38 @@
         Ok(())
     }
 
-    /// Takes tokens at once; inside a transaction, whose locks others wait for, by waiting.
+    /// Takes tokens; a shortage may end with a share that arrives from another instance.
+    ///
+    /// Inside a transaction, whose locks others wait for, the request waits for its token.
     async fn take_tokens(&mut self, cost: f64, deadline: Instant) -> Result<(), RequestRefusal> {
         if cost <= 0.0 {
             return Ok(());
         }
+        let instance = self.instance.clone();
+        let asked_at = instance.now();
+        if !instance.is_epoch_valid(asked_at) {
+            let detail = "the instance cannot tell whether its share of the rate is still valid";
+            return Err(RequestRefusal::new(RefusalReason::KeyUnconfirmed, detail));
+        }
+        let mut taken = instance.limiter.take(self.team, cost, asked_at);
         loop {
-            let now = self.instance.now();
-            let Err(delay) = self.instance.limiter.take(self.team, cost, now) else {
+            let Err(delay) = taken else {
                 return Ok(());
             };
-            if self.pinned.is_none() || now + delay.retry_after > deadline {
+            instance.book.note_shortage(self.team);
+            let now = instance.now();
+            let hopes =
+                now < asked_at + SHARE_PATIENCE && share::is_gift_expected(&instance, self.team);
+            if hopes {
+                instance.book.wait_for_arrival(SHARE_POLL).await;
+            } else if self.pinned.is_some() && now + delay.retry_after <= deadline {
+                tokio::time::sleep(delay.retry_after).await;
+            } else {
                 let detail = "the team is over its rate and burst";
                 let refusal = RequestRefusal::new(RefusalReason::RateExceeded, detail);
                 return Err(refusal.with_retry_after(delay.retry_after));
             }
-            tokio::time::sleep(delay.retry_after).await;
+            taken = instance.limiter.retake(self.team, cost, instance.now());
         }
     }
 }
--- a/crates/proxy/src/session/exchange.rs
+++ b/crates/proxy/src/session/exchange.rs
@@ -208,10 +208,12 @@
                     self.give_all(steps);
                     return Ok(());
                 }
-                reply::ERROR if first && !self.plan.in_transaction => {
-                    if reply::read_error_field(frame.body(), b'C') == Some(NOT_PRIMARY) {
-                        return Err(RelayError::NotRun);
-                    }
+                reply::ERROR
+                    if first
+                        && !self.plan.in_transaction
+                        && reply::read_error_field(frame.body(), b'C') == Some(NOT_PRIMARY) =>
+                {
+                    return Err(RelayError::NotRun);
                 }
                 _ => {}
             }
--- /dev/null
+++ b/crates/proxy/src/share.rs
@@ -0,0 +1,114 @@
+//! Asks other instances for parts of a team's allotment when this one is short.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::ledger::MovedTotals;
+use metrics::counter;
+use state::catalog::TeamKey;
+use telemetry::meter;
+use tokio::time::sleep;
+use wire::peer::{ShareReply, ShareRequest};
+
+use crate::instance::ProxyInstance;
+use crate::peers::PeerEntry;
+
+/// Peers asked at once for one team.
+const ASKED_PEERS: usize = 2;
+/// Pause after a round of questions, so that a team over its rate does not cause a flood.
+const ASK_PAUSE: Duration = Duration::from_millis(10);
+
+/// Asks for more whenever a team is short on this instance.
+pub async fn run(instance: Arc<ProxyInstance>) {
+    loop {
+        for team in instance.book.wait_for_shortage().await {
+            ask_for(&instance, team).await;
+        }
+        sleep(ASK_PAUSE).await;
+    }
+}
+
+/// Tells whether some peer is expected to part with a share of the team.
+pub fn is_gift_expected(instance: &ProxyInstance, team: TeamKey) -> bool {
+    let (share, _) = instance.book.ask_terms(team);
+    // Without a share of its own an instance asks whoever is there, heard of or not.
+    (share == 0 && !instance.peers.is_empty())
+        || instance.peers.all().iter().any(|peer| expected_gift(instance, peer, team) > 0)
+}
+
+fn expected_gift(instance: &ProxyInstance, peer: &PeerEntry, team: TeamKey) -> u64 {
+    let Some(held) = peer.shares.get(team) else {
+        return 0;
+    };
+    let same_epoch =
+        peer.summary.as_ref().is_some_and(|summary| summary.epoch == instance.book.epoch());
+    if !same_epoch {
+        return 0;
+    }
+    instance.book.expected_gift(team, held.share, held.demand)
+}
+
+async fn ask_for(instance: &Arc<ProxyInstance>, team: TeamKey) {
+    let (share, _) = instance.book.ask_terms(team);
+    let mut peers: Vec<(u64, PeerEntry)> = instance
+        .peers
+        .all()
+        .into_iter()
+        .map(|peer| (expected_gift(instance, &peer, team), peer))
+        .filter(|(gift, _)| *gift > 0 || share == 0)
+        .collect();
+    peers.sort_by_key(|(gift, _)| std::cmp::Reverse(*gift));
+    let asks = peers.into_iter().take(ASKED_PEERS).map(|(_, peer)| ask(instance, peer, team));
+    for ask in asks.collect::<Vec<_>>() {
+        ask.await;
+    }
+}
+
+async fn ask(instance: &Arc<ProxyInstance>, mut peer: PeerEntry, team: TeamKey) {
+    let catalog = instance.catalog();
+    let Some(entry) = catalog.team(team) else {
+        return;
+    };
+    let (share, demand) = instance.book.ask_terms(team);
+    let request = ShareRequest {
+        incarnation: instance.incarnation(),
+        epoch: instance.book.epoch(),
+        team: entry.name.to_string(),
+        share,
+        demand,
+    };
+    counter!(meter::PEER_MESSAGES, "kind" => "ask_share").increment(1);
+    let Ok(reply) = peer.handle.ask_share(request).await else {
+        return;
+    };
+    let reply = reply.into_inner();
+    let totals = MovedTotals { share: reply.given_share, tokens: reply.given_tokens };
+    let (giver, epoch) = (reply.incarnation, reply.epoch);
+    instance.book.take(&instance.limiter, team, entry, giver, epoch, totals, instance.now());
+}
+
+/// Answers a peer that asks for a part of a team's allotment.
+pub fn answer(instance: &ProxyInstance, request: &ShareRequest) -> ShareReply {
+    let epoch = instance.book.epoch();
+    let mut reply = ShareReply {
+        incarnation: instance.incarnation(),
+        epoch,
+        given_share: 0,
+        given_tokens: 0.0,
+    };
+    let now = instance.now();
+    let catalog = instance.catalog();
+    let key = catalog.team_key(&request.team);
+    let found = key.and_then(|key| Some((key, catalog.team(key)?)));
+    // A share whose epoch may be over must not be passed on.
+    let valid = request.epoch == epoch && instance.is_epoch_valid(now);
+    let Some((key, team)) = found.filter(|_| valid) else {
+        return reply;
+    };
+    let (limiter, taker) = (&instance.limiter, request.incarnation);
+    let (share, demand) = (request.share, request.demand);
+    let totals = instance.book.give(limiter, key, team, taker, share, demand, now);
+    reply.given_share = totals.share;
+    reply.given_tokens = totals.tokens;
+    reply
+}
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -15,6 +15,7 @@
 use state::credential::KeyHash;
 use state::session::SessionPositions;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 use wire::frontend;
 use wire::refusal::{RefusalReason, RequestRefusal};
 use wire::reply::{self, BlockState};
@@ -180,11 +181,12 @@
     let user = startup.get("user").map(String::as_str).unwrap_or_default();
     let name = startup.get("database").map_or(user, String::as_str);
     let password = if user == OPEN_TEAM { None } else { Some(ask_password(socket).await?) };
-    let catalog = instance.catalog();
-    if catalog.revision() == 0 {
+    let patience = instance.settings.startup_timeout / 2;
+    if timeout(patience, instance.wait_until_ready()).await.is_err() {
         let detail = "no configuration is in force on this instance yet";
         return Err(refuse(RefusalReason::NoConfiguration, detail));
     }
+    let catalog = instance.catalog();
     let found = catalog.team_key(user).and_then(|key| Some((key, catalog.team(key)?)));
     let Some((team, entry)) = found else {
         return Err(refuse(RefusalReason::UnknownTeam, format!("team {user:?} is not known")));
@@ -213,11 +215,11 @@
     reply::put(&mut output, PgWireBackendMessage::Authentication(request));
     socket.write(&output).await?;
     loop {
-        if let Some(header) = socket.peek_header()? {
-            if header.tag != frontend::PASSWORD || header.total > STARTUP_LIMIT {
-                let detail = "expected a password message";
-                return Err(refuse(RefusalReason::ProtocolViolation, detail));
-            }
+        if let Some(header) = socket.peek_header()?
+            && (header.tag != frontend::PASSWORD || header.total > STARTUP_LIMIT)
+        {
+            let detail = "expected a password message";
+            return Err(refuse(RefusalReason::ProtocolViolation, detail));
         }
         if let Some(frame) = socket.take_frame()? {
             let body = frame.body();
--- a/crates/standin/src/infer.rs
+++ b/crates/standin/src/infer.rs
@@ -1,6 +1,5 @@
 //! Types of parameters and computed columns, which the embedded engine does not report.
 
-use std::collections::HashMap;
 use std::ops::ControlFlow;
 
 use rusqlite::Connection;
@@ -25,8 +24,12 @@
     let mut scan = ParameterScan::default();
     let _ = statements.visit(&mut scan);
     let columns = column_types(connection, &scan.tables);
+    let find = |column: &ColumnUse| match column {
+        ColumnUse::Named(name) => columns.iter().find(|column| column.name == *name),
+        ColumnUse::Numbered(index) => columns.get(*index),
+    };
     for (parameter, column) in scan.uses {
-        let known = columns.get(&column).copied();
+        let known = find(&column).map(|column| column.oid);
         let slot = parameter.checked_sub(1).and_then(|index| types.get_mut(index));
         if let (Some(known), Some(slot)) = (known, slot) {
             *slot = known;
@@ -53,8 +56,15 @@
     oid::TEXT
 }
 
-fn column_types(connection: &Connection, tables: &[String]) -> HashMap<String, u32> {
-    let mut types = HashMap::new();
+/// Column of a table that a statement names.
+struct TableColumn {
+    name: String,
+    oid: u32,
+}
+
+/// Lists the columns of the tables in order.
+fn column_types(connection: &Connection, tables: &[String]) -> Vec<TableColumn> {
+    let mut types = Vec::new();
     for table in tables {
         let Ok(mut statement) = connection.prepare("SELECT name, type FROM pragma_table_info(?)")
         else {
@@ -63,24 +73,33 @@
         let rows = statement
             .query_map([table], |row| Ok((row.get::<_, String>(0)?, row.get::<_, String>(1)?)));
         for (name, declaration) in rows.into_iter().flatten().flatten() {
-            types.insert(name.to_lowercase(), oid_of_declaration(&declaration));
+            let oid = oid_of_declaration(&declaration);
+            types.push(TableColumn { name: name.to_lowercase(), oid });
         }
     }
     types
 }
 
+/// Column that a parameter is compared with or stored into.
+enum ColumnUse {
+    /// Column with this name.
+    Named(String),
+    /// Column at this place of the first table.
+    Numbered(usize),
+}
+
 /// Collects which column each parameter is compared with or stored into.
 #[derive(Default)]
 struct ParameterScan {
     tables: Vec<String>,
-    uses: Vec<(usize, String)>,
+    uses: Vec<(usize, ColumnUse)>,
     limits: Vec<usize>,
 }
 
 impl ParameterScan {
     fn relate(&mut self, one: &Expr, other: &Expr) {
         if let (Some(parameter), Some(column)) = (parameter_of(one), column_of(other)) {
-            self.uses.push((parameter, column));
+            self.uses.push((parameter, ColumnUse::Named(column)));
         }
     }
 
@@ -92,10 +111,15 @@
             return;
         };
         for row in &values.rows {
-            for (column, value) in insert.columns.iter().zip(row.iter()) {
-                if let Some(parameter) = parameter_of(value) {
-                    self.uses.push((parameter, column.to_string().to_lowercase()));
-                }
+            for (index, value) in row.iter().enumerate() {
+                let Some(parameter) = parameter_of(value) else {
+                    continue;
+                };
+                let column = match insert.columns.get(index) {
+                    Some(column) => ColumnUse::Named(column.to_string().to_lowercase()),
+                    None => ColumnUse::Numbered(index),
+                };
+                self.uses.push((parameter, column));
             }
         }
     }
@@ -116,7 +140,7 @@
                 for assignment in &update.assignments {
                     if let Some(parameter) = parameter_of(&assignment.value) {
                         let column = assignment.target.to_string().to_lowercase();
-                        self.uses.push((parameter, column));
+                        self.uses.push((parameter, ColumnUse::Named(column)));
                     }
                 }
             }
--- a/crates/standin/src/member.rs
+++ b/crates/standin/src/member.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -418,6 +418,8 @@
     pub silenced: AtomicU64,
     /// Counts connections opened so far.
     pub opened: AtomicU64,
+    /// Counts statements run so far, group commands left out.
+    pub statements: AtomicU64,
 }
 
 impl GroupMember {
@@ -434,6 +436,7 @@
             connections: AtomicU32::new(0),
             silenced: AtomicU64::new(0),
             opened: AtomicU64::new(0),
+            statements: AtomicU64::new(0),
         })
     }
 
@@ -448,12 +451,17 @@
     pub fn change_fault(&self, change: &FaultChange) {
         self.update(|core| core.fault.change(change));
         if change.silence {
-            let opened = self.opened.load(std::sync::atomic::Ordering::SeqCst);
-            self.silenced.store(opened, std::sync::atomic::Ordering::SeqCst);
+            let opened = self.opened.load(Ordering::SeqCst);
+            self.silenced.store(opened, Ordering::SeqCst);
             self.changed.send_modify(|count| *count += 1);
         }
     }
 
+    /// Returns the number of statements run so far.
+    pub fn served(&self) -> u64 {
+        self.statements.load(Ordering::Relaxed)
+    }
+
     /// Returns the faults in force.
     pub fn fault(&self) -> MemberFault {
         self.core.lock().fault.clone()
--- a/crates/standin/src/session/simple.rs
+++ b/crates/standin/src/session/simple.rs
@@ -1,5 +1,6 @@
 //! Simple queries and the group commands that arrive as such.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use pgwire::messages::PgWireBackendMessage;
@@ -198,6 +199,7 @@
             slot = member.slots.acquire() => slot.expect("slots are never closed"),
             () = self.cancel.notified() => return Err(cancelled()),
         };
+        member.statements.fetch_add(1, Ordering::Relaxed);
         let sleep_time = sleep_argument(sql);
         service += sleep_time.unwrap_or_default();
         if !service.is_zero() {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod frame;
 pub mod frontend;
 pub mod group;
+pub mod peer;
 pub mod platform;
 pub mod refusal;
 pub mod reply;
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -232,7 +232,7 @@
     }
 
     fn of_query(statement: &Statement, query: &Query) -> Self {
-        let mut scan = ReadScan::default();
+        let mut scan = ReadScan;
         let locks = !query.locks.is_empty();
         let read = !locks && statement.visit(&mut scan).is_continue();
         Self::with_tables(statement, read)
