Add hibiscusctl, reports of what is in force, and tests of limits, keys and bad input

Cause: operators had no command line, and the failures of limits, keys and primaries had no tests over real sockets.

Change: hibiscusctl with validate, plan, apply, promote, status, team, key and drain; apply answers where a revision is in force; a relay in the lab whose traffic can be cut; tests with history checks for cut, stopped and paused primaries, double failover, platform down, lost answers, silent connections, drains, withdrawn keys with store or everybody lost.

Before: every test with a failover hung. Cause: the stand-in's shipping task spun without yielding while its replica was cut. Ruled out: the proxy's locks, since promotions were logged. A startup message without a user was asked for a password and held until the deadline; it is refused now.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -19,8 +19,8 @@
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::net::TcpListener;
-use wire::platform::InstanceRecord;
 
+use crate::fleet::{self, ForceReport, InstanceView};
 use crate::plan::{self, EntryChange};
 use crate::settings::{AdminSettings, OperatorCredential};
 
@@ -98,6 +98,8 @@
 pub struct ApplyReply {
     /// Head of the revision that was made.
     pub head: DocumentHead,
+    /// Where the revision is in force.
+    pub force: ForceReport,
 }
 
 /// Explanation of a refusal.
@@ -122,8 +124,8 @@
     pub environment: String,
     /// Head in force, none before the first document.
     pub head: Option<DocumentHead>,
-    /// Instances that the platform lists.
-    pub instances: Vec<InstanceRecord>,
+    /// Instances that the platform lists, with what they report.
+    pub instances: Vec<InstanceView>,
 }
 
 /// Name of the operator who sent a request.
@@ -141,7 +143,7 @@
 /// Refusal of an API request.
 struct ApiRefusal {
     status: StatusCode,
-    reply: ErrorReply,
+    reply: Box<ErrorReply>,
 }
 
 impl ApiRefusal {
@@ -152,7 +154,7 @@
             head: None,
             changes: Vec::new(),
         };
-        Self { status, reply }
+        Self { status, reply: Box::new(reply) }
     }
 }
 
@@ -164,7 +166,7 @@
 
 impl IntoResponse for ApiRefusal {
     fn into_response(self) -> Response {
-        (self.status, Json(self.reply)).into_response()
+        (self.status, Json(*self.reply)).into_response()
     }
 }
 
@@ -275,7 +277,8 @@
 
 async fn status(State(service): ServiceState) -> ApiResult<StatusReply> {
     let head = service.store().head().await?;
-    let instances = service.platform.instances().await.map_err(StoreError::from)?;
+    let listed = service.platform.instances().await.map_err(StoreError::from)?;
+    let instances = fleet::report(&listed).await;
     let environment = service.settings.environment.clone();
     Ok(Json(StatusReply { environment, head, instances }))
 }
@@ -311,7 +314,9 @@
             ReplaceOutcome::Accepted(head) => {
                 let (revision, name) = (head.revision, &operator.0);
                 log_event!(LogEvent::DocumentAccepted, "revision={revision} operator={name}");
-                Ok(Json(ApplyReply { head }))
+                let listed = self.platform.instances().await.unwrap_or_default();
+                let force = fleet::wait_for_force(&listed, revision).await;
+                Ok(Json(ApplyReply { head, force }))
             }
             ReplaceOutcome::Conflict(head) => {
                 let (found, name) = (head.revision, &operator.0);
--- a/crates/coord/src/confirmation.rs
+++ b/crates/coord/src/confirmation.rs
@@ -82,12 +82,11 @@
 
     /// Records what a peer said to a question asked at `asked_at`.
     pub fn record_peer(&mut self, peer: u64, asked_at: Instant, word: PeerWord) {
-        if let PeerWord::Answered { version, proof_age: Some(age), .. } = word {
-            if version == self.version {
-                if let Some(proved_at) = asked_at.checked_sub(age) {
-                    self.prove(proved_at);
-                }
-            }
+        if let PeerWord::Answered { version, proof_age: Some(age), .. } = word
+            && version == self.version
+            && let Some(proved_at) = asked_at.checked_sub(age)
+        {
+            self.prove(proved_at);
         }
         if self.round_at.is_some_and(|round_at| asked_at >= round_at) {
             self.words.insert(peer, word);
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,25 @@
-//! Placeholder.
-fn main() {}
+//! `hibiscusctl`: operators' command line over the administration API.
+
+mod cli;
+mod client;
+mod edit;
+mod run;
+mod show;
+
+use std::process::ExitCode;
+
+use clap::Parser as _;
+
+use crate::cli::ControlArguments;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = ControlArguments::parse();
+    match run::run(arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hibiscusctl: {error}");
+            ExitCode::from(error.status())
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/run.rs
@@ -0,0 +1,209 @@
+//! Carries out commands.
+
+use std::path::{Path, PathBuf};
+
+use admin::api::{
+    ApplyReply, ApplyRequest, DocumentReply, DocumentRequest, PlanReply, PromoteRequest,
+    StatusReply,
+};
+use snafu::{OptionExt as _, ResultExt as _, Snafu};
+use state::credential::{KeyHash, generate_key};
+use state::document::{Document, DocumentError};
+
+use crate::cli::{ControlArguments, ControlCommand, KeyCommand, TeamCommand};
+use crate::client::{AdminClient, ClientError};
+use crate::edit::{self, DocumentEdit, EditError};
+use crate::show;
+
+/// Attempts at a change of one entry when other operators come first.
+const EDIT_ATTEMPTS: usize = 5;
+
+/// Errors of a command.
+#[derive(Debug, Snafu)]
+pub enum ControlError {
+    /// A file cannot be read.
+    #[snafu(display("cannot read {}: {source}", path.display()))]
+    Read {
+        /// Path of the file.
+        path: PathBuf,
+        /// Cause reported by the system.
+        source: std::io::Error,
+    },
+    /// The document is wrong.
+    #[snafu(display("{source}"), context(false))]
+    Document {
+        /// Cause.
+        source: DocumentError,
+    },
+    /// The API refused or did not answer.
+    #[snafu(display("{source}"), context(false))]
+    Client {
+        /// Cause.
+        source: ClientError,
+    },
+    /// The change of an entry is not possible.
+    #[snafu(display("{source}"), context(false))]
+    Edit {
+        /// Cause.
+        source: EditError,
+    },
+    /// The team is not declared.
+    #[snafu(display("there is no team {name:?}"))]
+    NoTeam {
+        /// Name that was looked for.
+        name: String,
+    },
+    /// The answer cannot be shown.
+    #[snafu(display("{source}"), context(false))]
+    Json {
+        /// Cause.
+        source: serde_json::Error,
+    },
+}
+
+impl ControlError {
+    /// Returns the exit status for the error.
+    pub fn status(&self) -> u8 {
+        match self {
+            Self::Client { source } => source.status(),
+            Self::Read { .. } | Self::Document { .. } => 2,
+            _ => 1,
+        }
+    }
+}
+
+/// Carries out a command.
+pub async fn run(arguments: ControlArguments) -> Result<(), ControlError> {
+    let target = &arguments.target;
+    match arguments.command {
+        ControlCommand::Validate { file } => {
+            let text = read(&file)?;
+            Document::parse(&text)?;
+            println!("{} is valid", file.display());
+            Ok(())
+        }
+        ControlCommand::Key(KeyCommand::Hash) => {
+            let mut line = String::new();
+            let path = Path::new("standard input");
+            std::io::stdin().read_line(&mut line).context(ReadSnafu { path })?;
+            println!("{}", KeyHash::generate(line.trim()));
+            Ok(())
+        }
+        command => run_remote(&AdminClient::new(target)?, command).await,
+    }
+}
+
+async fn run_remote(client: &AdminClient, command: ControlCommand) -> Result<(), ControlError> {
+    match command {
+        ControlCommand::Plan { file } => {
+            let body = DocumentRequest { text: read(&file)? };
+            let plan: PlanReply = client.post("/v1/plan", &body).await?;
+            print!("against revision {}\n{}", plan.revision, show::changes(&plan.changes));
+        }
+        ControlCommand::Apply { file, expect, request } => {
+            let text = read(&file)?;
+            Document::parse(&text)?;
+            let expected = expected(client, expect).await?;
+            let request = request.unwrap_or_else(request_id);
+            eprintln!("request {request}");
+            let body = ApplyRequest { expected, text, request };
+            show_applied(&client.post("/v1/document", &body).await?);
+        }
+        ControlCommand::Promote { digest, expect, request } => {
+            let expected = expected(client, expect).await?;
+            let request = request.unwrap_or_else(request_id);
+            eprintln!("request {request}");
+            let body = PromoteRequest { expected, digest, request };
+            show_applied(&client.post("/v1/promote", &body).await?);
+        }
+        ControlCommand::Status { json } => {
+            let status: StatusReply = client.get("/v1/status").await?;
+            if json {
+                println!("{}", serde_json::to_string_pretty(&status)?);
+            } else {
+                print!("{}", show::status(&status));
+            }
+        }
+        ControlCommand::Show => {
+            let document: DocumentReply = client.get("/v1/document").await?;
+            print!("{}", document.text);
+        }
+        ControlCommand::Team(command) => change(client, team_edit(command)).await?,
+        ControlCommand::Key(command) => run_key(client, command).await?,
+        ControlCommand::Drain { database, undo } => {
+            change(client, DocumentEdit::SetLeaving { database, leaving: !undo }).await?;
+        }
+        ControlCommand::Validate { .. } => {}
+    }
+    Ok(())
+}
+
+async fn run_key(client: &AdminClient, command: KeyCommand) -> Result<(), ControlError> {
+    match command {
+        KeyCommand::Grant { team } => {
+            let key = generate_key();
+            let hash = KeyHash::generate(&key);
+            change(client, DocumentEdit::AddKey { team, hash }).await?;
+            println!("key {key}\nfingerprint {}", hash.fingerprint());
+        }
+        KeyCommand::Withdraw { team, fingerprint } => {
+            change(client, DocumentEdit::RemoveKey { team, fingerprint }).await?;
+        }
+        KeyCommand::List { team } => {
+            let reply: DocumentReply = client.get("/v1/document").await?;
+            let document = Document::parse(&reply.text)?;
+            let found = document.teams.iter().find(|section| section.name == team);
+            let section = found.context(NoTeamSnafu { name: team })?;
+            section.keys.iter().for_each(|key| println!("{}", key.fingerprint()));
+        }
+        KeyCommand::Hash => {}
+    }
+    Ok(())
+}
+
+fn team_edit(command: TeamCommand) -> DocumentEdit {
+    match command {
+        TeamCommand::Create { name, rate, burst } => DocumentEdit::AddTeam { name, rate, burst },
+        TeamCommand::Limit { name, rate, burst } => DocumentEdit::LimitTeam { name, rate, burst },
+        TeamCommand::Remove { name } => DocumentEdit::RemoveTeam { name },
+    }
+}
+
+/// Changes one entry of the document in force, again if another operator came first.
+async fn change(client: &AdminClient, edit: DocumentEdit) -> Result<(), ControlError> {
+    let mut attempt = 1;
+    loop {
+        let current: DocumentReply = client.get("/v1/document").await?;
+        let text = edit::apply(&current.text, &edit)?;
+        Document::parse(&text)?;
+        let expected = current.head.map_or(0, |head| head.revision);
+        let body = ApplyRequest { expected, text, request: request_id() };
+        match client.post::<_, ApplyReply>("/v1/document", &body).await {
+            Err(error) if error.status() == 4 && attempt < EDIT_ATTEMPTS => attempt += 1,
+            other => {
+                show_applied(&other?);
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn show_applied(reply: &ApplyReply) {
+    print!("{}{}", show::head(&reply.head), show::force(&reply.force));
+}
+
+async fn expected(client: &AdminClient, given: Option<u64>) -> Result<u64, ControlError> {
+    if let Some(revision) = given {
+        return Ok(revision);
+    }
+    let status: StatusReply = client.get("/v1/status").await?;
+    Ok(status.head.map_or(0, |head| head.revision))
+}
+
+fn request_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
+fn read(path: &Path) -> Result<String, ControlError> {
+    std::fs::read_to_string(path).context(ReadSnafu { path })
+}
--- a/crates/lab/src/environment.rs
+++ b/crates/lab/src/environment.rs
@@ -21,6 +21,7 @@
 use wire::platform::{InstanceRecord, InstanceState};
 
 use crate::profile::DeploymentProfile;
+use crate::relay::TcpRelay;
 
 /// Time that an environment has to come up.
 const START_LIMIT: Duration = Duration::from_secs(10);
@@ -126,6 +127,10 @@
     pub hub: Arc<StandinHub>,
     /// Proxy instances.
     pub instances: Vec<RunningInstance>,
+    /// Relays between each instance and the platform.
+    pub platform_relays: Vec<TcpRelay>,
+    /// Relays in front of each instance's address for peers.
+    pub peer_relays: Vec<TcpRelay>,
     /// Address of the administration API.
     pub admin: SocketAddr,
     /// Address of the stand-ins' interface.
@@ -155,6 +160,8 @@
             options,
             hub,
             instances: Vec::new(),
+            platform_relays: Vec::new(),
+            peer_relays: Vec::new(),
             admin,
             control,
             keys,
@@ -162,6 +169,9 @@
             _tasks: tasks,
         };
         for number in 0..environment.options.instances {
+            let relay = TcpRelay::start(control).await.context(ListenSnafu { address: control })?;
+            let platform = format!("http://{}", relay.address());
+            environment.platform_relays.push(relay);
             let settings = environment.instance_settings(number, &platform, &members);
             environment.start_instance(settings).await?;
         }
@@ -172,7 +182,10 @@
     async fn start_instance(&mut self, settings: ProxySettings) -> Result<(), LabError> {
         let (name, zone) = (settings.instance.clone(), settings.zone.clone());
         let running = instance::start(settings, Arc::new(SystemClock)).await?;
-        let peer = running.peer_address;
+        let address = running.peer_address;
+        let relay = TcpRelay::start(address).await.context(ListenSnafu { address })?;
+        let peer = relay.address();
+        self.peer_relays.push(relay);
         let record = InstanceRecord { name, zone, peer, state: InstanceState::Live };
         self.hub.platform.put_instance(record);
         self.instances.push(running);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod environment;
 pub mod profile;
+pub mod relay;
--- a/crates/lab/tests/main_job.rs
+++ b/crates/lab/tests/main_job.rs
@@ -256,12 +256,12 @@
             .await
             .expect("write");
         let found = caller.values("SELECT taken_by FROM seats WHERE id = 1").await.expect("read");
-        assert_eq!(found, [name.clone()]);
+        assert_eq!(found, std::slice::from_ref(&name));
         let mut roaming = config(&environment, 1);
         roaming.options(format!("-c hibiscus.session={}", caller.token().await));
         let roaming = connect_with(&roaming).await.expect("roam");
         let found = roaming.values("SELECT taken_by FROM seats WHERE id = 1").await.expect("read");
-        assert_eq!(found, [name.clone()]);
+        assert_eq!(found, std::slice::from_ref(&name));
         // Without a token the barrier protects the caller.
         let fresh = connect(&environment, 1).await;
         let found = fresh.values("SELECT taken_by FROM seats WHERE id = 1").await.expect("read");
--- a/crates/proxy/src/allotment.rs
+++ b/crates/proxy/src/allotment.rs
@@ -18,6 +18,49 @@
 /// Least demand that an instance states when it is short, as a part of the team's rate.
 const SHORT_DEMAND: f64 = 0.05;
 
+/// Team whose bucket a movement of shares changes.
+#[derive(Clone, Copy)]
+pub struct LimitedTeam<'a> {
+    /// Buckets of the instance.
+    pub limiter: &'a TeamLimiter,
+    /// Key of the team.
+    pub key: TeamKey,
+    /// Declared limits of the team.
+    pub entry: &'a TeamEntry,
+}
+
+impl LimitedTeam<'_> {
+    /// Brings the bucket in line with the share held.
+    fn resize(&self, ledger: &ShareLedger, now: Instant) {
+        let part = ledger.share(self.key) as f64 / WHOLE as f64;
+        let (rate, burst) = (self.entry.rate * part, self.entry.burst * part);
+        self.limiter.update(self.key, now, |bucket| bucket.resize(rate, burst, now));
+    }
+
+    /// Moves a part to a taker; the bucket shrinks first, so that the part is in use on one
+    /// instance at a time.
+    fn move_part(
+        &self,
+        ledger: &mut ShareLedger,
+        taker: Incarnation,
+        part: u64,
+        now: Instant,
+    ) -> MovedTotals {
+        let own = ledger.share(self.key);
+        let part = part.min(own);
+        if part == 0 {
+            return ledger.give(self.key, taker, 0, 0.0);
+        }
+        let tokens = self.limiter.update(self.key, now, |bucket| {
+            let moved = bucket.available(now) * part as f64 / own as f64;
+            bucket.withdraw(moved, now)
+        });
+        let totals = ledger.give(self.key, taker, part, tokens);
+        self.resize(ledger, now);
+        totals
+    }
+}
+
 /// Ledger of this instance and the buckets that follow it.
 #[derive(Default)]
 pub struct AllotmentBook {
@@ -57,8 +100,8 @@
                 limiter.remove(key);
             }
         }
-        for (key, team) in after.teams() {
-            resize(&ledger, limiter, key, team, now);
+        for (key, entry) in after.teams() {
+            LimitedTeam { limiter, key, entry }.resize(&ledger, now);
         }
     }
 
@@ -108,20 +151,17 @@
     }
 
     /// Gives a peer its part of a team's share and returns the totals to send.
-    #[allow(clippy::too_many_arguments)]
     pub fn give(
         &self,
-        limiter: &TeamLimiter,
-        key: TeamKey,
-        team: &TeamEntry,
+        team: LimitedTeam<'_>,
         taker: Incarnation,
         taker_share: u64,
         taker_demand: f64,
         now: Instant,
     ) -> MovedTotals {
         let mut ledger = self.ledger.lock();
-        let part = ledger.plan_gift(key, taker_share, taker_demand);
-        move_part(&mut ledger, limiter, key, team, taker, part, now)
+        let part = ledger.plan_gift(team.key, taker_share, taker_demand);
+        team.move_part(&mut ledger, taker, part, now)
     }
 
     /// Gives every share to a peer, for an instance that leaves.
@@ -133,29 +173,27 @@
         now: Instant,
     ) {
         let mut ledger = self.ledger.lock();
-        for (key, team) in catalog.teams() {
+        for (key, entry) in catalog.teams() {
             let part = ledger.share(key);
-            move_part(&mut ledger, limiter, key, team, taker, part, now);
+            LimitedTeam { limiter, key, entry }.move_part(&mut ledger, taker, part, now);
         }
     }
 
     /// Takes what a peer's totals add, and grows the bucket.
     pub fn take(
         &self,
-        limiter: &TeamLimiter,
-        key: TeamKey,
-        team: &TeamEntry,
+        team: LimitedTeam<'_>,
         giver: Incarnation,
         epoch: u64,
         totals: MovedTotals,
         now: Instant,
     ) {
         let mut ledger = self.ledger.lock();
-        let Some(grant) = ledger.take(key, giver, epoch, totals) else {
+        let Some(grant) = ledger.take(team.key, giver, epoch, totals) else {
             return;
         };
-        resize(&ledger, limiter, key, team, now);
-        limiter.update(key, now, |bucket| bucket.deposit(grant.tokens, now));
+        team.resize(&ledger, now);
+        team.limiter.update(team.key, now, |bucket| bucket.deposit(grant.tokens, now));
         drop(ledger);
         self.arrived.notify_waiters();
     }
@@ -223,8 +261,8 @@
     ) {
         let mut ledger = self.ledger.lock();
         ledger.forfeit_epoch(epoch);
-        for (key, team) in catalog.teams() {
-            resize(&ledger, limiter, key, team, now);
+        for (key, entry) in catalog.teams() {
+            LimitedTeam { limiter, key, entry }.resize(&ledger, now);
         }
     }
 
@@ -240,22 +278,14 @@
     /// Adds parts of a team that nobody holds; only in an epoch that this instance started.
     ///
     /// Tokens come along only if nothing can have been admitted before.
-    pub fn issue(
-        &self,
-        limiter: &TeamLimiter,
-        key: TeamKey,
-        team: &TeamEntry,
-        share: u64,
-        tokens: f64,
-        now: Instant,
-    ) {
-        if !self.issued.lock().names.insert(team.name.clone()) {
+    pub fn issue(&self, team: LimitedTeam<'_>, share: u64, tokens: f64, now: Instant) {
+        if !self.issued.lock().names.insert(team.entry.name.clone()) {
             return;
         }
         let mut ledger = self.ledger.lock();
-        ledger.issue(key, share);
-        resize(&ledger, limiter, key, team, now);
-        limiter.update(key, now, |bucket| bucket.deposit(tokens, now));
+        ledger.issue(team.key, share);
+        team.resize(&ledger, now);
+        team.limiter.update(team.key, now, |bucket| bucket.deposit(tokens, now));
         drop(ledger);
         self.arrived.notify_waiters();
     }
@@ -269,8 +299,8 @@
             let own = issued.epoch == epoch && epoch > 0;
             catalog.teams().filter(|(_, team)| own && is_new(team)).collect()
         };
-        for (key, team) in new {
-            self.issue(limiter, key, team, WHOLE, 0.0, now);
+        for (key, entry) in new {
+            self.issue(LimitedTeam { limiter, key, entry }, WHOLE, 0.0, now);
         }
     }
 
@@ -280,38 +310,3 @@
         catalog.teams().map(|(key, _)| (key, ledger.share(key))).collect()
     }
 }
-
-/// Shrinks the bucket first, so that the moved part is in use on one instance at a time.
-fn move_part(
-    ledger: &mut ShareLedger,
-    limiter: &TeamLimiter,
-    key: TeamKey,
-    team: &TeamEntry,
-    taker: Incarnation,
-    part: u64,
-    now: Instant,
-) -> MovedTotals {
-    let own = ledger.share(key);
-    let part = part.min(own);
-    if part == 0 {
-        return ledger.give(key, taker, 0, 0.0);
-    }
-    let tokens = limiter.update(key, now, |bucket| {
-        let moved = bucket.available(now) * part as f64 / own as f64;
-        bucket.withdraw(moved, now)
-    });
-    let totals = ledger.give(key, taker, part, tokens);
-    resize(ledger, limiter, key, team, now);
-    totals
-}
-
-fn resize(
-    ledger: &ShareLedger,
-    limiter: &TeamLimiter,
-    key: TeamKey,
-    team: &TeamEntry,
-    now: Instant,
-) {
-    let part = ledger.share(key) as f64 / WHOLE as f64;
-    limiter.update(key, now, |bucket| bucket.resize(team.rate * part, team.burst * part, now));
-}
--- a/crates/proxy/src/beat.rs
+++ b/crates/proxy/src/beat.rs
@@ -15,6 +15,7 @@
 use tonic::Status;
 use wire::peer::{BeatReply, BeatRequest, InstanceSummary, TeamShare};
 
+use crate::allotment::LimitedTeam;
 use crate::document;
 use crate::instance::{InstancePhase, ProxyInstance};
 use crate::peers::{PeerEntry, PeerShare};
@@ -184,14 +185,15 @@
         let Some(key) = catalog.team_key(&share.team) else {
             continue;
         };
-        let Some(team) = catalog.team(key) else {
+        let Some(entry) = catalog.team(key) else {
             continue;
         };
         held.insert(key, PeerShare { share: share.share, demand: share.demand });
         instance.book.acknowledge(key, incarnation, epoch, share.taken_share);
         if share.given_share > 0 {
             let totals = MovedTotals { share: share.given_share, tokens: share.given_tokens };
-            instance.book.take(&instance.limiter, key, team, incarnation, epoch, totals, now);
+            let team = LimitedTeam { limiter: &instance.limiter, key, entry };
+            instance.book.take(team, incarnation, epoch, totals, now);
         }
     }
     instance.peers.record_shares(peer, held);
--- a/crates/proxy/src/census.rs
+++ b/crates/proxy/src/census.rs
@@ -14,6 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use wire::peer::{CensusReply, CensusRequest};
 
+use crate::allotment::LimitedTeam;
 use crate::instance::{InstancePhase, ProxyInstance};
 use crate::peers::PeerEntry;
 
@@ -154,12 +155,13 @@
         return;
     }
     let now = instance.now();
-    for (key, team) in catalog.teams() {
-        let known = held.get(&*team.name).copied().unwrap_or_default();
+    for (key, entry) in catalog.teams() {
+        let known = held.get(&*entry.name).copied().unwrap_or_default();
         let missing = WHOLE.saturating_sub(known);
         // Nothing was admitted before the first epoch, so its buckets may start full.
-        let tokens = if epoch.number == 1 { team.burst } else { 0.0 };
-        instance.book.issue(&instance.limiter, key, team, missing, tokens, now);
+        let tokens = if epoch.number == 1 { entry.burst } else { 0.0 };
+        let team = LimitedTeam { limiter: &instance.limiter, key, entry };
+        instance.book.issue(team, missing, tokens, now);
     }
     log_event!(LogEvent::LedgerCounted, "epoch={} holders={holders}", epoch.number);
 }
--- a/crates/proxy/src/share.rs
+++ b/crates/proxy/src/share.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 use wire::peer::{ShareReply, ShareRequest};
 
+use crate::allotment::LimitedTeam;
 use crate::instance::ProxyInstance;
 use crate::peers::PeerEntry;
 
@@ -84,7 +85,8 @@
     let reply = reply.into_inner();
     let totals = MovedTotals { share: reply.given_share, tokens: reply.given_tokens };
     let (giver, epoch) = (reply.incarnation, reply.epoch);
-    instance.book.take(&instance.limiter, team, entry, giver, epoch, totals, instance.now());
+    let team = LimitedTeam { limiter: &instance.limiter, key: team, entry };
+    instance.book.take(team, giver, epoch, totals, instance.now());
 }
 
 /// Answers a peer that asks for a part of a team's allotment.
@@ -102,12 +104,12 @@
     let found = key.and_then(|key| Some((key, catalog.team(key)?)));
     // A share whose epoch may be over must not be passed on.
     let valid = request.epoch == epoch && instance.is_epoch_valid(now);
-    let Some((key, team)) = found.filter(|_| valid) else {
+    let Some((key, entry)) = found.filter(|_| valid) else {
         return reply;
     };
-    let (limiter, taker) = (&instance.limiter, request.incarnation);
+    let team = LimitedTeam { limiter: &instance.limiter, key, entry };
     let (share, demand) = (request.share, request.demand);
-    let totals = instance.book.give(limiter, key, team, taker, share, demand, now);
+    let totals = instance.book.give(team, request.incarnation, share, demand, now);
     reply.given_share = totals.share;
     reply.given_tokens = totals.tokens;
     reply
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -179,6 +179,10 @@
     startup: &BTreeMap<String, String>,
 ) -> Result<CallerIdentity, StartupEnd> {
     let user = startup.get("user").map(String::as_str).unwrap_or_default();
+    if user.is_empty() {
+        let detail = "the startup message names no user";
+        return Err(refuse(RefusalReason::ProtocolViolation, detail));
+    }
     let name = startup.get("database").map_or(user, String::as_str);
     let password = if user == OPEN_TEAM { None } else { Some(ask_password(socket).await?) };
     let patience = instance.settings.startup_timeout / 2;
--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -20,6 +20,8 @@
 const BATCH_ENTRIES: usize = 256;
 /// Time after which a blocked link or apply step is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(2);
+/// Interval at which a cut link is looked at.
+const CUT_INTERVAL: Duration = Duration::from_millis(10);
 /// Term under which a new group starts.
 const FIRST_TERM: u64 = 1;
 
@@ -167,7 +169,12 @@
         changes.borrow_and_update();
         let sent_at = Instant::now();
         let batch = from.core.lock().batch_after(held, BATCH_ENTRIES);
-        if let Some(batch) = batch.filter(|_| is_linked(&from, &to)) {
+        if batch.is_some() && !is_linked(&from, &to) {
+            // Nothing gets through, and waiting for a change would not end with the cut.
+            sleep(CUT_INTERVAL).await;
+            continue;
+        }
+        if let Some(batch) = batch {
             pause(delay).await;
             let answer = to.update(|core| core.append(&from.name, &batch));
             pause(delay).await;
@@ -182,7 +189,10 @@
                     continue;
                 }
                 Ok(_) => sleep(RETRY_INTERVAL).await,
-                Err(error) => log::error!("member {} cannot take a batch: {error}", to.name),
+                Err(error) => {
+                    log::error!("member {} cannot take a batch: {error}", to.name);
+                    sleep(HEARTBEAT_INTERVAL).await;
+                }
             }
         }
         // Acknowledgements wake the task as well; only a new entry or a barrier is worth a batch
