--- a/crates/coord/src/failover.rs
+++ b/crates/coord/src/failover.rs
@@ -256,13 +256,18 @@
     ///
     /// Their word is enough: no primary can have its commits confirmed without them.
     fn is_deaf_majority(&self, now: Instant) -> bool {
-        let deaf = |member: &&MemberKnowledge| {
+        self.deaf_members(now).len() >= self.majority()
+    }
+
+    /// Returns the members that answer and have not heard a primary for long.
+    fn deaf_members(&self, now: Instant) -> Vec<MemberIndex> {
+        let deaf = |member: &MemberKnowledge| {
             member.fresh_status(now).is_some_and(|status| {
                 status.position.role != MemberRole::Primary
                     && Duration::from_millis(status.heard_ms) >= SILENCE_LIMIT
             })
         };
-        self.members.iter().filter(deaf).count() >= self.majority()
+        (0..self.members.len()).filter(|index| deaf(&self.members[*index])).collect()
     }
 
     /// Tells whether this instance and at least one other availability zone lost the primary, and
@@ -291,8 +296,13 @@
     }
 
     fn start_promotion(&mut self, now: Instant) -> Vec<FailoverEffect> {
-        let reachable: Vec<MemberIndex> =
-            (0..self.members.len()).filter(|index| self.members[*index].is_fresh(now)).collect();
+        let mut reachable = self.deaf_members(now);
+        if reachable.len() < self.majority() {
+            // A primary that its replicas do not hear must not be counted in: with the highest
+            // position it would be promoted again and stay cut off.
+            let fresh = |index: &MemberIndex| self.members[*index].is_fresh(now);
+            reachable = (0..self.members.len()).filter(fresh).collect();
+        }
         if reachable.len() < self.majority() {
             return Vec::new();
         }
--- a/crates/coord/src/ledger.rs
+++ b/crates/coord/src/ledger.rs
@@ -4,7 +4,9 @@
 //! totals: the giver shrinks and raises the total given to the taker, and the taker grows by the
 //! difference to the total it has taken. Lost, repeated or reordered messages change nothing.
 //! Shares lost with an instance come back by a new epoch: every holder reports its share while it
-//! enters the epoch, and what nobody reports is issued again once the old epoch has run out.
+//! enters the epoch, and what nobody reports is issued again once the old epoch has run out. A
+//! report may be lost on its way, so a reported share is provisional until the issuer says that it
+//! was counted: it can be used while the proof of the old epoch lasts, but not passed on.
 
 use std::collections::HashMap;
 
@@ -70,11 +72,18 @@
     reported: Vec<(TeamKey, u64)>,
     /// Last epoch for which this instance issued what nobody reported.
     issued_epoch: u64,
+    provisional: bool,
 }
 
 impl Default for ShareLedger {
     fn default() -> Self {
-        Self { epoch: 0, accounts: SecondaryMap::new(), reported: Vec::new(), issued_epoch: 0 }
+        Self {
+            epoch: 0,
+            accounts: SecondaryMap::new(),
+            reported: Vec::new(),
+            issued_epoch: 0,
+            provisional: false,
+        }
     }
 }
 
@@ -117,18 +126,43 @@
             return None;
         }
         if epoch > self.epoch {
+            if self.provisional || epoch > self.epoch + 1 {
+                // Shares that the last issuer may have issued again must not count for this one.
+                self.drop_shares();
+            }
             self.epoch = epoch;
             self.reported = self.fold();
+            self.provisional = true;
         }
         Some(&self.reported)
     }
 
-    /// Enters a higher epoch without a report: the shares of the lower one are lost.
+    /// Records that the issuer counted the report of this epoch.
+    pub fn confirm_epoch(&mut self, epoch: u64) -> bool {
+        let own = epoch == self.epoch;
+        if own {
+            self.provisional = false;
+        }
+        own
+    }
+
+    /// Tells whether the shares were reported and may not have been counted.
+    pub fn is_provisional(&self) -> bool {
+        self.provisional
+    }
+
+    /// Loses every share and stands in `epoch`, without a report or with one not counted in time.
     pub fn forfeit_epoch(&mut self, epoch: u64) {
-        if epoch <= self.epoch {
+        let uncounted = epoch == self.epoch && self.provisional;
+        if epoch <= self.epoch && !uncounted {
             return;
         }
         self.epoch = epoch;
+        self.drop_shares();
+    }
+
+    fn drop_shares(&mut self) {
+        self.provisional = false;
         for (_, account) in &mut self.accounts {
             *account = ShareAccount { demand: account.demand, ..ShareAccount::default() };
         }
@@ -152,7 +186,7 @@
     /// Returns the parts that a taker gets when it asks: afterwards giver and taker have about the
     /// same ratio of share to demand.
     pub fn plan_gift(&self, team: TeamKey, taker_share: u64, taker_demand: f64) -> u64 {
-        let Some(account) = self.accounts.get(team) else {
+        let Some(account) = self.accounts.get(team).filter(|_| !self.provisional) else {
             return 0;
         };
         fair_part(account.share(), account.demand, taker_share, taker_demand)
@@ -168,6 +202,7 @@
         part: u64,
         tokens: f64,
     ) -> MovedTotals {
+        let part = if self.provisional { 0 } else { part };
         let account = self.account(team);
         let part = part.min(account.share());
         let totals = account.given.entry(taker).or_default();
@@ -178,13 +213,6 @@
         *totals
     }
 
-    /// Returns the parts that asking a giver would bring, to pick whom to ask.
-    pub fn expected_gift(&self, team: TeamKey, giver_share: u64, giver_demand: f64) -> u64 {
-        let own = self.accounts.get(team);
-        let (share, demand) = own.map_or((0, 0.0), |account| (account.share(), account.demand));
-        fair_part(giver_share, giver_demand, share, demand)
-    }
-
     /// Takes what a giver's totals add to those taken before, in the same epoch only.
     pub fn take(
         &mut self,
@@ -253,7 +281,7 @@
 }
 
 /// Returns the part by which the giver's and the taker's ratios of share to demand become equal.
-fn fair_part(giver_share: u64, giver_demand: f64, taker_share: u64, taker_demand: f64) -> u64 {
+pub fn fair_part(giver_share: u64, giver_demand: f64, taker_share: u64, taker_demand: f64) -> u64 {
     let giver_demand = giver_demand.max(FLOOR_DEMAND);
     let taker_demand = taker_demand.max(FLOOR_DEMAND);
     let (giver, taker) = (giver_share as f64, taker_share as f64);
--- a/crates/lab/src/environment.rs
+++ b/crates/lab/src/environment.rs
@@ -16,6 +16,7 @@
 use standin::group::{DatabaseGroup, GroupError, GroupSettings, MemberSettings};
 use state::credential::{KeyHash, generate_key};
 use tokio::net::TcpListener;
+use tokio::runtime::Handle;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 use wire::platform::{InstanceRecord, InstanceState};
@@ -101,6 +102,8 @@
     pub statement_time: Duration,
     /// Factor on the teams' rates and bursts.
     pub rate_factor: f64,
+    /// Runtime on which the proxies run; the caller's if absent.
+    pub proxy_runtime: Option<Handle>,
 }
 
 impl LabOptions {
@@ -115,6 +118,7 @@
             delays: true,
             statement_time: Duration::ZERO,
             rate_factor: 1.0,
+            proxy_runtime: None,
         }
     }
 }
@@ -181,7 +185,9 @@
 
     async fn start_instance(&mut self, settings: ProxySettings) -> Result<(), LabError> {
         let (name, zone) = (settings.instance.clone(), settings.zone.clone());
-        let running = instance::start(settings, Arc::new(SystemClock)).await?;
+        let runtime = self.options.proxy_runtime.clone().unwrap_or_else(Handle::current);
+        let start = instance::start(settings, Arc::new(SystemClock));
+        let running = runtime.spawn(start).await.map_err(|_| LabError::Slow)??;
         let address = running.peer_address;
         let relay = TcpRelay::start(address).await.context(ListenSnafu { address })?;
         let peer = relay.address();
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,2 +1,35 @@
-//! Placeholder.
-fn main() {}
+//! `hibiscus-load`: seeded load and experiments.
+
+mod capacity;
+mod cli;
+mod cpu;
+mod overhead;
+mod report;
+mod timeline;
+mod workload;
+
+use std::process::ExitCode;
+
+use clap::Parser as _;
+use telemetry::program;
+
+use crate::cli::{LoadArguments, LoadCommand};
+use crate::report::LoadError;
+
+const PROGRAM: &str = "hibiscus-load";
+
+fn main() -> ExitCode {
+    let arguments = LoadArguments::parse();
+    if let Err(status) = program::begin(PROGRAM, &arguments.logging) {
+        return status;
+    }
+    program::end(PROGRAM, run(&arguments))
+}
+
+fn run(arguments: &LoadArguments) -> Result<(), LoadError> {
+    match &arguments.command {
+        LoadCommand::Overhead(options) => overhead::run(options, arguments.json),
+        LoadCommand::Profile(options) => workload::run(options, arguments.json),
+        LoadCommand::Capacity(options) => capacity::run(options, arguments.json),
+    }
+}
--- /dev/null
+++ b/crates/load/src/overhead.rs
@@ -0,0 +1,240 @@
+//! Comparison of direct, naive and proxied access.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use lab::environment::{LabEnvironment, LabOptions};
+use lab::profile::{DeploymentProfile, ProfileName};
+use lab::relay::TcpRelay;
+use serde::Serialize;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::runtime::{Builder, Runtime};
+use tokio_postgres::{Client, Config, NoTls};
+
+use crate::cli::OverheadOptions;
+use crate::cpu;
+use crate::report::{self, LoadError};
+
+/// Name of the proxy's threads.
+const PROXY_THREADS: &str = "hb-proxy";
+/// Statement that is sent again and again.
+const STATEMENT: &str = "SELECT id, hall FROM seats WHERE id = 1";
+/// Factor that keeps the teams' limits out of the way.
+const RATE_FACTOR: f64 = 10_000.0;
+/// Connections and slots that keep the stand-in's limits out of the way.
+const WIDE: u32 = 1_024;
+/// Time for which the proxy's idle processor time is measured.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+
+/// One point of the comparison.
+#[derive(Debug, Serialize)]
+struct OverheadPoint {
+    path: &'static str,
+    callers: usize,
+    statements_per_second: f64,
+    p50_us: u64,
+    p99_us: u64,
+    proxy_cpu_us_per_statement: Option<f64>,
+}
+
+/// Result of the comparison.
+#[derive(Debug, Serialize)]
+struct OverheadReport {
+    points: Vec<OverheadPoint>,
+    idle_callers: usize,
+    bytes_per_idle_caller: f64,
+    idle_proxy_cpu_percent: f64,
+}
+
+/// Runs the comparison.
+pub fn run(options: &OverheadOptions, json: bool) -> Result<(), LoadError> {
+    let proxy = runtime(PROXY_THREADS, options.proxy_threads)?;
+    let standin = runtime("hb-standin", 4)?;
+    let callers = runtime("hb-caller", 4)?;
+    let mut profile = DeploymentProfile::of(ProfileName::Volksdans);
+    profile.slots = WIDE;
+    profile.connections = WIDE;
+    let lab = LabOptions {
+        instances: 1,
+        delays: false,
+        rate_factor: RATE_FACTOR,
+        proxy_runtime: Some(proxy.handle().clone()),
+        ..LabOptions::of(profile)
+    };
+    let environment = standin.block_on(LabEnvironment::start(lab))?;
+    let report = callers.block_on(measure(&environment, options))?;
+    let text = describe(&report);
+    proxy.shutdown_background();
+    standin.shutdown_background();
+    report::print(&report, json, text)
+}
+
+fn runtime(name: &str, threads: usize) -> Result<Runtime, LoadError> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(threads)
+        .thread_name(name)
+        .enable_all()
+        .build()?;
+    Ok(runtime)
+}
+
+async fn measure(
+    environment: &LabEnvironment,
+    options: &OverheadOptions,
+) -> Result<OverheadReport, LoadError> {
+    let proxied = environment.instances[0].address;
+    let database = environment.options.profile.databases[0];
+    let group = environment.group(database).expect("the lab starts every group");
+    let direct = group.addresses[0];
+    let naive = TcpRelay::start(direct).await?;
+    let setup = connect(environment, proxied).await?;
+    setup.batch_execute("CREATE TABLE seats (id int PRIMARY KEY, hall text)").await?;
+    setup.batch_execute("INSERT INTO seats VALUES (1, 'parish')").await?;
+    let idle_cpu = idle_share().await;
+    let paths = [("direct", direct), ("naive", naive.address()), ("proxy", proxied)];
+    let mut points = Vec::new();
+    let time = Duration::from_secs(options.seconds);
+    for callers in options.callers.iter().copied() {
+        for (path, address) in paths {
+            points.push(measure_point(environment, path, address, callers, time).await?);
+        }
+    }
+    let bytes_per_idle_caller = measure_idle(environment, proxied, options.idle).await?;
+    Ok(OverheadReport {
+        points,
+        idle_callers: options.idle,
+        bytes_per_idle_caller,
+        idle_proxy_cpu_percent: 100.0 * idle_cpu,
+    })
+}
+
+async fn idle_share() -> f64 {
+    let before = cpu::thread_time(PROXY_THREADS);
+    tokio::time::sleep(IDLE_TIME).await;
+    (cpu::thread_time(PROXY_THREADS) - before).as_secs_f64() / IDLE_TIME.as_secs_f64()
+}
+
+async fn measure_point(
+    environment: &LabEnvironment,
+    path: &'static str,
+    address: SocketAddr,
+    callers: usize,
+    time: Duration,
+) -> Result<OverheadPoint, LoadError> {
+    let mut clients = Vec::new();
+    for _ in 0..callers {
+        clients.push(connect(environment, address).await?);
+    }
+    let before = cpu::thread_time(PROXY_THREADS);
+    let begin = Instant::now();
+    let tasks: Vec<_> =
+        clients.into_iter().map(|client| tokio::spawn(repeat(client, begin + time))).collect();
+    let mut latencies = report::histogram();
+    for task in tasks {
+        latencies.add(task.await.expect("a caller does not panic")?).expect("same bounds");
+    }
+    let seconds = begin.elapsed().as_secs_f64();
+    let used = (cpu::thread_time(PROXY_THREADS) - before).as_secs_f64();
+    let statements = latencies.len() as f64;
+    let proxy_cpu = (path == "proxy").then_some(used * 1e6 / statements);
+    Ok(OverheadPoint {
+        path,
+        callers,
+        statements_per_second: statements / seconds,
+        p50_us: latencies.value_at_quantile(0.5),
+        p99_us: latencies.value_at_quantile(0.99),
+        proxy_cpu_us_per_statement: proxy_cpu,
+    })
+}
+
+async fn repeat(client: Client, end: Instant) -> Result<Histogram<u64>, tokio_postgres::Error> {
+    let mut latencies = report::histogram();
+    while Instant::now() < end {
+        let begin = Instant::now();
+        client.simple_query(STATEMENT).await?;
+        latencies.saturating_record(begin.elapsed().as_micros() as u64);
+    }
+    Ok(latencies)
+}
+
+async fn connect(
+    environment: &LabEnvironment,
+    address: SocketAddr,
+) -> Result<Client, tokio_postgres::Error> {
+    let profile = &environment.options.profile;
+    let (client, connection) = Config::new()
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user(profile.teams[0].name)
+        .password(&environment.keys[0])
+        .dbname(profile.databases[0])
+        .connect(NoTls)
+        .await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+/// Returns the growth of this process for each idle caller; the caller's end is a bare socket.
+async fn measure_idle(
+    environment: &LabEnvironment,
+    address: SocketAddr,
+    count: usize,
+) -> Result<f64, LoadError> {
+    if count == 0 {
+        return Ok(0.0);
+    }
+    let profile = &environment.options.profile;
+    let mut body = vec![0, 3, 0, 0];
+    for text in ["user", profile.teams[0].name, "database", profile.databases[0]] {
+        body.extend_from_slice(text.as_bytes());
+        body.push(0);
+    }
+    body.push(0);
+    let mut startup = (body.len() as u32 + 4).to_be_bytes().to_vec();
+    startup.extend(body);
+    let key = environment.keys[0].as_bytes();
+    startup.push(b'p');
+    startup.extend_from_slice(&(key.len() as u32 + 5).to_be_bytes());
+    startup.extend_from_slice(key);
+    startup.push(0);
+    let before = cpu::resident_bytes();
+    let mut open = Vec::with_capacity(count);
+    for _ in 0..count {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(&startup).await?;
+        let mut seen = Vec::new();
+        let mut piece = [0; 1024];
+        while !seen.ends_with(&[b'Z', 0, 0, 0, 5, b'I']) {
+            let read = stream.read(&mut piece).await?;
+            if read == 0 {
+                return Err(std::io::Error::other("the proxy refused an idle caller").into());
+            }
+            seen.extend_from_slice(&piece[..read]);
+        }
+        open.push(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    Ok(cpu::resident_bytes().saturating_sub(before) as f64 / count as f64)
+}
+
+fn describe(report: &OverheadReport) -> String {
+    let mut text =
+        String::from("path    callers  statements/s    p50 us    p99 us  proxy cpu us/statement\n");
+    for point in &report.points {
+        let cpu = point.proxy_cpu_us_per_statement.map_or("-".to_owned(), |us| format!("{us:.1}"));
+        _ = writeln!(
+            text,
+            "{:<7} {:>7} {:>13.0} {:>9} {:>9}  {cpu:>22}",
+            point.path, point.callers, point.statements_per_second, point.p50_us, point.p99_us
+        );
+    }
+    _ = writeln!(
+        text,
+        "idle callers {}: {:.0} bytes each; idle proxy {:.2}% of a core",
+        report.idle_callers, report.bytes_per_idle_caller, report.idle_proxy_cpu_percent
+    );
+    text
+}
--- /dev/null
+++ b/crates/load/src/workload.rs
@@ -0,0 +1,509 @@
+//! Workload of a deployment, with the measures of the brief.
+
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use lab::environment::{LabEnvironment, LabOptions};
+use lab::profile::DeploymentProfile;
+use lab::relay::TcpRelay;
+use parking_lot::Mutex;
+use proxy::counters::ReadTally;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use serde::Serialize;
+use tokio::time::sleep_until;
+use tokio_postgres::{Client, Config, NoTls};
+
+use crate::cli::{AccessPath, FaultKind, ProfileOptions};
+use crate::report::{self, LoadError};
+use crate::timeline;
+
+/// Callers of each team.
+const TEAM_CALLERS: usize = 6;
+/// Part of the requests that browse.
+const BROWSE_PART: f64 = 0.8;
+/// Mean number of requests after which a caller reconnects, perhaps elsewhere.
+const ROAM_AFTER: u32 = 200;
+/// Rows of the table that callers browse.
+const BROWSE_ROWS: i32 = 200;
+/// Time that a statement takes on a member besides the engine's own.
+const STATEMENT_TIME: Duration = Duration::from_micros(500);
+/// Writers that measure the service gap, each on an instance of its own.
+const PROBES: usize = 3;
+/// Team for which they write.
+const PROBE_TEAM: usize = 1;
+/// Pause between two of their writes.
+const PROBE_INTERVAL: Duration = Duration::from_millis(25);
+/// Factor of a flooding team's rate.
+const FLOOD_FACTOR: f64 = 10.0;
+/// Time that a request may take before its caller gives up and reconnects.
+const CALLER_PATIENCE: Duration = Duration::from_secs(10);
+
+/// What happened to one team.
+#[derive(Debug)]
+struct TeamTally {
+    answered: u64,
+    refused: u64,
+    unknown: u64,
+    latencies: Histogram<u64>,
+    reads: u64,
+    stale_reads: u64,
+}
+
+impl Default for TeamTally {
+    fn default() -> Self {
+        Self {
+            answered: 0,
+            refused: 0,
+            unknown: 0,
+            latencies: report::histogram(),
+            reads: 0,
+            stale_reads: 0,
+        }
+    }
+}
+
+/// Measures of one team.
+#[derive(Debug, Serialize)]
+struct TeamMeasure {
+    team: &'static str,
+    answered: u64,
+    refused: u64,
+    unknown: u64,
+    p50_ms: f64,
+    p99_ms: f64,
+    service_share: f64,
+}
+
+/// Measures of a run.
+#[derive(Debug, Serialize)]
+struct ProfileReport {
+    profile: &'static str,
+    path: &'static str,
+    fault: &'static str,
+    seed: u64,
+    seconds: u64,
+    instances: usize,
+    replica_read_share: f64,
+    longest_write_gap_ms: u64,
+    worst_team: &'static str,
+    worst_service_share: f64,
+    worst_p99_ms: f64,
+    refused_inside_rate_percent: f64,
+    unknown: u64,
+    own_writes_missed: u64,
+    table_writes: u64,
+    table_reads: u64,
+    teams: Vec<TeamMeasure>,
+}
+
+/// What every caller of a run shares.
+struct RunContext {
+    profile: DeploymentProfile,
+    keys: Vec<String>,
+    /// Addresses by database.
+    addresses: Vec<Vec<SocketAddr>>,
+    tallies: Vec<Mutex<TeamTally>>,
+    end: Instant,
+}
+
+/// Runs a workload.
+pub fn run(options: &ProfileOptions, json: bool) -> Result<(), LoadError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let report = runtime.block_on(run_profile(options))?;
+    let text = describe(&report);
+    runtime.shutdown_background();
+    report::print(&report, json, text)
+}
+
+async fn run_profile(options: &ProfileOptions) -> Result<ProfileReport, LoadError> {
+    let profile = DeploymentProfile::of(options.profile);
+    let lab = LabOptions {
+        instances: options.instances,
+        statement_time: STATEMENT_TIME,
+        ..LabOptions::of(profile.clone())
+    };
+    let mut environment = LabEnvironment::start(lab).await?;
+    let (addresses, _relays) = addresses(&environment, options.path).await?;
+    prepare(&environment).await?;
+    let context = Arc::new(RunContext {
+        keys: environment.keys.clone(),
+        addresses,
+        tallies: profile.teams.iter().map(|_| Mutex::default()).collect(),
+        end: Instant::now() + options.time(),
+        profile,
+    });
+    let counts = environment.hub.platform.counts();
+    let probes: Vec<_> =
+        (0..PROBES).map(|probe| tokio::spawn(probe_writes(context.clone(), probe))).collect();
+    let mut callers = Vec::new();
+    for team in 0..context.profile.teams.len() {
+        for caller in 0..TEAM_CALLERS {
+            let seed = options.seed * 10_000 + (team * TEAM_CALLERS + caller) as u64;
+            let rate = caller_rate(options, &context.profile, team);
+            callers.push(tokio::spawn(call(context.clone(), team, seed, rate)));
+        }
+    }
+    timeline::play(&mut environment, options.fault, options.time() / 3).await;
+    for caller in callers {
+        caller.await.expect("a caller does not panic");
+    }
+    let after = environment.hub.platform.counts();
+    let mut gap = Duration::ZERO;
+    for probe in probes {
+        gap = gap.max(probe.await.expect("a probe does not panic"));
+    }
+    let measured = RunMeasures {
+        replica_read_share: read_share(&environment),
+        gap,
+        table_writes: after.writes - counts.writes,
+        table_reads: after.reads - counts.reads,
+    };
+    Ok(summarise(options, &context, &measured))
+}
+
+fn caller_rate(options: &ProfileOptions, profile: &DeploymentProfile, team: usize) -> f64 {
+    let rate = profile.teams[team].rate * options.intensity / TEAM_CALLERS as f64;
+    let floods = options.fault == FaultKind::Flood && team == 0;
+    if floods { rate * FLOOD_FACTOR / options.intensity } else { rate }
+}
+
+/// Returns the callers' addresses by database, and the relays that must stay alive.
+async fn addresses(
+    environment: &LabEnvironment,
+    path: AccessPath,
+) -> Result<(Vec<Vec<SocketAddr>>, Vec<TcpRelay>), LoadError> {
+    let mut relays = Vec::new();
+    let mut addresses = Vec::new();
+    for database in environment.options.profile.databases {
+        match path {
+            AccessPath::Proxy => {
+                let all = environment.instances.iter().map(|running| running.address);
+                addresses.push(all.collect());
+            }
+            AccessPath::Naive => {
+                let group = environment.group(database).expect("the lab starts every group");
+                let relay = TcpRelay::start(group.addresses[0]).await?;
+                addresses.push(vec![relay.address()]);
+                relays.push(relay);
+            }
+        }
+    }
+    Ok((addresses, relays))
+}
+
+/// Creates the tables on every database, without counting against the workload.
+async fn prepare(environment: &LabEnvironment) -> Result<(), LoadError> {
+    let profile = &environment.options.profile;
+    let table = profile.browse_table;
+    for database in profile.databases {
+        let address = environment.instances[0].address;
+        let team = profile.teams[0].name;
+        let client = connect(address, team, &environment.keys[0], database, None).await?;
+        let values: Vec<String> = (0..BROWSE_ROWS).map(|id| format!("({id}, 0)")).collect();
+        client
+            .batch_execute(&format!("CREATE TABLE {table} (id int PRIMARY KEY, state int)"))
+            .await?;
+        client.batch_execute(&format!("INSERT INTO {table} VALUES {}", values.join(", "))).await?;
+        client.batch_execute("CREATE TABLE bookings (id bigint PRIMARY KEY, team text)").await?;
+    }
+    Ok(())
+}
+
+/// Returns the part of all reads that replicas served; none without proxies.
+fn read_share(environment: &LabEnvironment) -> f64 {
+    let sum = |count: fn(&ReadTally) -> &AtomicU64| -> u64 {
+        let instances = environment.instances.iter();
+        instances
+            .map(|running| count(&running.instance.counters.reads).load(Ordering::Relaxed))
+            .sum()
+    };
+    let (replica, primary) = (sum(|tally| &tally.replica), sum(|tally| &tally.primary));
+    replica as f64 / (replica + primary).max(1) as f64
+}
+
+/// Writes to the first database all the time and returns the longest time between two answers.
+async fn probe_writes(context: Arc<RunContext>, probe: usize) -> Duration {
+    let choices = &context.addresses[0];
+    let address = choices[probe % choices.len()];
+    let (name, key) = (context.profile.teams[PROBE_TEAM].name, &context.keys[PROBE_TEAM]);
+    let database = context.profile.databases[0];
+    let mut client = None;
+    let mut last = Instant::now();
+    let mut gap = Duration::ZERO;
+    let mut number = 0_u64;
+    while Instant::now() < context.end {
+        if client.is_none() {
+            client = connect(address, name, key, database, None).await.ok();
+        }
+        number += 1;
+        let id = (probe as u64 + 1) << 56 | number;
+        let sql = format!("INSERT INTO bookings VALUES ({id}, 'probe')");
+        if let Some(open) = &client {
+            let answer = tokio::time::timeout(CALLER_PATIENCE, open.simple_query(&sql)).await;
+            match answer {
+                Ok(Ok(_)) => {
+                    gap = gap.max(last.elapsed());
+                    last = Instant::now();
+                }
+                Ok(Err(error)) if !error.is_closed() => {}
+                _ => client = None,
+            }
+        }
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+    gap.max(last.elapsed())
+}
+
+/// Open connection of a caller.
+struct OpenCaller {
+    client: Client,
+    database: usize,
+}
+
+async fn call(context: Arc<RunContext>, team: usize, seed: u64, rate: f64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut open: Option<OpenCaller> = None;
+    let mut token: HashMap<usize, String> = HashMap::new();
+    let pause = Duration::from_secs_f64(1.0 / rate);
+    let mut next = Instant::now() + pause.mul_f64(random.random::<f64>());
+    let mut number = 0_u64;
+    while next < context.end {
+        sleep_until(next.into()).await;
+        next += pause;
+        number += 1;
+        if random.random_range(0..ROAM_AFTER) == 0 {
+            remember_token(&open, &mut token).await;
+            open = None;
+        }
+        if open.is_none() {
+            open = reconnect(&context, team, &mut random, &token).await;
+        }
+        let Some(current) = &open else {
+            context.tallies[team].lock().refused += 1;
+            continue;
+        };
+        let id = (seed << 32) + number;
+        let browse = random.random::<f64>() < BROWSE_PART;
+        let row = random.random_range(0..BROWSE_ROWS);
+        if !request(&context, team, current, browse, row, id).await {
+            open = None;
+        }
+    }
+}
+
+async fn remember_token(open: &Option<OpenCaller>, token: &mut HashMap<usize, String>) {
+    let Some(current) = open else {
+        return;
+    };
+    let Ok(messages) = current.client.simple_query("SHOW hibiscus.session").await else {
+        return;
+    };
+    for message in messages {
+        if let tokio_postgres::SimpleQueryMessage::Row(row) = message {
+            token.insert(current.database, row.get(0).unwrap_or_default().to_owned());
+        }
+    }
+}
+
+async fn reconnect(
+    context: &RunContext,
+    team: usize,
+    random: &mut StdRng,
+    token: &HashMap<usize, String>,
+) -> Option<OpenCaller> {
+    let database = random.random_range(0..context.addresses.len());
+    let choices = &context.addresses[database];
+    let address = choices[random.random_range(0..choices.len())];
+    let (name, key) = (context.profile.teams[team].name, &context.keys[team]);
+    let database_name = context.profile.databases[database];
+    let token = token.get(&database).map(String::as_str);
+    let client = connect(address, name, key, database_name, token).await.ok()?;
+    Some(OpenCaller { client, database })
+}
+
+async fn connect(
+    address: SocketAddr,
+    team: &str,
+    key: &str,
+    database: &str,
+    token: Option<&str>,
+) -> Result<Client, tokio_postgres::Error> {
+    let mut config = Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user(team)
+        .password(key)
+        .dbname(database)
+        .connect_timeout(CALLER_PATIENCE);
+    if let Some(token) = token {
+        config.options(format!("-c hibiscus.session={token}"));
+    }
+    let (client, connection) = config.connect(NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+/// Sends one request; false if the connection is of no more use.
+async fn request(
+    context: &RunContext,
+    team: usize,
+    open: &OpenCaller,
+    browse: bool,
+    row: i32,
+    id: u64,
+) -> bool {
+    let table = context.profile.browse_table;
+    let sql = if browse {
+        format!("SELECT id, state FROM {table} WHERE id >= {row} AND id < {row} + 10")
+    } else {
+        format!("INSERT INTO bookings VALUES ({id}, '{}')", context.profile.teams[team].name)
+    };
+    let begin = Instant::now();
+    let answer = tokio::time::timeout(CALLER_PATIENCE, open.client.simple_query(&sql)).await;
+    let time = begin.elapsed();
+    if !note_answer(&mut context.tallies[team].lock(), &answer, time) {
+        return answer.is_ok_and(|answer| answer.is_err_and(|error| !error.is_closed()));
+    }
+    if !browse {
+        check_own_write(context, team, open, id).await;
+    }
+    true
+}
+
+/// Counts an answer and tells whether the request was carried out.
+fn note_answer<T, E>(
+    tally: &mut TeamTally,
+    answer: &Result<Result<T, tokio_postgres::Error>, E>,
+    time: Duration,
+) -> bool {
+    match answer {
+        Ok(Ok(_)) => {
+            tally.answered += 1;
+            tally.latencies.saturating_record(time.as_micros() as u64);
+            return true;
+        }
+        Ok(Err(error)) => {
+            let not_run = error.as_db_error().is_some_and(|e| e.message().starts_with("not run"));
+            if not_run {
+                tally.refused += 1;
+            } else {
+                tally.unknown += 1;
+            }
+        }
+        Err(_) => tally.unknown += 1,
+    }
+    false
+}
+
+async fn check_own_write(context: &RunContext, team: usize, open: &OpenCaller, id: u64) {
+    let sql = format!("SELECT count(*) FROM bookings WHERE id = {id}");
+    let Ok(messages) = open.client.simple_query(&sql).await else {
+        return;
+    };
+    let found = messages.iter().any(|message| {
+        matches!(message, tokio_postgres::SimpleQueryMessage::Row(row) if row.get(0) == Some("1"))
+    });
+    let mut tally = context.tallies[team].lock();
+    tally.reads += 1;
+    tally.stale_reads += u64::from(!found);
+}
+
+/// Measures taken beside the callers' tallies.
+struct RunMeasures {
+    replica_read_share: f64,
+    gap: Duration,
+    table_writes: u64,
+    table_reads: u64,
+}
+
+fn summarise(
+    options: &ProfileOptions,
+    context: &RunContext,
+    measured: &RunMeasures,
+) -> ProfileReport {
+    let mut teams = Vec::new();
+    let (mut refused, mut sent, mut unknown, mut missed) = (0, 0, 0, 0);
+    for (index, profile) in context.profile.teams.iter().enumerate() {
+        let tally = context.tallies[index].lock();
+        let all = tally.answered + tally.refused + tally.unknown;
+        let floods = options.fault == FaultKind::Flood && index == 0;
+        if !floods {
+            refused += tally.refused;
+            sent += all;
+            unknown += tally.unknown;
+        }
+        missed += tally.stale_reads;
+        teams.push(TeamMeasure {
+            team: profile.name,
+            answered: tally.answered,
+            refused: tally.refused,
+            unknown: tally.unknown,
+            p50_ms: tally.latencies.value_at_quantile(0.5) as f64 / 1_000.0,
+            p99_ms: tally.latencies.value_at_quantile(0.99) as f64 / 1_000.0,
+            service_share: tally.answered as f64 / all.max(1) as f64,
+        });
+    }
+    let first = usize::from(options.fault == FaultKind::Flood);
+    let others = &teams[first..];
+    let worst = others
+        .iter()
+        .min_by(|one, other| one.service_share.total_cmp(&other.service_share))
+        .expect("there are several teams");
+    let slowest = others.iter().map(|team| team.p99_ms).fold(0.0, f64::max);
+    ProfileReport {
+        profile: options.profile.label(),
+        path: if options.path == AccessPath::Proxy { "proxy" } else { "naive" },
+        fault: options.fault.label(),
+        seed: options.seed,
+        seconds: options.seconds,
+        instances: options.instances,
+        replica_read_share: measured.replica_read_share,
+        longest_write_gap_ms: measured.gap.as_millis() as u64,
+        worst_team: worst.team,
+        worst_service_share: worst.service_share,
+        worst_p99_ms: slowest,
+        refused_inside_rate_percent: 100.0 * refused as f64 / sent.max(1) as f64,
+        unknown,
+        own_writes_missed: missed,
+        table_writes: measured.table_writes,
+        table_reads: measured.table_reads,
+        teams,
+    }
+}
+
+fn describe(report: &ProfileReport) -> String {
+    let mut text = format!(
+        "{} {} fault={} seed={} {} s, {} instances\n",
+        report.profile, report.path, report.fault, report.seed, report.seconds, report.instances
+    );
+    _ = writeln!(
+        text,
+        "replica share {:.3}  write gap {} ms  worst team {} {:.4} (p99 {:.1} ms)  refused {:.3}%  \
+         unknown {}  own writes missed {}  table writes {} reads {}",
+        report.replica_read_share,
+        report.longest_write_gap_ms,
+        report.worst_team,
+        report.worst_service_share,
+        report.worst_p99_ms,
+        report.refused_inside_rate_percent,
+        report.unknown,
+        report.own_writes_missed,
+        report.table_writes,
+        report.table_reads
+    );
+    for team in &report.teams {
+        _ = writeln!(
+            text,
+            "  {:<14} answered {:>6} refused {:>5} unknown {:>4}  p50 {:>7.1} ms  p99 {:>7.1} ms",
+            team.team, team.answered, team.refused, team.unknown, team.p50_ms, team.p99_ms
+        );
+    }
+    text
+}
--- a/crates/proxy/src/allotment.rs
+++ b/crates/proxy/src/allotment.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coord::ledger::{Incarnation, MovedTotals, ShareLedger, WHOLE};
+use coord::ledger::{self, Incarnation, MovedTotals, ShareLedger, WHOLE};
 use parking_lot::Mutex;
 use slotmap::SecondaryMap;
 use state::catalog::{DocumentCatalog, TeamEntry, TeamKey};
@@ -147,7 +147,8 @@
 
     /// Returns the parts that asking a peer is expected to bring.
     pub fn expected_gift(&self, team: TeamKey, peer_share: u64, peer_demand: f64) -> u64 {
-        self.ledger.lock().expected_gift(team, peer_share, peer_demand)
+        let (share, demand) = self.ask_terms(team);
+        ledger::fair_part(peer_share, peer_demand, share, demand)
     }
 
     /// Gives a peer its part of a team's share and returns the totals to send.
@@ -251,7 +252,17 @@
         Some(report.iter().filter_map(held).collect())
     }
 
-    /// Enters an epoch without a report and loses every share.
+    /// Records that the issuer counted the report of an epoch; false about another epoch.
+    pub fn confirm_epoch(&self, epoch: u64) -> bool {
+        self.ledger.lock().confirm_epoch(epoch)
+    }
+
+    /// Tells whether the shares were reported and may not have been counted.
+    pub fn is_provisional(&self) -> bool {
+        self.ledger.lock().is_provisional()
+    }
+
+    /// Enters an epoch without a counted report and loses every share.
     pub fn forfeit_epoch(
         &self,
         epoch: u64,
--- a/crates/proxy/src/beat.rs
+++ b/crates/proxy/src/beat.rs
@@ -97,16 +97,17 @@
     let request = BeatRequest {
         summary: Some(summary(instance)),
         shares: instance.book.shares_for(&instance.catalog(), peer.incarnation()),
+        receiver: peer.incarnation().unwrap_or_default(),
     };
     counter!(meter::PEER_MESSAGES, "kind" => "beat").increment(1);
     let answer = timeout(ROUND_LIMIT, peer.handle.beat(request)).await;
     let id = coord::rendezvous::weight("peer", &peer.name);
     match answer {
         Ok(Ok(reply)) => {
-            let BeatReply { summary, shares } = reply.into_inner();
+            let BeatReply { summary, shares, receiver } = reply.into_inner();
             if let Some(summary) = summary {
                 record_words(instance, id, asked_at, &summary);
-                receive(instance, &peer, summary, &shares);
+                receive(instance, &peer, summary, &shares, receiver);
             }
         }
         Ok(Err(status)) if is_refused(&status) => {
@@ -144,11 +145,12 @@
     let incarnation = summary_of_peer.incarnation;
     let known = instance.peers.all().into_iter().find(|peer| peer.name == summary_of_peer.instance);
     if let Some(peer) = known {
-        receive(instance, &peer, summary_of_peer, &request.shares);
+        receive(instance, &peer, summary_of_peer, &request.shares, request.receiver);
     }
     Ok(BeatReply {
         summary: Some(summary(instance)),
         shares: instance.book.shares_for(&instance.catalog(), Some(incarnation)),
+        receiver: incarnation,
     })
 }
 
@@ -158,6 +160,7 @@
     peer: &PeerEntry,
     summary: InstanceSummary,
     shares: &[TeamShare],
+    receiver: Incarnation,
 ) {
     let now = instance.now();
     let (incarnation, epoch) = (summary.incarnation, summary.epoch);
@@ -165,17 +168,31 @@
         document::fetch_from(instance.clone(), peer.handle.clone());
     }
     instance.peers.record(&peer.name, summary, now);
-    receive_shares(instance, &peer.name, incarnation, epoch, shares, now);
+    let giver = ShareGiver {
+        name: &peer.name,
+        incarnation,
+        epoch,
+        addressed: receiver == instance.incarnation(),
+    };
+    receive_shares(instance, &giver, shares, now);
 }
 
-fn receive_shares(
-    instance: &ProxyInstance,
-    peer: &str,
+/// Sender of shares.
+struct ShareGiver<'a> {
+    name: &'a str,
     incarnation: Incarnation,
     epoch: u64,
+    /// Tells that the totals are for this incarnation and not for one before it.
+    addressed: bool,
+}
+
+fn receive_shares(
+    instance: &ProxyInstance,
+    giver: &ShareGiver<'_>,
     shares: &[TeamShare],
     now: Instant,
 ) {
+    let ShareGiver { incarnation, epoch, addressed, .. } = *giver;
     let catalog = instance.catalog();
     let mut held = SecondaryMap::new();
     for (key, _) in catalog.teams() {
@@ -189,6 +206,9 @@
             continue;
         };
         held.insert(key, PeerShare { share: share.share, demand: share.demand });
+        if !addressed {
+            continue;
+        }
         instance.book.acknowledge(key, incarnation, epoch, share.taken_share);
         if share.given_share > 0 {
             let totals = MovedTotals { share: share.given_share, tokens: share.given_tokens };
@@ -196,16 +216,19 @@
             instance.book.take(team, incarnation, epoch, totals, now);
         }
     }
-    instance.peers.record_shares(peer, held);
+    instance.peers.record_shares(giver.name, held);
 }
 
 /// Returns what this instance says of itself.
 pub fn summary(instance: &ProxyInstance) -> InstanceSummary {
     let now = instance.now();
     let millis = |age: Duration| age.as_millis() as u64 + 1;
+    let epoch = instance.book.epoch();
     let (revision_age, epoch_age, store_down) = instance.update_proofs(|proofs| {
         let document = &proofs.document;
-        (document.proof_age(now), proofs.epoch.proof_age(now), document.is_store_down(now))
+        // A provisional epoch has no proof of its own yet.
+        let epoch_age = proofs.epoch.proof_age(now).filter(|_| proofs.epoch.version() == epoch);
+        (document.proof_age(now), epoch_age, document.is_store_down(now))
     });
     InstanceSummary {
         instance: instance.settings.instance.clone(),
@@ -214,7 +237,7 @@
         revision: instance.revision(),
         // Rounded up, so that a proof never looks younger than it is.
         revision_proof_age_ms: revision_age.map(millis),
-        epoch: instance.book.epoch(),
+        epoch,
         epoch_proof_age_ms: epoch_age.map(millis),
         store_down,
         leaving: instance.phase() >= InstancePhase::Leaving,
--- a/crates/proxy/src/census.rs
+++ b/crates/proxy/src/census.rs
@@ -62,7 +62,9 @@
     let current = stored.max(told.unwrap_or_default());
     let epoch = instance.book.epoch();
     let joins = epoch == 0 && current > 0;
-    if joins || (current > epoch && !instance.is_epoch_valid(now)) {
+    let behind = current > epoch || instance.book.is_provisional();
+    let current = current.max(epoch);
+    if joins || (behind && !instance.is_epoch_valid(now)) {
         let catalog = instance.catalog();
         instance.book.forfeit_epoch(current, &catalog, &instance.limiter, now);
         instance.update_proofs(|proofs| proofs.epoch.adopt(current));
@@ -137,6 +139,7 @@
     let Some(own) = instance.book.enter_epoch(epoch.number, &catalog) else {
         return;
     };
+    instance.book.confirm_epoch(epoch.number);
     instance.update_proofs(|proofs| {
         proofs.epoch.adopt(epoch.number);
         proofs.epoch.record_store(started_at, epoch.number);
@@ -172,7 +175,7 @@
     epoch: u64,
     started_at: Instant,
 ) -> HashMap<Incarnation, CensusReply> {
-    let mut replies = HashMap::new();
+    let mut replies: HashMap<Incarnation, CensusReply> = HashMap::new();
     // Nobody holds anything before the first epoch, so there is nothing to wait for.
     let end = match epoch {
         1 => started_at,
@@ -181,13 +184,12 @@
     loop {
         let mut questions = JoinSet::new();
         for peer in instance.peers.all() {
-            let answered = peer.incarnation().is_some_and(|id| replies.contains_key(&id));
-            if !answered {
-                questions.spawn(question(peer, epoch));
-            }
+            // Those who have answered are told that their report is counted.
+            let counted = peer.incarnation().filter(|id| replies.contains_key(id));
+            questions.spawn(question(peer, epoch, counted.unwrap_or_default()));
         }
         for reply in questions.join_all().await.into_iter().flatten() {
-            replies.insert(reply.incarnation, reply);
+            replies.entry(reply.incarnation).or_insert(reply);
         }
         if instance.now() >= end {
             return replies;
@@ -196,8 +198,9 @@
     }
 }
 
-async fn question(mut peer: PeerEntry, epoch: u64) -> Option<CensusReply> {
-    let asked = timeout(QUESTION_LIMIT, peer.handle.census(CensusRequest { epoch })).await;
+async fn question(mut peer: PeerEntry, epoch: u64, counted: Incarnation) -> Option<CensusReply> {
+    let request = CensusRequest { epoch, counted };
+    let asked = timeout(QUESTION_LIMIT, peer.handle.census(request)).await;
     let reply = asked.ok()?.ok()?.into_inner();
     reply.entered.then_some(reply)
 }
@@ -208,7 +211,10 @@
     let incarnation = instance.incarnation();
     match instance.book.enter_epoch(request.epoch, &catalog) {
         Some(shares) => {
-            instance.update_proofs(|proofs| proofs.epoch.adopt(request.epoch));
+            let counted = request.counted == incarnation;
+            if counted && instance.book.confirm_epoch(request.epoch) {
+                instance.update_proofs(|proofs| proofs.epoch.adopt(request.epoch));
+            }
             CensusReply { incarnation, entered: true, shares }
         }
         None => CensusReply { incarnation, entered: false, shares: Vec::new() },
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -1,6 +1,7 @@
 //! Counters of an instance, resolved once so that a request does not look them up.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use metrics::{Counter, counter};
 use telemetry::meter;
@@ -47,12 +48,21 @@
     }
 }
 
-/// Counters of one instance.
-pub struct InstanceCounters {
+/// Reads answered, by the kind of member that served them.
+#[derive(Debug, Default)]
+pub struct ReadTally {
     /// Reads served by replicas.
-    pub replica_reads: Counter,
+    pub replica: AtomicU64,
     /// Reads served by the primary.
-    pub primary_reads: Counter,
+    pub primary: AtomicU64,
+}
+
+/// Counters of one instance.
+pub struct InstanceCounters {
+    /// Reads answered so far, for experiments in the same process.
+    pub reads: ReadTally,
+    replica_reads: Counter,
+    primary_reads: Counter,
     /// Requests answered.
     pub requests: Counter,
     refusals: HashMap<RefusalReason, Counter>,
@@ -74,6 +84,7 @@
             (*reason, counter)
         };
         Self {
+            reads: ReadTally::default(),
             replica_reads: counter!(meter::READS, "instance" => name.clone(), "by" => "replica"),
             primary_reads: counter!(meter::READS, "instance" => name.clone(), "by" => "primary"),
             requests: counter!(meter::REQUESTS, "instance" => name.clone()),
@@ -82,6 +93,17 @@
         }
     }
 
+    /// Counts a read.
+    pub fn read(&self, by_replica: bool) {
+        let (counter, tally) = if by_replica {
+            (&self.replica_reads, &self.reads.replica)
+        } else {
+            (&self.primary_reads, &self.reads.primary)
+        };
+        counter.increment(1);
+        tally.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Counts a refusal.
     pub fn refused(&self, reason: RefusalReason) {
         if let Some(counter) = self.refusals.get(&reason) {
--- a/crates/proxy/src/session/serve.rs
+++ b/crates/proxy/src/session/serve.rs
@@ -465,13 +465,9 @@
     }
 
     fn count_read(&self, request: &CallerRequest, target: &AttemptTarget) {
-        if request.class.kind != StatementKind::Read {
-            return;
+        if request.class.kind == StatementKind::Read {
+            self.instance.counters.read(target.term.is_none());
         }
-        let counters = &self.instance.counters;
-        let counter =
-            if target.term.is_none() { &counters.replica_reads } else { &counters.primary_reads };
-        counter.increment(1);
     }
 }
 
--- a/crates/wire/src/gen/hibiscus.peer.rs
+++ b/crates/wire/src/gen/hibiscus.peer.rs
@@ -45,6 +45,9 @@
     pub summary: ::core::option::Option<InstanceSummary>,
     #[prost(message, repeated, tag = "2")]
     pub shares: ::prost::alloc::vec::Vec<TeamShare>,
+    /// Incarnation that the totals are for; a later one must not take them.
+    #[prost(uint64, tag = "3")]
+    pub receiver: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct BeatReply {
@@ -52,6 +55,8 @@
     pub summary: ::core::option::Option<InstanceSummary>,
     #[prost(message, repeated, tag = "2")]
     pub shares: ::prost::alloc::vec::Vec<TeamShare>,
+    #[prost(uint64, tag = "3")]
+    pub receiver: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FetchRequest {}
@@ -127,6 +132,9 @@
 pub struct CensusRequest {
     #[prost(uint64, tag = "1")]
     pub epoch: u64,
+    /// Incarnation whose report the issuer has counted; zero if it has none of the asked instance.
+    #[prost(uint64, tag = "2")]
+    pub counted: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HeldShare {
