Read sockets without a failing second read

Cause: after a short read the runtime still thought the socket readable, so each wait began with a read that found nothing.

Change: a short read is reported as one that would block; selects poll the likely branch first.

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -1,15 +1,16 @@
 //! Socket that reads whole frames and keeps no buffer while it is idle.
 
-use std::io;
+use std::io::{self, Read as _};
 
 use bytes::BytesMut;
 use snafu::{ResultExt as _, Snafu};
-use tokio::io::AsyncWriteExt as _;
+use socket2::SockRef;
+use tokio::io::{AsyncWriteExt as _, Interest};
 use tokio::net::TcpStream;
 use wire::frame::{self, FrameError, FrameHeader, RawFrame};
 
-/// Bytes reserved before a read.
-const READ_BYTES: usize = 8 * 1024;
+/// Bytes that one read takes at most.
+const READ_BYTES: usize = 16 * 1024;
 
 /// Errors of a framed socket.
 #[derive(Debug, Snafu)]
@@ -73,14 +74,13 @@
 
     /// Reads at least one byte.
     pub async fn fill(&mut self) -> Result<(), SocketError> {
+        if self.input.is_empty() {
+            // An idle connection must not hold a buffer.
+            self.input = BytesMut::new();
+        }
         loop {
-            if self.input.is_empty() {
-                // An idle connection must not hold a buffer.
-                self.input = BytesMut::new();
-            }
             self.stream.readable().await.context(FailedSnafu)?;
-            self.input.reserve(READ_BYTES);
-            match self.stream.try_read_buf(&mut self.input) {
+            match self.read_piece() {
                 Ok(0) => return ClosedSnafu.fail(),
                 Ok(_) => return Ok(()),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -89,6 +89,27 @@
         }
     }
 
+    /// Reads what is there, up to one piece.
+    ///
+    /// A short read empties the socket, so it is reported to the runtime as one that would block:
+    /// otherwise the next wait begins with a read that finds nothing.
+    fn read_piece(&mut self) -> io::Result<usize> {
+        let mut piece = [0; READ_BYTES];
+        let mut short = 0;
+        let socket = SockRef::from(&self.stream);
+        let result = self.stream.try_io(Interest::READABLE, || {
+            let read = (&*socket).read(&mut piece)?;
+            if read == 0 || read == READ_BYTES {
+                return Ok(read);
+            }
+            short = read;
+            Err(io::ErrorKind::WouldBlock.into())
+        });
+        let read = if short > 0 { short } else { result? };
+        self.input.extend_from_slice(&piece[..read]);
+        Ok(read)
+    }
+
     /// Writes all of `bytes`.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), SocketError> {
         let written = match self.stream.try_write(bytes) {
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -166,6 +166,7 @@
             let idle = self.pinned.is_none() && self.batch.is_empty();
             let last = if idle { InstancePhase::Draining } else { InstancePhase::Closed };
             tokio::select! {
+                biased;
                 filled = self.socket.fill() => filled?,
                 _ = self.phases.wait_for(|phase| *phase >= last) => {
                     let reason = RefusalReason::Stopping;
--- a/crates/proxy/src/session/serve.rs
+++ b/crates/proxy/src/session/serve.rs
@@ -364,6 +364,7 @@
     ) -> Result<PooledConnection, AttemptEnd> {
         let pool = &self.database.members[target.member].pool;
         let taken = tokio::select! {
+            biased;
             taken = pool.take(self.team, deadline) => taken,
             () = self.replaced(target) => return Err(AttemptEnd::Retry(RetryReason::NotPrimary)),
             () = self.registration.slot().cancelled() => {
