--- /dev/null
+++ b/crates/coord/tests/decisions.rs
@@ -0,0 +1,204 @@
+//! Routing, age bounds, fair queues and proofs against their simplest forms.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Choices, check_cases};
+use coord::confirmation::{CONFIRMATION_LIMIT, ConfirmationMachine, PeerWord};
+use coord::freshness::FreshnessTracker;
+use coord::queue::FairQueue;
+use coord::rendezvous;
+use coord::routing::{MemberView, ReadNeeds, RouteTarget, route_read, route_write};
+use state::position::{LogPosition, MemberPosition, MemberRole};
+
+fn random_view(choices: &mut Choices, now: Instant) -> MemberView {
+    let role = if choices.below(3) == 0 { MemberRole::Primary } else { MemberRole::Replica };
+    let term = 1 + choices.below(3) as u64;
+    let applied = choices.below(20) as u64;
+    let term_start = choices.below(applied as usize + 1) as u64;
+    let age = Duration::from_millis(choices.below(100) as u64);
+    MemberView {
+        position: MemberPosition { role, term, applied, term_start },
+        reachable: choices.below(4) > 0,
+        complete_at: (choices.below(4) > 0).then(|| now - age),
+        load: choices.below(3) as u32,
+        near: choices.below(2) == 0,
+    }
+}
+
+/// A read goes to a member that may serve it, and to a replica whenever one may.
+#[test]
+fn reads_go_to_members_that_may_serve_them() {
+    check_cases(3_000, 60, |choices| {
+        let now = Instant::now() + Duration::from_secs(10);
+        let members: Vec<MemberView> = (0..3).map(|_| random_view(choices, now)).collect();
+        let limit = Duration::from_millis(choices.below(100) as u64);
+        let seen = LogPosition::new(1 + choices.below(3) as u64, choices.below(20) as u64);
+        let needs = ReadNeeds {
+            stated_age: (choices.below(3) > 0).then_some(limit),
+            seen: (choices.below(2) == 0).then_some(seen),
+            began_at: now - Duration::from_millis(choices.below(100) as u64),
+        };
+        let may = |view: &MemberView| {
+            let young = |age: Duration| view.complete_at.is_some_and(|at| now - at <= age);
+            view.reachable
+                && view.position.role != MemberRole::Primary
+                && needs.stated_age.is_some_and(young)
+                && match needs.seen {
+                    Some(seen) => view.position.covers(seen),
+                    None => view.complete_at.is_some_and(|at| at >= needs.began_at),
+                }
+        };
+        match route_read(&members, &needs, now) {
+            RouteTarget::Replica(index) => assert!(may(&members[index])),
+            other => {
+                assert!(!members.iter().any(may), "a replica could have served");
+                assert_eq!(other, route_write(&members));
+            }
+        }
+    });
+}
+
+#[test]
+fn a_replica_is_complete_up_to_the_last_question_it_covers() {
+    let begin = Instant::now();
+    let at = |millis| begin + Duration::from_millis(millis);
+    let position =
+        |applied| MemberPosition { role: MemberRole::Replica, term: 1, applied, term_start: 0 };
+    let mut tracker = FreshnessTracker::new(2);
+    for (millis, index) in [(0, 5), (50, 7), (100, 9)] {
+        tracker.record_primary(at(millis), LogPosition::new(1, index));
+    }
+    tracker.record_member(1, &position(8));
+    assert_eq!(tracker.complete_at(1), Some(at(50)));
+    assert_eq!(tracker.age(1, at(130)), Some(Duration::from_millis(80)));
+    tracker.record_member(1, &position(4));
+    assert_eq!(tracker.complete_at(1), Some(at(50)), "what was shown stays shown");
+    assert_eq!(tracker.complete_at(0), None);
+}
+
+/// Runs a queue in which some teams always wait, and returns the time each was served.
+fn serve(capacity: usize, holds: &[u64], rounds: usize) -> Vec<Duration> {
+    let begin = Instant::now();
+    let mut now = begin;
+    let mut queue: FairQueue<usize, usize> = FairQueue::new(capacity);
+    let mut served = vec![Duration::ZERO; holds.len()];
+    let mut running: Vec<(Instant, usize, Duration)> = Vec::new();
+    let far = begin + Duration::from_secs(100_000);
+    let mut waiting = vec![0; holds.len()];
+    for _ in 0..rounds {
+        for (team, count) in waiting.iter_mut().enumerate() {
+            while *count < 10 {
+                queue.push(team, team, far, now).expect("the queue has room");
+                *count += 1;
+            }
+        }
+        while let Some((team, _)) = queue.pop(now, &mut Vec::new()) {
+            waiting[team] -= 1;
+            let hold = Duration::from_millis(holds[team]);
+            running.push((now + hold, team, hold));
+        }
+        assert!(queue.in_use() <= capacity);
+        running.sort_by_key(|(end, _, _)| std::cmp::Reverse(*end));
+        let Some((end, team, hold)) = running.pop() else {
+            break;
+        };
+        now = now.max(end);
+        served[team] += hold;
+        queue.release(team, hold);
+    }
+    served
+}
+
+#[test]
+fn teams_that_always_wait_get_equal_time() {
+    let served = serve(3, &[10, 10, 10, 10], 4_000);
+    let (least, most) = (served.iter().min(), served.iter().max());
+    let (least, most) = (least.expect("teams"), most.expect("teams"));
+    assert!(least.as_secs_f64() >= 0.9 * most.as_secs_f64(), "{served:?}");
+}
+
+#[test]
+fn a_team_of_slow_statements_gets_no_more_time() {
+    let served = serve(3, &[100, 10, 10], 6_000);
+    let slow = served[0].as_secs_f64();
+    let quick = served[1].as_secs_f64();
+    assert!(slow <= 1.3 * quick, "{served:?}");
+}
+
+#[test]
+fn one_team_uses_idle_capacity() {
+    let now = Instant::now();
+    let mut queue: FairQueue<usize, ()> = FairQueue::new(3);
+    assert!((0..3).all(|_| queue.try_take(1, now)));
+    assert!(!queue.try_take(1, now), "no more than the capacity");
+    assert!(!queue.try_take(2, now));
+    queue.push(2, (), now + Duration::from_secs(1), now).expect("it may wait");
+    queue.release(1, Duration::from_millis(1));
+    assert_eq!(queue.pop(now, &mut Vec::new()), Some((2, ())));
+}
+
+#[test]
+fn what_cannot_start_in_time_is_refused() {
+    let now = Instant::now();
+    let mut queue: FairQueue<usize, u32> = FairQueue::new(1);
+    for _ in 0..50 {
+        assert!(queue.try_take(1, now));
+        queue.release(1, Duration::from_millis(100));
+    }
+    assert!(queue.try_take(1, now));
+    let soon = now + Duration::from_millis(150);
+    let mut waiting = 0;
+    while queue.push(2, waiting, soon, now).is_ok() {
+        waiting += 1;
+        assert!(waiting < 10, "the queue grows past the deadline");
+    }
+    let mut expired = Vec::new();
+    assert_eq!(queue.pop(soon, &mut expired), None);
+    assert_eq!(expired.len() as u32, waiting, "late requests are given back");
+}
+
+#[test]
+fn ranks_are_a_permutation_and_move_little() {
+    let names: Vec<String> = (0..9).map(|number| format!("entry-{number}")).collect();
+    let all = || names.iter().map(String::as_str);
+    let mut firsts = vec![0; names.len()];
+    for database in 0..900 {
+        let subject = format!("database-{database}");
+        let mut ranks: Vec<usize> =
+            names.iter().map(|name| rendezvous::rank(&subject, name, all())).collect();
+        let first = ranks.iter().position(|rank| *rank == 0).expect("one is first");
+        firsts[first] += 1;
+        ranks.sort_unstable();
+        assert_eq!(ranks, (0..9).collect::<Vec<_>>());
+        assert_eq!(rendezvous::first(&subject, all(), 1), [names[first].as_str()]);
+    }
+    assert!(firsts.iter().all(|count| (50..=160).contains(count)), "{firsts:?}");
+}
+
+#[test]
+fn a_proof_runs_out_and_a_silent_peer_blocks_agreement() {
+    let begin = Instant::now() + Duration::from_secs(10);
+    let at = |millis| begin + Duration::from_millis(millis);
+    let mut machine = ConfirmationMachine::default();
+    machine.adopt(4);
+    machine.record_store(at(0), 4);
+    assert!(machine.is_valid(at(0) + CONFIRMATION_LIMIT));
+    assert!(!machine.is_valid(at(1) + CONFIRMATION_LIMIT));
+    machine.record_store(at(100), 5);
+    assert!(!machine.is_valid(at(101) + CONFIRMATION_LIMIT), "another version proves nothing");
+    machine.record_store_failure(at(3_000));
+    let down = |version| PeerWord::Answered { version, proof_age: None, store_down: true };
+    let mut round = |words: [PeerWord; 2]| {
+        machine.start_round(at(4_000));
+        for (peer, word) in words.into_iter().enumerate() {
+            machine.record_peer(peer as u64, at(4_000), word);
+        }
+        machine.end_round(2, at(4_010));
+        machine.is_valid(at(4_010))
+    };
+    assert!(!round([down(4), PeerWord::Silent]));
+    assert!(!round([down(4), down(5)]), "a peer with a newer version forbids it");
+    assert!(round([down(4), PeerWord::Refused]));
+}
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -1,6 +1,6 @@
 //! Workload of a deployment, with the measures of the brief.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -51,6 +51,7 @@
     refused: u64,
     unknown: u64,
     latencies: Histogram<u64>,
+    reasons: BTreeMap<String, u64>,
     reads: u64,
     stale_reads: u64,
 }
@@ -62,6 +63,7 @@
             refused: 0,
             unknown: 0,
             latencies: report::histogram(),
+            reasons: BTreeMap::new(),
             reads: 0,
             stale_reads: 0,
         }
@@ -95,6 +97,7 @@
     worst_service_share: f64,
     worst_p99_ms: f64,
     refused_inside_rate_percent: f64,
+    refusals: BTreeMap<String, u64>,
     unknown: u64,
     own_writes_missed: u64,
     table_writes: u64,
@@ -390,6 +393,8 @@
             return true;
         }
         Ok(Err(error)) => {
+            let state = error.code().map_or("lost", |code| code.code());
+            *tally.reasons.entry(state.to_owned()).or_default() += 1;
             let not_run = error.as_db_error().is_some_and(|e| e.message().starts_with("not run"));
             if not_run {
                 tally.refused += 1;
@@ -430,6 +435,7 @@
 ) -> ProfileReport {
     let mut teams = Vec::new();
     let (mut refused, mut sent, mut unknown, mut missed) = (0, 0, 0, 0);
+    let mut refusals: BTreeMap<String, u64> = BTreeMap::new();
     for (index, profile) in context.profile.teams.iter().enumerate() {
         let tally = context.tallies[index].lock();
         let all = tally.answered + tally.refused + tally.unknown;
@@ -438,6 +444,9 @@
             refused += tally.refused;
             sent += all;
             unknown += tally.unknown;
+            for (state, count) in &tally.reasons {
+                *refusals.entry(state.clone()).or_default() += count;
+            }
         }
         missed += tally.stale_reads;
         teams.push(TeamMeasure {
@@ -470,6 +479,7 @@
         worst_service_share: worst.service_share,
         worst_p99_ms: slowest,
         refused_inside_rate_percent: 100.0 * refused as f64 / sent.max(1) as f64,
+        refusals,
         unknown,
         own_writes_missed: missed,
         table_writes: measured.table_writes,
@@ -486,13 +496,14 @@
     _ = writeln!(
         text,
         "replica share {:.3}  write gap {} ms  worst team {} {:.4} (p99 {:.1} ms)  refused {:.3}%  \
-         unknown {}  own writes missed {}  table writes {} reads {}",
+         {:?}  unknown {}  own writes missed {}  table writes {} reads {}",
         report.replica_read_share,
         report.longest_write_gap_ms,
         report.worst_team,
         report.worst_service_share,
         report.worst_p99_ms,
         report.refused_inside_rate_percent,
+        report.refusals,
         report.unknown,
         report.own_writes_missed,
         report.table_writes,
--- a/crates/proxy/src/allotment.rs
+++ b/crates/proxy/src/allotment.rs
@@ -137,6 +137,12 @@
         let _ = tokio::time::timeout(limit, self.arrived.notified()).await;
     }
 
+    /// Returns the share of a team and its demand.
+    pub fn holding(&self, team: TeamKey) -> (u64, f64) {
+        let ledger = self.ledger.lock();
+        (ledger.share(team), ledger.demand(team))
+    }
+
     /// Returns share and demand with which this instance asks for more.
     pub fn ask_terms(&self, team: TeamKey) -> (u64, f64) {
         let ledger = self.ledger.lock();
--- a/crates/proxy/src/session/admit.rs
+++ b/crates/proxy/src/session/admit.rs
@@ -14,7 +14,7 @@
 use crate::share;
 
 /// Time for which a request waits for a share that another instance is expected to give.
-const SHARE_PATIENCE: Duration = Duration::from_millis(50);
+const SHARE_PATIENCE: Duration = Duration::from_millis(100);
 /// Interval at which such a request looks for tokens.
 const SHARE_POLL: Duration = Duration::from_millis(10);
 
--- a/crates/proxy/src/share.rs
+++ b/crates/proxy/src/share.rs
@@ -12,12 +12,12 @@
 
 use crate::allotment::LimitedTeam;
 use crate::instance::ProxyInstance;
-use crate::peers::PeerEntry;
+use crate::peers::{PeerEntry, PeerShare};
 
 /// Peers asked at once for one team.
 const ASKED_PEERS: usize = 2;
 /// Pause after a round of questions, so that a team over its rate does not cause a flood.
-const ASK_PAUSE: Duration = Duration::from_millis(10);
+const ASK_PAUSE: Duration = Duration::from_millis(5);
 
 /// Asks for more whenever a team is short on this instance.
 pub async fn run(instance: Arc<ProxyInstance>) {
@@ -83,6 +83,8 @@
         return;
     };
     let reply = reply.into_inner();
+    let left = PeerShare { share: reply.left_share, demand: reply.demand };
+    instance.peers.record_shares(&peer.name, [(team, left)]);
     let totals = MovedTotals { share: reply.given_share, tokens: reply.given_tokens };
     let (giver, epoch) = (reply.incarnation, reply.epoch);
     let team = LimitedTeam { limiter: &instance.limiter, key: team, entry };
@@ -92,12 +94,8 @@
 /// Answers a peer that asks for a part of a team's allotment.
 pub fn answer(instance: &ProxyInstance, request: &ShareRequest) -> ShareReply {
     let epoch = instance.book.epoch();
-    let mut reply = ShareReply {
-        incarnation: instance.incarnation(),
-        epoch,
-        given_share: 0,
-        given_tokens: 0.0,
-    };
+    let mut reply =
+        ShareReply { incarnation: instance.incarnation(), epoch, ..ShareReply::default() };
     let now = instance.now();
     let catalog = instance.catalog();
     let key = catalog.team_key(&request.team);
@@ -112,5 +110,6 @@
     let totals = instance.book.give(team, request.incarnation, share, demand, now);
     reply.given_share = totals.share;
     reply.given_tokens = totals.tokens;
+    (reply.left_share, reply.demand) = instance.book.holding(key);
     reply
 }
--- a/crates/wire/src/gen/hibiscus.peer.rs
+++ b/crates/wire/src/gen/hibiscus.peer.rs
@@ -127,6 +127,11 @@
     pub given_share: u64,
     #[prost(double, tag = "4")]
     pub given_tokens: f64,
+    /// What the giver holds and needs after the gift, so that the taker asks elsewhere next.
+    #[prost(uint64, tag = "5")]
+    pub left_share: u64,
+    #[prost(double, tag = "6")]
+    pub demand: f64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CensusRequest {
--- /dev/null
+++ b/crates/wire/tests/messages.rs
@@ -0,0 +1,143 @@
+//! Statement classes, frames and fields.
+
+use bytes::BytesMut;
+use quickcheck::quickcheck;
+use wire::frame::{RawFrame, split_frame};
+use wire::frontend;
+use wire::group::GroupCommand;
+use wire::statement::{StatementCache, StatementClass, StatementKind};
+
+/// Names each case of a rule.
+macro_rules! cases {
+    ($check:ident { $($name:ident: $input:expr;)* }) => {
+        $(
+            #[test]
+            fn $name() {
+                $check($input);
+            }
+        )*
+    };
+}
+
+fn check_kind(case: (&str, StatementKind, &[&str])) {
+    let (text, kind, tables) = case;
+    let class = StatementClass::of(text);
+    assert_eq!(class.kind, kind, "{text}");
+    assert_eq!(class.tables, tables, "{text}");
+}
+
+cases! {
+    check_kind {
+        plain_read: ("SELECT a FROM seats WHERE id = 1", StatementKind::Read, &["seats"]);
+        read_of_two_tables: ("SELECT * FROM Halls h JOIN \"seats\" s ON s.h = h.id", StatementKind::Read, &["halls", "seats"]);
+        read_of_a_common_table: ("WITH f AS (SELECT * FROM seats) SELECT count(*) FROM f", StatementKind::Read, &["seats"]);
+        read_that_locks: ("SELECT * FROM seats FOR UPDATE", StatementKind::Write, &["seats"]);
+        read_that_locks_inside: ("SELECT * FROM (SELECT * FROM seats FOR UPDATE) s", StatementKind::Write, &["seats"]);
+        read_with_a_side_effect: ("SELECT nextval('s') FROM seats", StatementKind::Write, &["seats"]);
+        read_with_an_unknown_function: ("SELECT pay(id) FROM seats", StatementKind::Write, &["seats"]);
+        write_inside_a_read: ("WITH d AS (DELETE FROM seats RETURNING id) SELECT * FROM d", StatementKind::Write, &["seats"]);
+        select_into: ("SELECT * INTO copy FROM seats", StatementKind::Write, &["seats"]);
+        plain_write: ("INSERT INTO seats VALUES (1)", StatementKind::Write, &["seats"]);
+        explained_read: ("EXPLAIN SELECT * FROM seats", StatementKind::Read, &["seats"]);
+        explained_and_run: ("EXPLAIN ANALYZE DELETE FROM seats", StatementKind::Write, &["seats"]);
+        begin: ("BEGIN", StatementKind::Begin, &[]);
+        begin_read_only: ("START TRANSACTION READ ONLY", StatementKind::BeginRead, &[]);
+        commit: ("COMMIT;", StatementKind::Commit, &[]);
+        end: ("END", StatementKind::Commit, &[]);
+        rollback: ("ROLLBACK", StatementKind::Rollback, &[]);
+        rollback_to: ("ROLLBACK TO SAVEPOINT a", StatementKind::Savepoint, &[]);
+        copy: ("COPY seats FROM STDIN", StatementKind::Unsupported, &[]);
+        copy_that_does_not_parse: ("copy seats from stdin with (nonsense 1 2)", StatementKind::Unsupported, &[]);
+        hidden_copy: ("SELECT 1; COPY seats TO STDOUT", StatementKind::Unsupported, &[]);
+        set: ("SET application_name = 'x'", StatementKind::Session, &[]);
+        set_hidden_in_others: ("SELECT 1; SET search_path = x", StatementKind::Unsupported, &[]);
+        nothing: (" ; ", StatementKind::Empty, &[]);
+        comment: ("-- nothing", StatementKind::Empty, &[]);
+        unparsed: ("FROBNICATE seats", StatementKind::Write, &[]);
+        two_reads: ("SELECT 1 FROM a; SELECT 2 FROM b", StatementKind::Read, &["a", "b"]);
+        read_and_write: ("SELECT 1 FROM a; DELETE FROM b", StatementKind::Write, &["a", "b"]);
+        block_in_one_text: ("BEGIN; DELETE FROM b; COMMIT", StatementKind::Mixed, &["b"]);
+    }
+}
+
+#[test]
+fn the_cache_gives_what_classification_gives() {
+    let cache = StatementCache::default();
+    for round in 0..3 {
+        for number in 0..20_000 {
+            let text = match number % 3 {
+                0 => format!("SELECT a FROM t{number}"),
+                1 => format!("DELETE FROM t{number}"),
+                _ => "SELECT a FROM seats".to_owned(),
+            };
+            if number % 97 == round {
+                let (cached, fresh) = (cache.classify(&text), StatementClass::of(&text));
+                assert_eq!((cached.kind, &cached.tables), (fresh.kind, &fresh.tables));
+            } else {
+                cache.classify(&text);
+            }
+        }
+    }
+    assert!(cache.len() <= 16 * 2 * 512, "{} texts are held", cache.len());
+}
+
+#[test]
+fn group_commands_are_read_back_as_written() {
+    let commands = [
+        GroupCommand::Status,
+        GroupCommand::Confirm,
+        GroupCommand::Label("a-1".to_owned()),
+        GroupCommand::Outcome("a-1".to_owned()),
+        GroupCommand::Fence(7),
+        GroupCommand::Promote(8),
+        GroupCommand::Follow { term: 9, primary: "gent".to_owned() },
+    ];
+    for command in commands {
+        assert_eq!(GroupCommand::parse(&command.to_string()), Some(command));
+    }
+    assert_eq!(GroupCommand::parse("CALL group.fence(x)"), None);
+    assert_eq!(GroupCommand::parse("SELECT 1"), None);
+}
+
+fn frame_of(tag: u8, body: &[u8]) -> RawFrame {
+    let mut bytes = BytesMut::from(&[tag][..]);
+    bytes.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
+    bytes.extend_from_slice(body);
+    RawFrame { tag, bytes }
+}
+
+quickcheck! {
+    fn any_bytes_are_split_without_a_panic(bytes: Vec<u8>) -> bool {
+        let mut buffer = BytesMut::from(&bytes[..]);
+        let before = buffer.len();
+        match split_frame(&mut buffer, 1_024) {
+            Ok(Some(frame)) => frame.bytes.len() + buffer.len() == before,
+            Ok(None) | Err(_) => buffer.len() == before,
+        }
+    }
+
+    fn any_body_is_read_without_a_panic(body: Vec<u8>) -> bool {
+        for tag in [b'Q', b'P', b'B', b'D', b'E', b'C'] {
+            let frame = frame_of(tag, &body);
+            let _ = frontend::read_query(&frame);
+            let _ = frontend::read_parse(&frame);
+            let _ = frontend::read_bind(&frame);
+            let _ = frontend::read_object(&frame);
+            let _ = frontend::read_execute(&frame);
+        }
+        true
+    }
+
+    fn any_text_is_classified_without_a_panic(text: String) -> bool {
+        let class = StatementClass::of(&text);
+        class.kind != StatementKind::Read || class.count > 0
+    }
+
+    fn a_bind_keeps_its_values(values: Vec<u8>) -> bool {
+        let mut buffer = BytesMut::new();
+        let fields = frontend::BindFields { portal: "p", statement: "s", values: &values };
+        frontend::put_bind(&mut buffer, &fields);
+        let frame = split_frame(&mut buffer, 1 << 20).ok().flatten();
+        frame.is_some_and(|frame| frontend::read_bind(&frame) == Ok(fields))
+    }
+}
