Bound a gift of shares by the taker's need; end sessions with their instance

Cause: an idle giver equalised its ratio with the first taker and parted with 90% of a team's share; instances that asked next found nothing and refused.

Change: a gift is at most 1.5 times the taker's stated demand. Sessions are tasks of their listener, so a killed instance leaves none behind.

--- a/crates/coord/src/ledger.rs
+++ b/crates/coord/src/ledger.rs
@@ -22,6 +22,9 @@
 /// Part of its headroom that a giver keeps.
 const KEPT_HEADROOM: f64 = 1.05;
 
+/// Share that a taker gets at most, as a multiple of its stated demand.
+const NEEDED_HEADROOM: f64 = 1.5;
+
 /// Number drawn by an instance when it starts.
 pub type Incarnation = u64;
 
@@ -280,13 +283,18 @@
     }
 }
 
-/// Returns the part by which the giver's and the taker's ratios of share to demand become equal.
+/// Returns the part by which the giver's and the taker's ratios of share to demand become equal,
+/// but no more than the taker needs.
+///
+/// Without the second bound an idle giver would part with nearly all at the first question, and
+/// those who ask next would find nothing.
 pub fn fair_part(giver_share: u64, giver_demand: f64, taker_share: u64, taker_demand: f64) -> u64 {
     let giver_demand = giver_demand.max(FLOOR_DEMAND);
     let taker_demand = taker_demand.max(FLOOR_DEMAND);
     let (giver, taker) = (giver_share as f64, taker_share as f64);
     let even = (giver * taker_demand - taker * giver_demand * KEPT_HEADROOM)
         / (giver_demand * KEPT_HEADROOM + taker_demand);
-    let part = even.max(0.0) as u64;
+    let needed = taker_demand * NEEDED_HEADROOM * WHOLE as f64 - taker;
+    let part = even.min(needed).max(0.0) as u64;
     if part < SMALLEST_MOVE { 0 } else { part.min(giver_share) }
 }
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -9,6 +9,7 @@
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use wire::refusal::{RefusalReason, RequestRefusal};
 use wire::reply;
@@ -32,6 +33,8 @@
 /// Accepts callers until the instance drains.
 pub async fn serve(listener: TcpListener, instance: Arc<ProxyInstance>) {
     let mut phases = instance.phases();
+    // The sessions end with this task, as they do when a process is killed.
+    let mut sessions = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -39,12 +42,13 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(run(stream, instance.clone()));
+                sessions.spawn(run(stream, instance.clone()));
+                while sessions.try_join_next().is_some() {}
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
-    // The listener closes here; the task stays so that its set keeps the others alive.
+    // The listener closes here; the task stays for the sessions that are still open.
     drop(listener);
     std::future::pending::<()>().await;
 }
