Agree on an outage only with a list that names the instance and with a peer that answers

Cause: an instance that had read the platform's list before it was listed knew of no peers. Cut off from the table service, it agreed with itself that nothing could have been withdrawn and went on with a withdrawn key.

Ruled out: the age of proofs, the relays and load alone; the cases passed one by one and failed together, when the cut came before the second reading.

Change: the list counts once it names the instance, is read every 50 ms until then and when an unlisted peer calls; nobody agrees alone. Classes of several statements are merged in one place; logins of bare sockets as well.

--- a/crates/coord/src/confirmation.rs
+++ b/crates/coord/src/confirmation.rs
@@ -106,7 +106,10 @@
             PeerWord::Silent => false,
         };
         let unanimous = self.words.len() >= listed && self.words.values().all(agrees);
-        if unanimous && self.is_store_down(now) {
+        // The list lags: an instance that hears nobody may have missed whoever came since.
+        let answered = |word: &PeerWord| matches!(word, PeerWord::Answered { .. });
+        let alone = listed > 0 && !self.words.values().any(answered);
+        if unanimous && !alone && self.is_store_down(now) {
             self.prove(round_at);
         }
     }
--- a/crates/coord/tests/decisions.rs
+++ b/crates/coord/tests/decisions.rs
@@ -200,5 +200,6 @@
     };
     assert!(!round([down(4), PeerWord::Silent]));
     assert!(!round([down(4), down(5)]), "a peer with a newer version forbids it");
+    assert!(!round([PeerWord::Refused, PeerWord::Refused]), "nobody is left to agree with");
     assert!(round([down(4), PeerWord::Refused]));
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! A whole environment as tasks of one process: stand-ins, proxies and the administration API.
 
 pub mod environment;
+pub mod login;
 pub mod profile;
 pub mod relay;
--- /dev/null
+++ b/crates/lab/src/login.rs
@@ -0,0 +1,26 @@
+//! Bytes by which a caller logs in, for callers that are no more than a socket.
+
+/// End of the answer to a login that was accepted: ready for query, outside a transaction.
+pub const READY: &[u8] = &[b'Z', 0, 0, 0, 5, b'I'];
+
+/// Returns the startup message of a team.
+pub fn startup_message(team: &str, database: &str) -> Vec<u8> {
+    let mut body = vec![0, 3, 0, 0];
+    for text in ["user", team, "database", database] {
+        body.extend_from_slice(text.as_bytes());
+        body.push(0);
+    }
+    body.push(0);
+    let mut message = (body.len() as u32 + 4).to_be_bytes().to_vec();
+    message.extend(body);
+    message
+}
+
+/// Returns the password message with a key.
+pub fn password_message(key: &str) -> Vec<u8> {
+    let mut message = vec![b'p'];
+    message.extend_from_slice(&(key.len() as u32 + 5).to_be_bytes());
+    message.extend_from_slice(key.as_bytes());
+    message.push(0);
+    message
+}
--- a/crates/lab/tests/bad_input.rs
+++ b/crates/lab/tests/bad_input.rs
@@ -6,6 +6,7 @@
 
 use common::{connect, wait_for};
 use lab::environment::LabEnvironment;
+use lab::login;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
@@ -34,15 +35,7 @@
 
 fn startup(environment: &LabEnvironment) -> Vec<u8> {
     let profile = &environment.options.profile;
-    let mut body = vec![0, 3, 0, 0];
-    for text in ["user", profile.teams[0].name, "database", profile.databases[0]] {
-        body.extend_from_slice(text.as_bytes());
-        body.push(0);
-    }
-    body.push(0);
-    let mut message = (body.len() as u32 + 4).to_be_bytes().to_vec();
-    message.extend(body);
-    message
+    login::startup_message(profile.teams[0].name, profile.databases[0])
 }
 
 fn message(tag: u8, length: u32, body: &[u8]) -> Vec<u8> {
@@ -55,13 +48,10 @@
 async fn authenticated(environment: &LabEnvironment) -> TcpStream {
     let mut stream = open(environment).await;
     stream.write_all(&startup(environment)).await.expect("startup");
-    let key = &environment.keys[0];
-    let mut body = key.as_bytes().to_vec();
-    body.push(0);
-    let password = message(b'p', body.len() as u32 + 4, &body);
+    let password = login::password_message(&environment.keys[0]);
     stream.write_all(&password).await.expect("password");
     let mut seen = Vec::new();
-    while !seen.ends_with(&[b'Z', 0, 0, 0, 5, b'I']) {
+    while !seen.ends_with(login::READY) {
         let mut piece = [0; 4096];
         let read = stream.read(&mut piece).await.expect("answer");
         assert!(read > 0, "the caller is accepted");
--- a/crates/load/src/capacity.rs
+++ b/crates/load/src/capacity.rs
@@ -5,16 +5,24 @@
 
 use coord::failover::{FailoverEvent, FailoverMachine};
 use coord::ledger::{MovedTotals, ShareLedger, WHOLE};
+use lab::environment::{LabEnvironment, LabOptions};
+use lab::profile::{DeploymentProfile, ProfileName};
+use prost::Message as _;
 use serde::Serialize;
 use slotmap::SlotMap;
 use state::catalog::{DocumentCatalog, TeamKey};
 use state::document::{DatabaseSection, Document, FORMAT, TeamSection};
 use state::position::{MemberPosition, MemberRole, MemberStatus};
+use tokio::runtime::Builder;
+use wire::peer::{BeatRequest, InstanceSummary, TeamShare};
 
 use crate::cli::CapacityOptions;
 use crate::cpu;
 use crate::report::{self, LoadError};
 
+/// Name of the threads whose control work is measured.
+const CONTROL_THREADS: &str = "hb-control";
+
 /// One measured point.
 #[derive(Debug, Serialize)]
 struct SlopePoint {
@@ -37,7 +45,7 @@
 /// Runs the measurement.
 pub fn run(options: &CapacityOptions, json: bool) -> Result<(), LoadError> {
     let time = Duration::from_secs(options.seconds) / 4;
-    let slopes = vec![
+    let mut slopes = vec![
         slope("document memory", "bytes", &[1_000.0, 4_000.0, 16_000.0], catalog_bytes),
         slope("document in force", "us", &[1_000.0, 4_000.0, 16_000.0], catalog_time),
         slope("failover tick of all databases", "us", &[4.0, 16.0, 64.0], |size| {
@@ -47,6 +55,13 @@
             ledger_time(size, time)
         }),
     ];
+    slopes.push(slope("heartbeat", "bytes", &[8.0, 64.0, 256.0], beat_bytes));
+    let mut control = Vec::new();
+    for instances in [3, 6, 12] {
+        let value = control_time(instances, Duration::from_secs(options.seconds))?;
+        control.push(SlopePoint { size: instances as f64, value });
+    }
+    slopes.push(fit("control of one instance by peers", "us a second", control));
     let text = describe(&slopes);
     report::print(&slopes, json, text)
 }
@@ -57,10 +72,15 @@
     sizes: &[f64],
     measure: impl Fn(usize) -> f64,
 ) -> MeasuredSlope {
-    let points: Vec<SlopePoint> = sizes
+    let points = sizes
         .iter()
         .map(|size| SlopePoint { size: *size, value: measure(*size as usize) })
         .collect();
+    fit(name, unit, points)
+}
+
+/// Lays the line with the least squares through the points.
+fn fit(name: &'static str, unit: &'static str, points: Vec<SlopePoint>) -> MeasuredSlope {
     let count = points.len() as f64;
     let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
     let mean_value = points.iter().map(|point| point.value).sum::<f64>() / count;
@@ -149,6 +169,53 @@
     })
 }
 
+fn beat_bytes(teams: usize) -> f64 {
+    let share = |number: usize| TeamShare {
+        team: format!("team-{number}"),
+        share: WHOLE / 9,
+        demand: 0.123,
+        given_share: 0,
+        given_tokens: 0.0,
+        taken_share: WHOLE / 10,
+    };
+    let summary = InstanceSummary {
+        instance: "entry-1234".to_owned(),
+        zone: "zone-12".to_owned(),
+        incarnation: u64::MAX,
+        revision: 26_000,
+        revision_proof_age_ms: Some(500),
+        epoch: 1_000,
+        epoch_proof_age_ms: Some(500),
+        ..InstanceSummary::default()
+    };
+    let shares = (0..teams).map(share).collect();
+    let request = BeatRequest { summary: Some(summary), shares, receiver: u64::MAX };
+    request.encoded_len() as f64
+}
+
+/// Returns the processor time that one idle instance takes each second, in microseconds.
+fn control_time(instances: usize, time: Duration) -> Result<f64, LoadError> {
+    let build = |name: &str| {
+        Builder::new_multi_thread().worker_threads(2).thread_name(name).enable_all().build()
+    };
+    let (proxy, standin) = (build(CONTROL_THREADS)?, build("hb-standin")?);
+    let lab = LabOptions {
+        instances,
+        delays: false,
+        proxy_runtime: Some(proxy.handle().clone()),
+        ..LabOptions::of(DeploymentProfile::of(ProfileName::Volksdans))
+    };
+    let environment = standin.block_on(LabEnvironment::start(lab))?;
+    std::thread::sleep(Duration::from_secs(1));
+    let before = cpu::thread_time(CONTROL_THREADS);
+    std::thread::sleep(time);
+    let used = cpu::thread_time(CONTROL_THREADS) - before;
+    drop(environment);
+    proxy.shutdown_background();
+    standin.shutdown_background();
+    Ok(used.as_secs_f64() * 1e6 / time.as_secs_f64() / instances as f64)
+}
+
 /// Returns the microseconds that one round takes.
 fn repeat(time: Duration, mut round: impl FnMut(u64)) -> f64 {
     let begin = Instant::now();
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -6,6 +6,7 @@
 
 use hdrhistogram::Histogram;
 use lab::environment::{LabEnvironment, LabOptions};
+use lab::login;
 use lab::profile::{DeploymentProfile, ProfileName};
 use lab::relay::TcpRelay;
 use serde::Serialize;
@@ -187,19 +188,8 @@
         return Ok(0.0);
     }
     let profile = &environment.options.profile;
-    let mut body = vec![0, 3, 0, 0];
-    for text in ["user", profile.teams[0].name, "database", profile.databases[0]] {
-        body.extend_from_slice(text.as_bytes());
-        body.push(0);
-    }
-    body.push(0);
-    let mut startup = (body.len() as u32 + 4).to_be_bytes().to_vec();
-    startup.extend(body);
-    let key = environment.keys[0].as_bytes();
-    startup.push(b'p');
-    startup.extend_from_slice(&(key.len() as u32 + 5).to_be_bytes());
-    startup.extend_from_slice(key);
-    startup.push(0);
+    let mut startup = login::startup_message(profile.teams[0].name, profile.databases[0]);
+    startup.extend(login::password_message(&environment.keys[0]));
     let before = cpu::resident_bytes();
     let mut open = Vec::with_capacity(count);
     for _ in 0..count {
@@ -207,7 +197,7 @@
         stream.write_all(&startup).await?;
         let mut seen = Vec::new();
         let mut piece = [0; 1024];
-        while !seen.ends_with(&[b'Z', 0, 0, 0, 5, b'I']) {
+        while !seen.ends_with(login::READY) {
             let read = stream.read(&mut piece).await?;
             if read == 0 {
                 return Err(std::io::Error::other("the proxy refused an idle caller").into());
--- a/crates/proxy/src/beat.rs
+++ b/crates/proxy/src/beat.rs
@@ -24,20 +24,25 @@
 pub const BEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which the platform's list is read.
 const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval at which it is read until it names this instance.
+const FIRST_LIST_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which a peer counts as silent in a round.
 const ROUND_LIMIT: Duration = Duration::from_millis(500);
 
 /// Keeps the directory in line with the platform's list.
 pub async fn follow_list(instance: Arc<ProxyInstance>) {
-    let mut ticks = interval(LIST_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
         // The list outlives outages of the platform: the last one read stays in force.
         if let Ok(list) = instance.platform.instances().await {
-            instance.peers.update(&instance.settings.instance, &list);
-            instance.note_listed();
+            let own = &instance.settings.instance;
+            instance.peers.update(own, &list);
+            // A list without this instance is older than it and may miss others as well.
+            if list.iter().any(|record| record.name == *own) {
+                instance.note_listed();
+            }
         }
+        let pause = if instance.is_listed() { LIST_INTERVAL } else { FIRST_LIST_INTERVAL };
+        let _ = timeout(pause, instance.list_requested()).await;
     }
 }
 
@@ -144,8 +149,11 @@
         request.summary.ok_or_else(|| Status::invalid_argument("a beat carries a summary"))?;
     let incarnation = summary_of_peer.incarnation;
     let known = instance.peers.all().into_iter().find(|peer| peer.name == summary_of_peer.instance);
-    if let Some(peer) = known {
-        receive(instance, &peer, summary_of_peer, &request.shares, request.receiver);
+    match known {
+        Some(peer) => {
+            receive(instance, &peer, summary_of_peer, &request.shares, request.receiver);
+        }
+        None => instance.request_list(),
     }
     Ok(BeatReply {
         summary: Some(summary(instance)),
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -125,6 +125,7 @@
     listed: AtomicBool,
     ready: watch::Sender<bool>,
     poll: Notify,
+    list: Notify,
     peer_address: SocketAddr,
     revision: AtomicU64,
     databases: Mutex<HashMap<DatabaseKey, WatchedDatabase>>,
@@ -161,6 +162,7 @@
             listed: AtomicBool::new(false),
             ready: watch::Sender::new(false),
             poll: Notify::new(),
+            list: Notify::new(),
             peer_address,
             revision: AtomicU64::new(0),
             databases: Mutex::default(),
@@ -267,12 +269,22 @@
         known.asked && known.epoch.is_none()
     }
 
-    /// Notes that the platform's list has been read.
+    /// Asks for a read of the platform's list, after an instance was heard that it lacks.
+    pub fn request_list(&self) {
+        self.list.notify_one();
+    }
+
+    /// Waits until a read of the platform's list is asked for.
+    pub async fn list_requested(&self) {
+        self.list.notified().await;
+    }
+
+    /// Notes that the platform's list names this instance.
     pub fn note_listed(&self) {
         self.listed.store(true, Ordering::Release);
     }
 
-    /// Tells whether the platform's list has been read.
+    /// Tells whether the platform's list has named this instance.
     pub fn is_listed(&self) -> bool {
         self.listed.load(Ordering::Acquire)
     }
--- a/crates/proxy/src/session/batch.rs
+++ b/crates/proxy/src/session/batch.rs
@@ -8,7 +8,7 @@
 use wire::frame::RawFrame;
 use wire::frontend::{self, BindFields, FieldError, ObjectFields, ObjectKind, ParseFields};
 use wire::reply;
-use wire::statement::{StatementCache, StatementClass, StatementKind};
+use wire::statement::{StatementCache, StatementClass};
 
 /// Statement prepared by a session.
 #[derive(Debug)]
@@ -196,29 +196,20 @@
 
     /// Returns what running the batch does; one that runs nothing counts as a read.
     pub(super) fn class(&self) -> Arc<StatementClass> {
-        let mut classes = self.messages.iter().filter_map(BatchMessage::class);
-        let Some(first) = classes.next() else {
-            return Arc::new(merged(StatementKind::Read, 0, Vec::new()));
-        };
-        let others: Vec<_> = classes.filter(|class| !Arc::ptr_eq(class, first)).collect();
-        if others.is_empty() {
-            return first.clone();
+        let mut distinct: Vec<&Arc<StatementClass>> = Vec::new();
+        for class in self.messages.iter().filter_map(BatchMessage::class) {
+            if !distinct.iter().any(|known| Arc::ptr_eq(known, class)) {
+                distinct.push(class);
+            }
         }
-        let all = || std::iter::once(first).chain(others.iter().copied());
-        if let Some(refused) = all().find(|class| class.kind == StatementKind::Unsupported) {
-            return refused.clone();
+        match distinct[..] {
+            [only] => only.clone(),
+            _ => {
+                let classes: Vec<&StatementClass> =
+                    distinct.iter().map(|class| &***class).collect();
+                Arc::new(StatementClass::merged(&classes))
+            }
         }
-        let only = |kinds: &[StatementKind]| all().all(|class| kinds.contains(&class.kind));
-        let kind = if only(&[StatementKind::Read]) {
-            StatementKind::Read
-        } else if only(&[StatementKind::Read, StatementKind::Write]) {
-            StatementKind::Write
-        } else {
-            StatementKind::Mixed
-        };
-        let tables: HashSet<&String> = all().flat_map(|class| class.tables.iter()).collect();
-        let count = 1 + others.len();
-        Arc::new(merged(kind, count, tables.into_iter().cloned().collect()))
     }
 
     /// Writes the batch for a connection on which `known` statements are prepared.
@@ -239,10 +230,6 @@
     }
 }
 
-fn merged(kind: StatementKind, count: usize, tables: Vec<String>) -> StatementClass {
-    StatementClass { kind, count, tables, session: None, feature: "" }
-}
-
 /// Rewrites statement names and prepares what a pooled connection lacks.
 struct BatchEncoder<'a> {
     known: &'a HashSet<u64>,
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -167,15 +167,19 @@
 
     fn of_several(statements: &[Statement]) -> Self {
         let classes: Vec<Self> = statements.iter().map(Self::of_statement).collect();
-        if let Some(refused) = classes.iter().find(|class| class.kind == StatementKind::Unsupported)
-        {
-            return refused.clone();
-        }
-        let has = |kind| classes.iter().any(|class| class.kind == kind);
-        if has(StatementKind::Session) {
+        if classes.iter().any(|class| class.kind == StatementKind::Session) {
             return Self::unsupported("SET and SHOW together with other statements");
         }
-        let only = |wanted: &[StatementKind]| classes.iter().all(|c| wanted.contains(&c.kind));
+        Self::merged(&classes.iter().collect::<Vec<_>>())
+    }
+
+    /// Returns the class of statements that run one after the other.
+    pub fn merged(classes: &[&Self]) -> Self {
+        let refused = classes.iter().find(|class| class.kind == StatementKind::Unsupported);
+        if let Some(refused) = refused {
+            return (*refused).clone();
+        }
+        let only = |kinds: &[StatementKind]| classes.iter().all(|c| kinds.contains(&c.kind));
         let kind = if only(&[StatementKind::Read]) {
             StatementKind::Read
         } else if only(&[StatementKind::Read, StatementKind::Write]) {
@@ -183,10 +187,10 @@
         } else {
             StatementKind::Mixed
         };
-        let tables: BTreeSet<String> =
-            classes.iter().flat_map(|class| class.tables.iter().cloned()).collect();
-        let count = classes.len();
-        Self { tables: tables.into_iter().collect(), ..Self::plain(kind, count) }
+        let tables: BTreeSet<&String> =
+            classes.iter().flat_map(|class| class.tables.iter()).collect();
+        let tables = tables.into_iter().cloned().collect();
+        Self { tables, ..Self::plain(kind, classes.len()) }
     }
 
     fn of_statement(statement: &Statement) -> Self {
