--- a/crates/admin/src/plan.rs
+++ b/crates/admin/src/plan.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use state::credential::KeyHash;
 use state::document::Document;
 
 /// Change of one entry.
@@ -74,10 +75,25 @@
         .into_iter()
         .map(|name| (name, old.get(name).unwrap_or(&absent), new.get(name).unwrap_or(&absent)))
         .filter(|(_, old, new)| old != new)
-        .map(|(name, old, new)| format!("{name}: {old} -> {new}"))
+        .map(|(name, old, new)| format!("{name}: {} -> {}", shown(old), shown(new)))
         .collect()
 }
 
+/// Shows a value; key hashes appear as the fingerprints by which operators name them.
+fn shown(value: &serde_json::Value) -> String {
+    match value {
+        serde_json::Value::Array(items) => {
+            let items: Vec<String> = items.iter().map(shown).collect();
+            format!("[{}]", items.join(", "))
+        }
+        serde_json::Value::String(text) => match text.parse::<KeyHash>() {
+            Ok(hash) => hash.fingerprint(),
+            Err(_) => value.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
+
 fn fields<T: Serialize>(entry: &T) -> serde_json::Map<String, serde_json::Value> {
     match serde_json::to_value(entry) {
         Ok(serde_json::Value::Object(fields)) => fields,
