--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,5 +1,6 @@
 //! `hibiscus-load`: seeded load and experiments.
 
+mod caller;
 mod capacity;
 mod cli;
 mod cpu;
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -1,36 +1,26 @@
 //! Workload of a deployment, with the measures of the brief.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use hdrhistogram::Histogram;
 use lab::environment::{LabEnvironment, LabOptions};
 use lab::profile::DeploymentProfile;
 use lab::relay::TcpRelay;
 use parking_lot::Mutex;
 use proxy::counters::ReadTally;
-use rand::rngs::StdRng;
-use rand::{RngExt as _, SeedableRng as _};
 use serde::Serialize;
-use tokio::time::sleep_until;
-use tokio_postgres::{Client, Config, NoTls};
 
+use crate::caller::{self, BROWSE_ROWS, CALLER_PATIENCE, RunContext};
 use crate::cli::{AccessPath, FaultKind, ProfileOptions};
 use crate::report::{self, LoadError};
 use crate::timeline;
 
 /// Callers of each team.
 const TEAM_CALLERS: usize = 6;
-/// Part of the requests that browse.
-const BROWSE_PART: f64 = 0.8;
-/// Mean number of requests after which a caller reconnects, perhaps elsewhere.
-const ROAM_AFTER: u32 = 200;
-/// Rows of the table that callers browse.
-const BROWSE_ROWS: i32 = 200;
 /// Time that a statement takes on a member besides the engine's own.
 const STATEMENT_TIME: Duration = Duration::from_micros(500);
 /// Writers that measure the service gap, each on an instance of its own.
@@ -41,34 +31,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(25);
 /// Factor of a flooding team's rate.
 const FLOOD_FACTOR: f64 = 10.0;
-/// Time that a request may take before its caller gives up and reconnects.
-const CALLER_PATIENCE: Duration = Duration::from_secs(10);
-
-/// What happened to one team.
-#[derive(Debug)]
-struct TeamTally {
-    answered: u64,
-    refused: u64,
-    unknown: u64,
-    latencies: Histogram<u64>,
-    reasons: BTreeMap<String, u64>,
-    reads: u64,
-    stale_reads: u64,
-}
-
-impl Default for TeamTally {
-    fn default() -> Self {
-        Self {
-            answered: 0,
-            refused: 0,
-            unknown: 0,
-            latencies: report::histogram(),
-            reasons: BTreeMap::new(),
-            reads: 0,
-            stale_reads: 0,
-        }
-    }
-}
 
 /// Measures of one team.
 #[derive(Debug, Serialize)]
@@ -105,16 +67,6 @@
     teams: Vec<TeamMeasure>,
 }
 
-/// What every caller of a run shares.
-struct RunContext {
-    profile: DeploymentProfile,
-    keys: Vec<String>,
-    /// Addresses by database.
-    addresses: Vec<Vec<SocketAddr>>,
-    tallies: Vec<Mutex<TeamTally>>,
-    end: Instant,
-}
-
 /// Runs a workload.
 pub fn run(options: &ProfileOptions, json: bool) -> Result<(), LoadError> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
@@ -149,7 +101,7 @@
         for caller in 0..TEAM_CALLERS {
             let seed = options.seed * 10_000 + (team * TEAM_CALLERS + caller) as u64;
             let rate = caller_rate(options, &context.profile, team);
-            callers.push(tokio::spawn(call(context.clone(), team, seed, rate)));
+            callers.push(tokio::spawn(caller::call(context.clone(), team, seed, rate)));
         }
     }
     timeline::play(&mut environment, options.fault, options.time() / 3).await;
@@ -207,7 +159,7 @@
     for database in profile.databases {
         let address = environment.instances[0].address;
         let team = profile.teams[0].name;
-        let client = connect(address, team, &environment.keys[0], database, None).await?;
+        let client = caller::connect(address, team, &environment.keys[0], database, None).await?;
         let values: Vec<String> = (0..BROWSE_ROWS).map(|id| format!("({id}, 0)")).collect();
         client
             .batch_execute(&format!("CREATE TABLE {table} (id int PRIMARY KEY, state int)"))
@@ -242,7 +194,7 @@
     let mut number = 0_u64;
     while Instant::now() < context.end {
         if client.is_none() {
-            client = connect(address, name, key, database, None).await.ok();
+            client = caller::connect(address, name, key, database, None).await.ok();
         }
         number += 1;
         let id = (probe as u64 + 1) << 56 | number;
@@ -263,163 +215,6 @@
     gap.max(last.elapsed())
 }
 
-/// Open connection of a caller.
-struct OpenCaller {
-    client: Client,
-    database: usize,
-}
-
-async fn call(context: Arc<RunContext>, team: usize, seed: u64, rate: f64) {
-    let mut random = StdRng::seed_from_u64(seed);
-    let mut open: Option<OpenCaller> = None;
-    let mut token: HashMap<usize, String> = HashMap::new();
-    let pause = Duration::from_secs_f64(1.0 / rate);
-    let mut next = Instant::now() + pause.mul_f64(random.random::<f64>());
-    let mut number = 0_u64;
-    while next < context.end {
-        sleep_until(next.into()).await;
-        next += pause;
-        number += 1;
-        if random.random_range(0..ROAM_AFTER) == 0 {
-            remember_token(&open, &mut token).await;
-            open = None;
-        }
-        if open.is_none() {
-            open = reconnect(&context, team, &mut random, &token).await;
-        }
-        let Some(current) = &open else {
-            context.tallies[team].lock().refused += 1;
-            continue;
-        };
-        let id = (seed << 32) + number;
-        let browse = random.random::<f64>() < BROWSE_PART;
-        let row = random.random_range(0..BROWSE_ROWS);
-        if !request(&context, team, current, browse, row, id).await {
-            open = None;
-        }
-    }
-}
-
-async fn remember_token(open: &Option<OpenCaller>, token: &mut HashMap<usize, String>) {
-    let Some(current) = open else {
-        return;
-    };
-    let Ok(messages) = current.client.simple_query("SHOW hibiscus.session").await else {
-        return;
-    };
-    for message in messages {
-        if let tokio_postgres::SimpleQueryMessage::Row(row) = message {
-            token.insert(current.database, row.get(0).unwrap_or_default().to_owned());
-        }
-    }
-}
-
-async fn reconnect(
-    context: &RunContext,
-    team: usize,
-    random: &mut StdRng,
-    token: &HashMap<usize, String>,
-) -> Option<OpenCaller> {
-    let database = random.random_range(0..context.addresses.len());
-    let choices = &context.addresses[database];
-    let address = choices[random.random_range(0..choices.len())];
-    let (name, key) = (context.profile.teams[team].name, &context.keys[team]);
-    let database_name = context.profile.databases[database];
-    let token = token.get(&database).map(String::as_str);
-    let client = connect(address, name, key, database_name, token).await.ok()?;
-    Some(OpenCaller { client, database })
-}
-
-async fn connect(
-    address: SocketAddr,
-    team: &str,
-    key: &str,
-    database: &str,
-    token: Option<&str>,
-) -> Result<Client, tokio_postgres::Error> {
-    let mut config = Config::new();
-    config
-        .host(address.ip().to_string())
-        .port(address.port())
-        .user(team)
-        .password(key)
-        .dbname(database)
-        .connect_timeout(CALLER_PATIENCE);
-    if let Some(token) = token {
-        config.options(format!("-c hibiscus.session={token}"));
-    }
-    let (client, connection) = config.connect(NoTls).await?;
-    tokio::spawn(connection);
-    Ok(client)
-}
-
-/// Sends one request; false if the connection is of no more use.
-async fn request(
-    context: &RunContext,
-    team: usize,
-    open: &OpenCaller,
-    browse: bool,
-    row: i32,
-    id: u64,
-) -> bool {
-    let table = context.profile.browse_table;
-    let sql = if browse {
-        format!("SELECT id, state FROM {table} WHERE id >= {row} AND id < {row} + 10")
-    } else {
-        format!("INSERT INTO bookings VALUES ({id}, '{}')", context.profile.teams[team].name)
-    };
-    let begin = Instant::now();
-    let answer = tokio::time::timeout(CALLER_PATIENCE, open.client.simple_query(&sql)).await;
-    let time = begin.elapsed();
-    if !note_answer(&mut context.tallies[team].lock(), &answer, time) {
-        return answer.is_ok_and(|answer| answer.is_err_and(|error| !error.is_closed()));
-    }
-    if !browse {
-        check_own_write(context, team, open, id).await;
-    }
-    true
-}
-
-/// Counts an answer and tells whether the request was carried out.
-fn note_answer<T, E>(
-    tally: &mut TeamTally,
-    answer: &Result<Result<T, tokio_postgres::Error>, E>,
-    time: Duration,
-) -> bool {
-    match answer {
-        Ok(Ok(_)) => {
-            tally.answered += 1;
-            tally.latencies.saturating_record(time.as_micros() as u64);
-            return true;
-        }
-        Ok(Err(error)) => {
-            let state = error.code().map_or("lost", |code| code.code());
-            *tally.reasons.entry(state.to_owned()).or_default() += 1;
-            let not_run = error.as_db_error().is_some_and(|e| e.message().starts_with("not run"));
-            if not_run {
-                tally.refused += 1;
-            } else {
-                tally.unknown += 1;
-            }
-        }
-        Err(_) => tally.unknown += 1,
-    }
-    false
-}
-
-async fn check_own_write(context: &RunContext, team: usize, open: &OpenCaller, id: u64) {
-    let sql = format!("SELECT count(*) FROM bookings WHERE id = {id}");
-    let Ok(messages) = open.client.simple_query(&sql).await else {
-        return;
-    };
-    let found = messages.iter().any(|message| {
-        matches!(message, tokio_postgres::SimpleQueryMessage::Row(row) if row.get(0) == Some("1"))
-    });
-    let mut tally = context.tallies[team].lock();
-    tally.reads += 1;
-    tally.stale_reads += u64::from(!found);
-}
-
 /// Measures taken beside the callers' tallies.
 struct RunMeasures {
     replica_read_share: f64,
