--- a/crates/coord/src/freshness.rs
+++ b/crates/coord/src/freshness.rs
@@ -51,13 +51,6 @@
         }
     }
 
-    /// Forgets what is known of a member, which may have been rebuilt.
-    pub fn forget_member(&mut self, member: usize) {
-        if let Some(complete) = self.complete.get_mut(member) {
-            *complete = None;
-        }
-    }
-
     /// Returns the local time up to which a member is known to be complete.
     pub fn complete_at(&self, member: usize) -> Option<Instant> {
         self.complete.get(member).copied().flatten()
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -62,16 +62,6 @@
         Ok(frame::peek_header(&self.input, self.limit)?)
     }
 
-    /// Reads until a whole frame is there and splits it off.
-    pub async fn read_frame(&mut self) -> Result<RawFrame, SocketError> {
-        loop {
-            if let Some(frame) = self.take_frame()? {
-                return Ok(frame);
-            }
-            self.fill().await?;
-        }
-    }
-
     /// Reads at least one byte.
     pub async fn fill(&mut self) -> Result<(), SocketError> {
         if self.input.is_empty() {
--- a/crates/proxy/src/database.rs
+++ b/crates/proxy/src/database.rs
@@ -126,12 +126,6 @@
         }
     }
 
-    /// Returns the highest term that any member reported.
-    pub fn highest_term(&self) -> u64 {
-        let terms = self.members.iter().filter_map(|member| member.record().status);
-        terms.map(|status| status.promised).max().unwrap_or_default()
-    }
-
     /// Returns a receiver that learns of every change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -56,7 +56,7 @@
 async fn run(stream: TcpStream, instance: Arc<ProxyInstance>) {
     let callers = instance.callers.fetch_add(1, Ordering::Relaxed);
     let _count = CallerCount(instance.clone());
-    let mut socket = startup::wrap(stream, instance.settings.max_message_bytes);
+    let mut socket = FramedSocket::new(stream, instance.settings.max_message_bytes);
     if callers >= instance.settings.max_callers {
         let reason = RefusalReason::TooManyCallers;
         let refusal = RequestRefusal::new(reason, "the instance serves as many callers as it may");
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -129,13 +129,6 @@
             }
         }
     }
-
-    /// Forgets the shares recorded for a peer that is gone.
-    pub fn forget_shares(&self, name: &str) {
-        if let Some(entry) = self.entries.write().get_mut(name) {
-            entry.shares.clear();
-        }
-    }
 }
 
 fn new_entry(record: &InstanceRecord, leaving: bool) -> PeerEntry {
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -14,7 +14,6 @@
 use state::catalog::{DatabaseKey, TeamEntry, TeamKey};
 use state::credential::KeyHash;
 use state::session::SessionPositions;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 use wire::frontend;
 use wire::refusal::{RefusalReason, RequestRefusal};
@@ -273,8 +272,3 @@
     let decoded = instance.tokens.decode(text);
     decoded.map_err(|error| refuse(RefusalReason::InvalidToken, error.to_string()))
 }
-
-/// Wraps an accepted connection.
-pub fn wrap(stream: TcpStream, limit: usize) -> FramedSocket {
-    FramedSocket::new(stream, limit)
-}
