Add tests for three faults that only a log or a profile had shown

Cause: the epoch issued twice, the gift of nearly a whole share and the cut primary that was promoted again had been mended without a test of their own.

Change: one case each in decisions.rs; they rest on the stated rules, not on measured figures.

--- a/crates/coord/tests/decisions.rs
+++ b/crates/coord/tests/decisions.rs
@@ -6,11 +6,13 @@
 
 use common::{Choices, check_cases};
 use coord::confirmation::{CONFIRMATION_LIMIT, ConfirmationMachine, PeerWord};
+use coord::failover::{FailoverEffect, FailoverEvent, FailoverMachine, SILENCE_LIMIT};
 use coord::freshness::FreshnessTracker;
+use coord::ledger::{self, ShareLedger, WHOLE};
 use coord::queue::FairQueue;
 use coord::rendezvous;
 use coord::routing::{MemberView, ReadNeeds, RouteTarget, route_read, route_write};
-use state::position::{LogPosition, MemberPosition, MemberRole};
+use state::position::{LogPosition, MemberPosition, MemberRole, MemberStatus};
 
 fn random_view(choices: &mut Choices, now: Instant) -> MemberView {
     let role = if choices.below(3) == 0 { MemberRole::Primary } else { MemberRole::Replica };
@@ -203,3 +205,48 @@
     assert!(!round([PeerWord::Refused, PeerWord::Refused]), "nobody is left to agree with");
     assert!(round([down(4), PeerWord::Refused]));
 }
+
+#[test]
+fn an_epoch_is_issued_once() {
+    let mut ledger = ShareLedger::default();
+    assert!(ledger.enter_epoch(1).is_some());
+    assert!(ledger.claim_issue(1));
+    assert!(ledger.enter_epoch(1).is_some(), "a repeated question is answered");
+    assert!(!ledger.claim_issue(1), "what was issued is not issued again");
+    assert!(!ledger.claim_issue(2), "nor for an epoch that was not entered");
+}
+
+#[test]
+fn an_idle_giver_keeps_what_the_taker_does_not_need() {
+    let part = ledger::fair_part(WHOLE, 0.0, 0, 0.05);
+    assert!((50_000..=75_000).contains(&part), "{part} parts for a demand of 50000");
+    assert_eq!(ledger::fair_part(WHOLE / 2, 0.5, WHOLE / 2, 0.5), 0, "nothing moves when even");
+}
+
+/// Feeds a machine with a primary that answers but is not heard by its replicas.
+#[test]
+fn a_primary_that_its_replicas_do_not_hear_is_not_promoted_again() {
+    let status = |role, received, heard_ms| MemberStatus {
+        position: MemberPosition { role, term: 1, applied: received, term_start: 0 },
+        promised: 1,
+        last_term: 1,
+        received,
+        heard_ms,
+    };
+    let now = Instant::now();
+    let mut machine = FailoverMachine::new(3);
+    let deaf = SILENCE_LIMIT.as_millis() as u64;
+    let members = [
+        status(MemberRole::Primary, 9, 0),
+        status(MemberRole::Replica, 7, deaf),
+        status(MemberRole::Replica, 8, deaf),
+    ];
+    for (index, status) in members.into_iter().enumerate() {
+        machine.handle(FailoverEvent::Status(index, status), now);
+    }
+    let fences = machine.handle(FailoverEvent::Tick, now);
+    assert_eq!(fences, [FailoverEffect::Fence(1, 2), FailoverEffect::Fence(2, 2)]);
+    machine.handle(FailoverEvent::Fenced(1, 2, Some(members[1])), now);
+    let promotion = machine.handle(FailoverEvent::Fenced(2, 2, Some(members[2])), now);
+    assert_eq!(promotion, [FailoverEffect::Promote(2, 2)], "the highest of those that are deaf");
+}
