Look peers up without copying them all; drop state that nothing reads

Cause: on reading the whole change again: every refused request of a team over its rate copied the entry, channel and shares of all peers to see whether one might give; a heartbeat's answer, an announcement and a drain copied them to find one. A pinned connection kept a term that nobody read, rewinding returned a value that nobody used, the ledger listed teams for no caller and spelt out its default, and a comment on whom to fence stood at the branch it does not describe.

Change: PeerDirectory::any and ::find; the rest removed or moved. Behaviour, bounds and tests are as they were.

--- a/crates/coord/src/failover.rs
+++ b/crates/coord/src/failover.rs
@@ -296,10 +296,10 @@
     }
 
     fn start_promotion(&mut self, now: Instant) -> Vec<FailoverEffect> {
+        // A primary that its replicas do not hear must not be counted in: with the highest position
+        // it would be promoted again and stay cut off.
         let mut reachable = self.deaf_members(now);
         if reachable.len() < self.majority() {
-            // A primary that its replicas do not hear must not be counted in: with the highest
-            // position it would be promoted again and stay cut off.
             let fresh = |index: &MemberIndex| self.members[*index].is_fresh(now);
             reachable = (0..self.members.len()).filter(fresh).collect();
         }
--- a/crates/coord/src/ledger.rs
+++ b/crates/coord/src/ledger.rs
@@ -67,7 +67,7 @@
 }
 
 /// Shares of one instance.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ShareLedger {
     epoch: u64,
     accounts: SecondaryMap<TeamKey, ShareAccount>,
@@ -78,18 +78,6 @@
     provisional: bool,
 }
 
-impl Default for ShareLedger {
-    fn default() -> Self {
-        Self {
-            epoch: 0,
-            accounts: SecondaryMap::new(),
-            reported: Vec::new(),
-            issued_epoch: 0,
-            provisional: false,
-        }
-    }
-}
-
 impl ShareLedger {
     /// Returns the epoch of the shares.
     pub fn epoch(&self) -> u64 {
@@ -101,11 +89,6 @@
         self.accounts.get(team).map_or(0, ShareAccount::share)
     }
 
-    /// Returns the teams with an account.
-    pub fn teams(&self) -> Vec<TeamKey> {
-        self.accounts.keys().collect()
-    }
-
     /// Sets what callers ask for, as a part of the team's rate.
     pub fn set_demand(&mut self, team: TeamKey, demand: f64) {
         self.account(team).demand = demand;
--- a/crates/proxy/src/beat.rs
+++ b/crates/proxy/src/beat.rs
@@ -94,7 +94,7 @@
     instance.is_listed()
         && instance.is_document_valid(now)
         && instance.is_epoch_valid(now)
-        && instance.peers.all().iter().all(agrees)
+        && !instance.peers.any(|peer| !agrees(peer))
 }
 
 async fn beat(instance: &Arc<ProxyInstance>, mut peer: PeerEntry) {
@@ -148,7 +148,7 @@
     let summary_of_peer =
         request.summary.ok_or_else(|| Status::invalid_argument("a beat carries a summary"))?;
     let incarnation = summary_of_peer.incarnation;
-    let known = instance.peers.all().into_iter().find(|peer| peer.name == summary_of_peer.instance);
+    let known = instance.peers.find(|peer| peer.name == summary_of_peer.instance);
     match known {
         Some(peer) => {
             receive(instance, &peer, summary_of_peer, &request.shares, request.receiver);
--- a/crates/proxy/src/drain.rs
+++ b/crates/proxy/src/drain.rs
@@ -37,7 +37,7 @@
 /// Gives every share to a peer that stays, and waits until it has arrived.
 async fn hand_back(instance: &Arc<ProxyInstance>) {
     let now = instance.now();
-    let staying = instance.peers.all().into_iter().find(|peer| {
+    let staying = instance.peers.find(|peer| {
         let summary = peer.summary.as_ref();
         let fresh = peer.answered_at.is_some_and(|at| now.duration_since(at) < PEER_FRESH);
         fresh && summary.is_some_and(|summary| !summary.leaving)
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -88,6 +88,16 @@
         self.entries.read().values().cloned().collect()
     }
 
+    /// Returns the first listed instance for which a condition holds.
+    pub fn find(&self, condition: impl Fn(&PeerEntry) -> bool) -> Option<PeerEntry> {
+        self.entries.read().values().find(|entry| condition(entry)).cloned()
+    }
+
+    /// Tells whether a condition holds for some listed instance, without copying any.
+    pub fn any(&self, condition: impl Fn(&PeerEntry) -> bool) -> bool {
+        self.entries.read().values().any(condition)
+    }
+
     /// Returns the names of listed instances that do not leave.
     pub fn names(&self) -> Vec<String> {
         let entries = self.entries.read();
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -69,9 +69,8 @@
         let instance = &self.instance;
         if announcement.revision > instance.revision() {
             instance.request_poll();
-            let known = instance.peers.all();
             let source =
-                known.into_iter().find(|peer| peer.address.to_string() == announcement.source);
+                instance.peers.find(|peer| peer.address.to_string() == announcement.source);
             if let Some(source) = source {
                 document::fetch_from(instance.clone(), source.handle);
             }
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -71,7 +71,6 @@
 struct PinnedConnection {
     connection: PooledConnection,
     member: usize,
-    term: u64,
     /// Tells that a sync is still due, so the connection stays pinned outside transactions too.
     unfinished: bool,
 }
--- a/crates/proxy/src/session/exchange.rs
+++ b/crates/proxy/src/session/exchange.rs
@@ -69,12 +69,11 @@
 }
 
 impl CallerOutput<'_> {
-    /// Drops what the exchange wrote; false if the caller has already seen part of it.
-    pub(super) fn rewind(&mut self) -> bool {
+    /// Drops what the exchange wrote, unless the caller has already seen part of it.
+    pub(super) fn rewind(&mut self) {
         if !self.sent {
             self.buffer.truncate(self.mark);
         }
-        !self.sent
     }
 
     async fn send_above(&mut self, limit: usize) -> Result<(), SocketError> {
--- a/crates/proxy/src/session/serve.rs
+++ b/crates/proxy/src/session/serve.rs
@@ -152,7 +152,7 @@
         let ExchangeReport { end, sent, answered } = run;
         match end {
             ExchangeEnd::Complete => {
-                self.keep_or_recycle(pinned.connection, pinned.member, pinned.term, request);
+                self.keep_or_recycle(pinned.connection, pinned.member, request);
                 Ok(Ok(()))
             }
             ExchangeEnd::CallerGone => Err(SessionEnd::Closed),
@@ -296,8 +296,7 @@
         match end {
             ExchangeEnd::Complete => {
                 self.count_read(request, target);
-                let term = target.term.unwrap_or_default();
-                self.keep_or_recycle(connection, target.member, term, request);
+                self.keep_or_recycle(connection, target.member, request);
                 Ok(AttemptEnd::Done)
             }
             ExchangeEnd::CallerGone => Err(SessionEnd::Closed),
@@ -447,7 +446,6 @@
         &mut self,
         mut connection: PooledConnection,
         member: usize,
-        term: u64,
         request: &CallerRequest,
     ) {
         let unfinished = !request.synced;
@@ -456,7 +454,7 @@
             connection.recycle();
             return;
         }
-        let pinned = PinnedConnection { connection, member, term, unfinished };
+        let pinned = PinnedConnection { connection, member, unfinished };
         self.pinned = Some(Box::new(pinned));
     }
 
--- a/crates/proxy/src/share.rs
+++ b/crates/proxy/src/share.rs
@@ -14,7 +14,7 @@
 use crate::instance::ProxyInstance;
 use crate::peers::{PeerEntry, PeerShare};
 
-/// Peers asked at once for one team.
+/// Peers asked in one round for one team.
 const ASKED_PEERS: usize = 2;
 /// Pause after a round of questions, so that a team over its rate does not cause a flood.
 const ASK_PAUSE: Duration = Duration::from_millis(5);
@@ -34,7 +34,7 @@
     let (share, _) = instance.book.ask_terms(team);
     // Without a share of its own an instance asks whoever is there, heard of or not.
     (share == 0 && !instance.peers.is_empty())
-        || instance.peers.all().iter().any(|peer| expected_gift(instance, peer, team) > 0)
+        || instance.peers.any(|peer| expected_gift(instance, peer, team) > 0)
 }
 
 fn expected_gift(instance: &ProxyInstance, peer: &PeerEntry, team: TeamKey) -> u64 {
@@ -59,9 +59,8 @@
         .filter(|(gift, _)| *gift > 0 || share == 0)
         .collect();
     peers.sort_by_key(|(gift, _)| std::cmp::Reverse(*gift));
-    let asks = peers.into_iter().take(ASKED_PEERS).map(|(_, peer)| ask(instance, peer, team));
-    for ask in asks.collect::<Vec<_>>() {
-        ask.await;
+    for (_, peer) in peers.into_iter().take(ASKED_PEERS) {
+        ask(instance, peer, team).await;
     }
 }
 
