--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -4,9 +4,15 @@
 //! output, reads a clock or starts a thread; random numbers come from a generator passed in.
 
 pub mod confirmation;
+pub mod dialogue;
 pub mod failover;
 pub mod freshness;
 pub mod ledger;
+pub mod marks;
+pub mod placement;
 pub mod queue;
+pub mod quota;
 pub mod rendezvous;
 pub mod routing;
+pub mod takeover;
+pub mod urgency;
--- /dev/null
+++ b/crates/coord/src/placement.rs
@@ -0,0 +1,122 @@
+//! Choice of the endpoint that runs a statement and of the instance that holds its connections.
+//!
+//! Load pattern: slots are few and replicas lag by turns. A read goes to the replica that is
+//! expected to answer first: its queue, the way to it and the time until it has the position.
+
+use std::time::{Duration, Instant};
+
+use state::position::LogPosition;
+
+use crate::rendezvous;
+
+/// Time for which an endpoint that failed is passed over, unless no other is left.
+const AVOID_TIME: Duration = Duration::from_millis(400);
+/// Time after which an observation of an endpoint's queue tells nothing.
+const QUEUE_MEMORY: Duration = Duration::from_millis(250);
+/// Time for which a member that refused to lead is tried last for writes.
+const FOLLOWER_TIME: Duration = Duration::from_millis(250);
+/// Cost of a hop to another availability zone, beside its delay: bytes between zones are dear.
+const ZONE_COST: Duration = Duration::from_millis(6);
+/// Wait assumed for a replica that lacks the position and whose lag is not known.
+const UNKNOWN_LAG: Duration = Duration::from_millis(60);
+/// Part of a stated lag beyond which waiting for a replica is not worth while.
+const LAG_LIMIT: Duration = Duration::from_millis(40);
+
+/// What an instance knows of one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EndpointView {
+    /// Position that the endpoint's reads reached last, with the time of the answer.
+    pub position: Option<(LogPosition, Instant)>,
+    /// Queueing time that the holder of its connections stated last.
+    pub queue: Option<(Duration, Instant)>,
+    /// Time of the last failure to reach it.
+    pub failed_at: Option<Instant>,
+    /// Time at which it last refused to lead.
+    pub followed_at: Option<Instant>,
+}
+
+impl EndpointView {
+    /// Tells whether the endpoint failed a moment ago.
+    pub fn is_avoided(&self, now: Instant) -> bool {
+        within(self.failed_at, AVOID_TIME, now)
+    }
+
+    /// Tells whether the endpoint said a moment ago that it does not lead.
+    pub fn is_follower(&self, now: Instant) -> bool {
+        within(self.followed_at, FOLLOWER_TIME, now)
+    }
+
+    fn queue_wait(&self, now: Instant) -> Duration {
+        let Some((wait, at)) = self.queue else {
+            return Duration::ZERO;
+        };
+        wait.saturating_sub(now.saturating_duration_since(at).mul_f64(0.5))
+            .min(if now.saturating_duration_since(at) > QUEUE_MEMORY { Duration::ZERO } else { wait })
+    }
+
+    fn position_wait(&self, needed: Option<LogPosition>, now: Instant) -> Duration {
+        let Some(needed) = needed else {
+            return Duration::ZERO;
+        };
+        match self.position {
+            Some((position, _)) if position >= needed => Duration::ZERO,
+            Some((_, at)) if now.saturating_duration_since(at) < LAG_LIMIT => UNKNOWN_LAG,
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+fn within(at: Option<Instant>, span: Duration, now: Instant) -> bool {
+    at.is_some_and(|at| now.saturating_duration_since(at) < span)
+}
+
+/// Endpoint among which a read chooses.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadCandidate {
+    /// What is known of it.
+    pub view: EndpointView,
+    /// Tells whether it lies in the caller's availability zone.
+    pub near: bool,
+    /// Tells whether it leads its service.
+    pub leads: bool,
+}
+
+/// Returns the candidates from best to worst for a read that needs `needed`.
+///
+/// Without a position only the leader serves, because only it can prove that it is current.
+pub fn order_for_read(
+    candidates: &[ReadCandidate],
+    needed: Option<LogPosition>,
+    now: Instant,
+) -> Vec<usize> {
+    let cost = |candidate: &ReadCandidate| {
+        let zone = if candidate.near { Duration::ZERO } else { ZONE_COST };
+        // Writes run only on the leader; reads leave its slots to them.
+        let lead = if candidate.leads { 2 * ZONE_COST } else { Duration::ZERO };
+        let lag =
+            if candidate.leads { Duration::ZERO } else { candidate.view.position_wait(needed, now) };
+        (candidate.view.is_avoided(now), candidate.view.queue_wait(now) + zone + lead + lag)
+    };
+    let serves = |index: &usize| candidates[*index].leads || needed.is_some();
+    let mut order: Vec<usize> = (0..candidates.len()).filter(serves).collect();
+    order.sort_by_key(|index| cost(&candidates[*index]));
+    order
+}
+
+/// Instance that may hold an endpoint's connections.
+#[derive(Clone, Copy, Debug)]
+pub struct HolderCandidate<'a> {
+    /// Name of the instance.
+    pub name: &'a str,
+    /// Tells whether it lies in the endpoint's availability zone.
+    pub near: bool,
+}
+
+/// Returns the instances that may hold an endpoint's connections, the first choice first.
+pub fn order_holders<'a>(endpoint: &str, candidates: &[HolderCandidate<'a>]) -> Vec<&'a str> {
+    let mut order: Vec<&HolderCandidate<'a>> = candidates.iter().collect();
+    order.sort_by_key(|candidate| {
+        (!candidate.near, std::cmp::Reverse(rendezvous::weight(endpoint, candidate.name)))
+    });
+    order.into_iter().map(|candidate| candidate.name).collect()
+}
--- a/crates/coord/src/queue.rs
+++ b/crates/coord/src/queue.rs
@@ -165,6 +165,11 @@
         Duration::from_secs_f64((share * self.hold).clamp(0.0, 3_600.0))
     }
 
+    /// Moves requests past their deadline to `expired`.
+    pub fn expire(&mut self, now: Instant, expired: &mut Vec<R>) {
+        self.drop_expired(now, expired);
+    }
+
     fn drop_expired(&mut self, now: Instant, expired: &mut Vec<R>) {
         for queue in self.teams.values_mut() {
             while queue.waiting.front().is_some_and(|waiting| waiting.deadline <= now) {
--- /dev/null
+++ b/crates/coord/src/takeover.rs
@@ -0,0 +1,135 @@
+//! Decision to replace a service's leader, and by which member.
+//!
+//! A leader is replaced when it leaves, when its registration is gone, or when fresh connections
+//! from two instances fail. One that only some instances cannot reach keeps the lead: the others
+//! hold its connections meanwhile.
+
+use std::time::{Duration, Instant};
+
+use state::position::LogPosition;
+
+/// Time for which the holder of a leader's connections must fail before a takeover is weighed.
+pub const FAILING_TIME: Duration = Duration::from_millis(300);
+/// Time after which a call for promotion that brought no new leader is made again.
+const PROMOTION_TIME: Duration = Duration::from_millis(1_500);
+/// Time after which probes tell nothing any more.
+const PROBE_MEMORY: Duration = Duration::from_millis(900);
+/// Failed rounds of probes after which a leader is replaced.
+const FAILED_ROUNDS: u32 = 2;
+
+/// Member's own account of itself, from a probe on a fresh connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct MemberReport {
+    /// Tells whether it leads.
+    pub leads: bool,
+    /// Term that it follows or leads.
+    pub term: u64,
+    /// Position up to which it received the log.
+    pub received: LogPosition,
+}
+
+/// What is known of a member when a takeover is weighed.
+#[derive(Clone, Debug)]
+pub struct MemberOutlook<'a> {
+    /// Name of the member.
+    pub name: &'a str,
+    /// Registered and not leaving.
+    pub stays: bool,
+    /// Answer to the last probe.
+    pub report: Option<MemberReport>,
+}
+
+/// Why a leader is replaced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TakeoverCause {
+    /// No member leads.
+    Missing,
+    /// The leader leaves.
+    Leaving,
+    /// The leader answers nobody.
+    Dead,
+}
+
+/// What to do about a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TakeoverStep {
+    /// Nothing.
+    Rest,
+    /// Probe all members on fresh connections, here and at other instances.
+    Probe,
+    /// Promote the member of this index.
+    Promote(usize, TakeoverCause),
+}
+
+/// Takeover of one service as weighed by the instance on duty.
+#[derive(Clone, Debug, Default)]
+pub struct TakeoverMachine {
+    failed_rounds: u32,
+    probed_at: Option<Instant>,
+    called_at: Option<Instant>,
+}
+
+impl TakeoverMachine {
+    /// Tells whether members must be probed before a takeover can be weighed.
+    pub fn wants_probe(&self, suspected: bool, now: Instant) -> bool {
+        let waiting = self
+            .called_at
+            .is_some_and(|at| now.saturating_duration_since(at) < PROMOTION_TIME);
+        suspected && !waiting
+    }
+
+    /// Records a round of probes: whether anybody reached the leader.
+    pub fn note_round(&mut self, leader_answered: bool, now: Instant) {
+        let stale = self
+            .probed_at
+            .is_none_or(|at| now.saturating_duration_since(at) > PROBE_MEMORY);
+        self.failed_rounds = match leader_answered {
+            true => 0,
+            false if stale => 1,
+            false => self.failed_rounds + 1,
+        };
+        self.probed_at = Some(now);
+    }
+
+    /// Records that a promotion was called for.
+    pub fn note_call(&mut self, now: Instant) {
+        self.called_at = Some(now);
+        self.failed_rounds = 0;
+    }
+
+    /// Weighs a takeover after a round of probes.
+    ///
+    /// `synchronous` is the number of replicas that confirm a commit before it is acknowledged;
+    /// an acknowledged commit must be in the member that is promoted.
+    pub fn weigh(
+        &self,
+        leader: Option<usize>,
+        members: &[MemberOutlook<'_>],
+        synchronous: usize,
+    ) -> TakeoverStep {
+        let cause = match leader {
+            None => TakeoverCause::Missing,
+            Some(leader) if !members[leader].stays && members[leader].report.is_some() => {
+                TakeoverCause::Leaving
+            }
+            Some(_) if self.failed_rounds >= FAILED_ROUNDS => TakeoverCause::Dead,
+            Some(_) => return TakeoverStep::Rest,
+        };
+        let others = || (0..members.len()).filter(|index| Some(*index) != leader);
+        let answered = others().filter(|index| members[*index].report.is_some()).count();
+        if synchronous > 0 && answered + synchronous <= others().count() {
+            return TakeoverStep::Rest;
+        }
+        let received = |index: &usize| members[*index].report.map(|report| report.received);
+        let able = others().filter(|index| members[*index].report.is_some());
+        let best = able.max_by_key(|index| (members[*index].stays, received(index)));
+        match best {
+            Some(best) if synchronous > 0 => {
+                let most = others().max_by_key(received);
+                TakeoverStep::Promote(most.unwrap_or(best), cause)
+            }
+            Some(best) if members[best].stays => TakeoverStep::Promote(best, cause),
+            _ => TakeoverStep::Rest,
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/directory.rs
@@ -0,0 +1,335 @@
+//! What an instance knows of document, endpoints, leaders and proved positions.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use coord::marks::{MarkRing, ProvedMark};
+use coord::placement::{EndpointView, ReadCandidate, order_for_read};
+use coord::quota::TeamLimit;
+use state::position::LogPosition;
+
+use crate::record::{EndpointRecord, FleetDocument, RouteRecord, ServiceRecord};
+
+/// Time for which a registration that vanished still counts; the store may have dropped it while
+/// it was away, and brings it back within two seconds of its return.
+const GONE_GRACE: Duration = Duration::from_millis(2_500);
+
+/// Document in force, indexed.
+#[derive(Debug, Default)]
+pub struct DocumentIndex {
+    /// Version; zero before the first document.
+    pub version: u64,
+    /// Time for which an open transaction may rest.
+    pub transaction_idle: Option<Duration>,
+    routes: HashMap<String, Rc<RouteRecord>>,
+    services: HashMap<String, ServiceRecord>,
+    teams_by_key: HashMap<String, Rc<str>>,
+    limits: HashMap<String, Option<TeamLimit>>,
+}
+
+impl DocumentIndex {
+    fn new(document: FleetDocument) -> Self {
+        let mut teams_by_key = HashMap::new();
+        let mut limits = HashMap::new();
+        for team in document.teams {
+            let name: Rc<str> = team.name.as_str().into();
+            teams_by_key.extend(team.keys.into_iter().map(|key| (key, name.clone())));
+            limits.insert(team.name, team.limit);
+        }
+        let routes = document.routes.into_iter();
+        let services = document.services.into_iter();
+        Self {
+            version: document.version,
+            transaction_idle: document.transaction_idle,
+            routes: routes.map(|route| (route.database.clone(), Rc::new(route))).collect(),
+            services: services.map(|service| (service.name.clone(), service)).collect(),
+            teams_by_key,
+            limits,
+        }
+    }
+
+    /// Returns the route of a database.
+    pub fn route(&self, database: &str) -> Option<Rc<RouteRecord>> {
+        self.routes.get(database).cloned()
+    }
+
+    /// Returns the team that holds a key.
+    pub fn team_of(&self, key: &str) -> Option<Rc<str>> {
+        self.teams_by_key.get(key).cloned()
+    }
+
+    /// Returns the limit of a team; none if it has none.
+    pub fn limit(&self, team: &str) -> Option<TeamLimit> {
+        self.limits.get(team).copied().flatten()
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Option<&ServiceRecord> {
+        self.services.get(name)
+    }
+
+    /// Returns the names of the services.
+    pub fn service_names(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
+}
+
+/// Endpoint with what was observed of it.
+#[derive(Clone, Debug)]
+pub struct EndpointEntry {
+    /// Registration.
+    pub record: EndpointRecord,
+    /// Observations.
+    pub view: EndpointView,
+    /// Time at which its registration vanished.
+    pub gone_at: Option<Instant>,
+    /// Time at which it announced that it leaves.
+    pub leaving_at: Option<Instant>,
+}
+
+impl EndpointEntry {
+    /// Tells whether it may get new work at all.
+    fn is_usable(&self, drain_limit: Duration, now: Instant) -> bool {
+        let past = |at: Option<Instant>, limit: Duration| {
+            at.is_some_and(|at| now.saturating_duration_since(at) >= limit)
+        };
+        !past(self.gone_at, GONE_GRACE) && !past(self.leaving_at, drain_limit)
+    }
+
+    /// Tells whether it is registered and does not leave.
+    pub fn stays(&self) -> bool {
+        self.gone_at.is_none() && !self.record.leaving
+    }
+}
+
+/// Leader and proved positions of a service.
+#[derive(Clone, Debug, Default)]
+struct ServiceKnowledge {
+    marks: MarkRing,
+    leader: Option<(String, u64)>,
+    members: Vec<String>,
+}
+
+/// Directory of one instance.
+#[derive(Debug)]
+pub struct FleetDirectory {
+    document: Rc<DocumentIndex>,
+    endpoints: HashMap<String, EndpointEntry>,
+    services: HashMap<String, ServiceKnowledge>,
+    drain_limit: Duration,
+    endpoints_read: bool,
+}
+
+impl FleetDirectory {
+    /// Creates an empty directory; a leaving endpoint gets no new work after `drain_limit`.
+    pub fn new(drain_limit: Duration) -> Self {
+        Self {
+            document: Rc::default(),
+            endpoints: HashMap::new(),
+            services: HashMap::new(),
+            drain_limit,
+            endpoints_read: false,
+        }
+    }
+
+    /// Changes the time after which a leaving endpoint gets no new work.
+    pub fn set_drain_limit(&mut self, drain_limit: Duration) {
+        self.drain_limit = drain_limit;
+    }
+
+    /// Returns the document in force.
+    pub fn document(&self) -> Rc<DocumentIndex> {
+        self.document.clone()
+    }
+
+    /// Tells whether document and endpoints were read.
+    pub fn is_complete(&self) -> bool {
+        self.document.version > 0 && self.endpoints_read
+    }
+
+    /// Records that the table of endpoints was read in full.
+    pub fn note_endpoints_read(&mut self) {
+        self.endpoints_read = true;
+    }
+
+    /// Brings a document into force unless a newer one is; tells whether it did.
+    pub fn apply_document(&mut self, document: FleetDocument) -> bool {
+        if document.version <= self.document.version {
+            return false;
+        }
+        self.document = Rc::new(DocumentIndex::new(document));
+        true
+    }
+
+    /// Records a registration; tells whether anything but observations changed.
+    pub fn apply_endpoint(&mut self, record: EndpointRecord, now: Instant) -> bool {
+        let known = self.endpoints.get(&record.name);
+        if known.is_some_and(|entry| entry.record == record && entry.gone_at.is_none()) {
+            return false;
+        }
+        let reborn = known.is_none_or(|entry| entry.record.born_ms != record.born_ms);
+        let view = match known {
+            Some(entry) if !reborn => entry.view,
+            _ => EndpointView::default(),
+        };
+        let leaving_at = match known.and_then(|entry| entry.leaving_at) {
+            Some(at) if record.leaving && !reborn => Some(at),
+            _ => record.leaving.then_some(now),
+        };
+        let service = self.services.entry(record.service.clone()).or_default();
+        if !service.members.contains(&record.name) {
+            service.members.push(record.name.clone());
+        }
+        let entry = EndpointEntry { view, gone_at: None, leaving_at, record };
+        self.endpoints.insert(entry.record.name.clone(), entry);
+        true
+    }
+
+    /// Records that a registration vanished; tells whether it was known.
+    pub fn remove_endpoint(&mut self, name: &str, now: Instant) -> bool {
+        let Some(entry) = self.endpoints.get_mut(name) else {
+            return false;
+        };
+        let first = entry.gone_at.is_none();
+        entry.gone_at = entry.gone_at.or(Some(now));
+        first
+    }
+
+    /// Forgets endpoints whose registration vanished a while ago, and returns their names.
+    pub fn forget_gone(&mut self, now: Instant) -> Vec<String> {
+        let is_past = |entry: &EndpointEntry| {
+            entry.gone_at.is_some_and(|at| now.saturating_duration_since(at) > 4 * GONE_GRACE)
+        };
+        let past = self.endpoints.iter().filter(|(_, entry)| is_past(entry));
+        let names: Vec<String> = past.map(|(name, _)| name.clone()).collect();
+        for name in &names {
+            self.endpoints.remove(name);
+            for service in self.services.values_mut() {
+                service.members.retain(|member| member != name);
+            }
+        }
+        names
+    }
+
+    /// Returns an endpoint.
+    pub fn endpoint(&self, name: &str) -> Option<&EndpointEntry> {
+        self.endpoints.get(name)
+    }
+
+    /// Returns the names of all endpoints.
+    pub fn endpoint_names(&self) -> Vec<String> {
+        self.endpoints.keys().cloned().collect()
+    }
+
+    /// Changes what was observed of an endpoint.
+    pub fn observe(&mut self, name: &str, change: impl FnOnce(&mut EndpointView)) {
+        if let Some(entry) = self.endpoints.get_mut(name) {
+            change(&mut entry.view);
+        }
+    }
+
+    /// Records a position proved by the leader of a service; true if the leader is new.
+    pub fn note_leader(&mut self, endpoint: &str, mark: ProvedMark) -> bool {
+        let Some(entry) = self.endpoints.get_mut(endpoint) else {
+            return false;
+        };
+        entry.view.followed_at = None;
+        let service = entry.record.service.clone();
+        self.services.entry(service.clone()).or_default().marks.record(mark);
+        self.hear_leader(&service, endpoint, mark.position.term)
+    }
+
+    /// Records which endpoint leads a service in a term; true if that is news.
+    pub fn hear_leader(&mut self, service: &str, endpoint: &str, term: u64) -> bool {
+        let knowledge = self.services.entry(service.to_owned()).or_default();
+        let known = knowledge.leader.as_ref();
+        if known.is_some_and(|(_, known_term)| *known_term >= term) {
+            return false;
+        }
+        knowledge.leader = Some((endpoint.to_owned(), term));
+        true
+    }
+
+    /// Records a mark that another instance passed on.
+    pub fn note_mark(&mut self, service: &str, mark: ProvedMark) {
+        self.services.entry(service.to_owned()).or_default().marks.record(mark);
+    }
+
+    /// Returns the marks of a service.
+    pub fn marks(&self, service: &str) -> Option<&MarkRing> {
+        self.services.get(service).map(|knowledge| &knowledge.marks)
+    }
+
+    /// Returns the known leaders: service, endpoint, term.
+    pub fn leaders(&self) -> Vec<(String, String, u64)> {
+        let known = self.services.iter().filter_map(|(service, knowledge)| {
+            let (endpoint, term) = knowledge.leader.clone()?;
+            Some((service.clone(), endpoint, term))
+        });
+        let mut leaders: Vec<_> = known.collect();
+        leaders.sort();
+        leaders
+    }
+
+    /// Returns the members of a service.
+    pub fn members(&self, service: &str) -> &[String] {
+        self.services.get(service).map_or(&[], |knowledge| &knowledge.members)
+    }
+
+    /// Returns the endpoint that leads a service as far as this instance knows.
+    pub fn leader(&self, service: &str, now: Instant) -> Option<String> {
+        let knowledge = self.services.get(service)?;
+        let proved = knowledge.leader.as_ref().map(|(endpoint, _)| endpoint);
+        let trusted = |name: &&String| {
+            self.endpoints.get(*name).is_some_and(|entry| !entry.view.is_follower(now))
+        };
+        let registered = knowledge.members.iter().find(|name| {
+            self.endpoints[*name].record.leads && !self.endpoints[*name].view.is_follower(now)
+        });
+        proved.filter(trusted).or(registered).cloned()
+    }
+
+    /// Returns the endpoints to try for a write, best first.
+    pub fn order_for_write(&self, service: &str, now: Instant) -> Vec<String> {
+        let leader = self.leader(service, now);
+        let usable = |name: &&String| self.endpoints[*name].is_usable(self.drain_limit, now);
+        let mut order: Vec<&String> = self.members(service).iter().filter(usable).collect();
+        order.sort_by_key(|name| {
+            let entry = &self.endpoints[*name];
+            (
+                leader.as_ref() != Some(*name),
+                entry.view.is_follower(now),
+                entry.view.is_avoided(now),
+                !entry.record.leads,
+                !entry.stays(),
+            )
+        });
+        order.into_iter().cloned().collect()
+    }
+
+    /// Returns the endpoints to try for a read, best first, each with whether it leads.
+    pub fn order_for_read(
+        &self,
+        service: &str,
+        zone: &str,
+        needed: Option<LogPosition>,
+        now: Instant,
+    ) -> Vec<(String, bool)> {
+        let leader = self.leader(service, now);
+        let leads = |name: &String| leader.as_ref() == Some(name);
+        let serves = |name: &&String| {
+            let entry = &self.endpoints[*name];
+            entry.is_usable(self.drain_limit, now) && (entry.stays() || leads(name))
+        };
+        let members: Vec<&String> = self.members(service).iter().filter(serves).collect();
+        let candidate = |name: &&String| {
+            let entry = &self.endpoints[*name];
+            let near = entry.record.zone == zone;
+            ReadCandidate { view: entry.view, near, leads: leads(name) }
+        };
+        let candidates: Vec<ReadCandidate> = members.iter().map(candidate).collect();
+        let order = order_for_read(&candidates, needed, now);
+        order.into_iter().map(|index| (members[index].clone(), candidates[index].leads)).collect()
+    }
+}
--- /dev/null
+++ b/crates/engine/src/holder.rs
@@ -0,0 +1,675 @@
+//! Connections to the endpoints that this instance holds for all instances.
+//!
+//! An endpoint has one holder as long as all instances agree on who is there, so its queue is one
+//! queue and its connections are counted in one place. Whoever asks takes what it can get: two
+//! holders share the endpoint's connections because each takes at most half of them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use coord::dialogue::BlockState;
+use coord::marks::ProvedMark;
+use coord::rendezvous;
+use coord::takeover::MemberReport;
+use coord::urgency::{UrgencyLevel, UrgencyQueue};
+use telemetry::event::LogEvent;
+use telemetry::log_event;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{sleep, timeout};
+
+use crate::link::{ControlStatement, RefusalCode, WireCodec};
+use crate::member::{MemberConnection, MemberError};
+use crate::message::{ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, StatementAnswer};
+use crate::node::{EngineEdge, GatewayNode};
+
+/// Part of an endpoint's connections that one holder takes, as a divisor; two may hold at a time.
+const CONNECTION_SHARE: usize = 2;
+/// Permits beyond the endpoint's slots: keeps the slots busy during the way of an answer.
+const SPARE_PERMITS: usize = 1;
+/// Time between attempts to reach an endpoint that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Silence of an endpoint with work outstanding after which a fresh connection is tried.
+const SILENCE_TIME: Duration = Duration::from_millis(300);
+/// Time in which a fresh connection must answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time in which a member must roll back or prove that an idle connection works.
+const CLEANUP_TIMEOUT: Duration = Duration::from_millis(400);
+/// Idle time after which a connection must prove itself before it carries a write.
+const PROOF_AGE: Duration = Duration::from_millis(1_500);
+/// Idle time after which a connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// Setup of a connection whose values are not known.
+const UNKNOWN_SETUP: u64 = u64::MAX;
+
+/// Origin of calls: the connection to another instance, or zero for this one.
+pub type CallOrigin = u64;
+
+type PermitSender = oneshot::Sender<()>;
+
+/// Connection that waits for work.
+#[derive(Debug)]
+struct IdleConnection {
+    team: String,
+    connection: MemberConnection,
+    idle_since: Instant,
+}
+
+/// Connection of an open transaction.
+#[derive(Debug)]
+struct PinnedConnection {
+    pool: Rc<EndpointPool>,
+    team: String,
+    connection: MemberConnection,
+}
+
+/// Queue and connections of one endpoint.
+#[derive(Debug)]
+struct EndpointPool {
+    endpoint: String,
+    service: String,
+    address: SocketAddr,
+    born_ms: u64,
+    queue: RefCell<UrgencyQueue<u64, PermitSender>>,
+    idle: RefCell<Vec<IdleConnection>>,
+    open: Cell<usize>,
+    limit: Cell<usize>,
+    freed: Notify,
+    failing_since: Cell<Option<Instant>>,
+    tried_at: Cell<Option<Instant>>,
+    heard_at: Cell<Option<Instant>>,
+    probing: Cell<bool>,
+}
+
+/// Permit to run at an endpoint; given back when dropped.
+struct RunPermit {
+    pool: Rc<EndpointPool>,
+    clock: clock::SharedClock,
+    level: UrgencyLevel,
+    team: u64,
+    taken_at: Instant,
+}
+
+impl Drop for RunPermit {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        let held = now.saturating_duration_since(self.taken_at);
+        self.pool.queue.borrow_mut().release(self.level, self.team, held);
+        self.pool.wake_next(now);
+    }
+}
+
+impl EndpointPool {
+    /// Starts waiting requests while permits are free.
+    fn wake_next(&self, now: Instant) {
+        let mut expired = Vec::new();
+        loop {
+            let next = self.queue.borrow_mut().pop(now, &mut expired);
+            let Some(sender) = next else {
+                break;
+            };
+            if sender.send(()).is_err() {
+                self.queue.borrow_mut().release(0, 0, Duration::ZERO);
+            }
+        }
+    }
+
+    fn close(&self, connection: MemberConnection) {
+        drop(connection);
+        self.open.set(self.open.get().saturating_sub(1));
+        self.freed.notify_one();
+    }
+
+    fn note_reached(&self, now: Instant) {
+        self.heard_at.set(Some(now));
+        if self.failing_since.replace(None).is_some() {
+            log_event!(LogEvent::MemberFound, "endpoint={}", self.endpoint);
+        }
+    }
+
+    fn note_failed(&self, now: Instant, cause: &MemberError) {
+        if self.failing_since.get().is_none() {
+            self.failing_since.set(Some(now));
+            log_event!(LogEvent::MemberLost, "endpoint={} cause=\"{cause}\"", self.endpoint);
+        }
+    }
+
+    /// Tells whether the endpoint failed so recently that another attempt is not worth while.
+    fn is_shunned(&self, now: Instant) -> bool {
+        let recent = |at: Instant| now.saturating_duration_since(at) < RETRY_PAUSE;
+        self.failing_since.get().is_some() && self.tried_at.get().is_some_and(recent)
+    }
+}
+
+/// Why no connection could be had.
+enum TakeError {
+    Unreachable,
+    Full,
+}
+
+/// Connections that this instance holds.
+#[derive(Debug, Default)]
+pub struct ConnectionHolder {
+    pools: RefCell<HashMap<String, Rc<EndpointPool>>>,
+    pinned: RefCell<HashMap<(CallOrigin, u32), PinnedConnection>>,
+    origins: RefCell<HashMap<CallOrigin, ()>>,
+    next_origin: Cell<CallOrigin>,
+}
+
+impl ConnectionHolder {
+    /// Returns a new origin for the calls of one connection to another instance.
+    pub fn open_origin(&self) -> CallOrigin {
+        let origin = self.next_origin.get() + 1;
+        self.next_origin.set(origin);
+        self.origins.borrow_mut().insert(origin, ());
+        origin
+    }
+
+    /// Returns the endpoints that have failed for a while.
+    pub fn failing(&self) -> Vec<String> {
+        let pools = self.pools.borrow();
+        let failing = pools.values().filter(|pool| pool.failing_since.get().is_some());
+        let mut names: Vec<String> = failing.map(|pool| pool.endpoint.clone()).collect();
+        names.sort();
+        names
+    }
+
+    /// Returns the time since which an endpoint has failed.
+    pub fn failing_since(&self, endpoint: &str) -> Option<Instant> {
+        self.pools.borrow().get(endpoint).and_then(|pool| pool.failing_since.get())
+    }
+
+    /// Tells whether transactions of other instances or of this one hold connections.
+    pub fn has_pinned(&self) -> bool {
+        !self.pinned.borrow().is_empty()
+    }
+
+    fn is_open(&self, origin: CallOrigin) -> bool {
+        origin == 0 || self.origins.borrow().contains_key(&origin)
+    }
+}
+
+impl<E: EngineEdge> GatewayNode<E> {
+    /// Runs statements at an endpoint that this instance holds connections to.
+    pub async fn hold_execute(self: &Rc<Self>, origin: CallOrigin, call: ExecuteCall) -> ExecuteReply {
+        let Some(pool) = self.pool(&call.endpoint) else {
+            return refused(HoldReason::UnknownEndpoint, 0);
+        };
+        let outcome = self.execute_at(&pool, origin, &call).await;
+        let now = self.now();
+        let queue_wait = pool.queue.borrow().expected_wait(call.level);
+        let directory = self.directory.borrow();
+        let newest = directory.marks(&pool.service).and_then(|marks| marks.newest());
+        let age = |mark: ProvedMark| {
+            (mark.position, millis(now.saturating_duration_since(mark.asked_at)) + 1)
+        };
+        ExecuteReply { outcome, queue_ms: millis(queue_wait), mark: newest.map(age) }
+    }
+
+    /// Rolls a transaction back and frees its connection.
+    pub fn hold_release(self: &Rc<Self>, origin: CallOrigin, channel: u32) {
+        let pinned = self.holder.pinned.borrow_mut().remove(&(origin, channel));
+        let Some(pinned) = pinned else {
+            return;
+        };
+        self.roll_back(pinned);
+    }
+
+    /// Closes the connections of all transactions of an origin that is gone.
+    pub fn close_origin(self: &Rc<Self>, origin: CallOrigin) {
+        self.holder.origins.borrow_mut().remove(&origin);
+        let channels: Vec<(CallOrigin, u32)> =
+            self.holder.pinned.borrow().keys().filter(|key| key.0 == origin).copied().collect();
+        for (_, channel) in channels {
+            self.hold_release(origin, channel);
+        }
+    }
+
+    /// Asks a member about itself on a fresh connection.
+    pub async fn probe_member(&self, endpoint: &str) -> Option<MemberReport> {
+        let (service, address) = {
+            let directory = self.directory.borrow();
+            let entry = directory.endpoint(endpoint)?;
+            (entry.record.service.clone(), entry.record.address)
+        };
+        let probe = async {
+            let mut startup = Vec::new();
+            E::Codec::encode_startup(&mut startup, &service, PROBE_TEAM, endpoint);
+            E::Codec::encode_control(&mut startup, ControlStatement::Status);
+            let mut connection = MemberConnection::open::<E::Codec>(address, &startup).await?;
+            connection.read_answer::<E::Codec>().await
+        };
+        match timeout(PROBE_TIMEOUT, probe).await {
+            Ok(Ok(answer)) => E::Codec::decode_status(&answer.content),
+            Ok(Err(_)) | Err(_) => None,
+        }
+    }
+
+    /// Closes connections that are of no use: idle for long, or of endpoints held by others.
+    pub fn tidy_connections(self: &Rc<Self>) {
+        let now = self.now();
+        let pools: Vec<Rc<EndpointPool>> = self.holder.pools.borrow().values().cloned().collect();
+        for pool in pools {
+            let entry_born =
+                self.directory.borrow().endpoint(&pool.endpoint).map(|entry| entry.record.born_ms);
+            let held_here = entry_born.is_some()
+                && self.holders_of(&pool.endpoint).first().is_some_and(|name| name == self.name());
+            let limit = if held_here { IDLE_LIMIT } else { PROOF_AGE };
+            let mut closed = Vec::new();
+            pool.idle.borrow_mut().retain_mut(|idle| {
+                let old = now.saturating_duration_since(idle.idle_since) > limit;
+                if old || idle.connection.is_spoilt() {
+                    closed.push(());
+                    return false;
+                }
+                true
+            });
+            pool.open.set(pool.open.get().saturating_sub(closed.len()));
+            if !closed.is_empty() {
+                pool.freed.notify_one();
+            }
+            let outdated = entry_born != Some(pool.born_ms);
+            if outdated && pool.open.get() == 0 {
+                self.holder.pools.borrow_mut().remove(&pool.endpoint);
+            }
+        }
+    }
+
+    fn pool(&self, endpoint: &str) -> Option<Rc<EndpointPool>> {
+        let directory = self.directory.borrow();
+        let entry = directory.endpoint(endpoint)?;
+        let document = directory.document();
+        let service = document.service(&entry.record.service)?;
+        let limit = (service.connections / CONNECTION_SHARE).max(1);
+        let slots = entry.record.slots.max(1) + SPARE_PERMITS;
+        let mut pools = self.holder.pools.borrow_mut();
+        if let Some(pool) = pools.get(endpoint).filter(|pool| pool.born_ms == entry.record.born_ms) {
+            pool.limit.set(limit);
+            pool.queue.borrow_mut().resize(slots);
+            return Some(pool.clone());
+        }
+        let pool = Rc::new(EndpointPool {
+            endpoint: endpoint.to_owned(),
+            service: entry.record.service.clone(),
+            address: entry.record.address,
+            born_ms: entry.record.born_ms,
+            queue: RefCell::new(UrgencyQueue::new(slots)),
+            idle: RefCell::default(),
+            open: Cell::new(0),
+            limit: Cell::new(limit),
+            freed: Notify::new(),
+            failing_since: Cell::new(None),
+            tried_at: Cell::new(None),
+            heard_at: Cell::new(None),
+            probing: Cell::new(false),
+        });
+        pools.insert(endpoint.to_owned(), pool.clone());
+        Some(pool)
+    }
+
+    async fn execute_at(
+        self: &Rc<Self>,
+        pool: &Rc<EndpointPool>,
+        origin: CallOrigin,
+        call: &ExecuteCall,
+    ) -> ExecuteOutcome {
+        let begun_at = self.now();
+        let deadline = begun_at + Duration::from_millis(call.answer_within_ms.into());
+        let permit = if call.pinned {
+            pool.queue.borrow_mut().take_pinned();
+            self.permit(pool, call)
+        } else {
+            if pool.is_shunned(begun_at) {
+                return not_sent(HoldReason::Unreachable, RETRY_PAUSE);
+            }
+            match self.wait_for_permit(pool, call, begun_at).await {
+                Ok(permit) => permit,
+                Err(retry) => return not_sent(HoldReason::Queue, retry),
+            }
+        };
+        let mut connection = if call.pinned {
+            let taken = self.holder.pinned.borrow_mut().remove(&(origin, call.channel));
+            match taken {
+                Some(pinned) => pinned.connection,
+                None => return not_sent(HoldReason::PinLost, Duration::ZERO),
+            }
+        } else {
+            let latest = begun_at + Duration::from_millis(call.start_within_ms.into());
+            match self.take_connection(pool, call, latest).await {
+                Ok(connection) => connection,
+                Err(TakeError::Unreachable) => {
+                    return not_sent(HoldReason::Unreachable, RETRY_PAUSE);
+                }
+                Err(TakeError::Full) => {
+                    let retry = pool.queue.borrow().expected_wait(call.level);
+                    return not_sent(HoldReason::Connections, retry);
+                }
+            }
+        };
+        let asked_at = self.now();
+        let left = deadline.saturating_duration_since(asked_at);
+        let exchange = self.exchange(pool, &mut connection, call);
+        let answers = match timeout(left, exchange).await {
+            Ok(Some(answers)) => answers,
+            Ok(None) | Err(_) => {
+                pool.close(connection);
+                return ExecuteOutcome::Lost;
+            }
+        };
+        drop(permit);
+        self.observe_answers(pool, call, &answers, asked_at);
+        self.put_back(pool, origin, call, connection, &answers);
+        ExecuteOutcome::Answered(answers)
+    }
+
+    fn permit(&self, pool: &Rc<EndpointPool>, call: &ExecuteCall) -> RunPermit {
+        RunPermit {
+            pool: pool.clone(),
+            clock: self.clock.clone(),
+            level: call.level,
+            team: rendezvous::weight(&call.team, ""),
+            taken_at: self.now(),
+        }
+    }
+
+    async fn wait_for_permit(
+        &self,
+        pool: &Rc<EndpointPool>,
+        call: &ExecuteCall,
+        now: Instant,
+    ) -> Result<RunPermit, Duration> {
+        if pool.queue.borrow_mut().try_take(call.level) {
+            return Ok(self.permit(pool, call));
+        }
+        let wait = Duration::from_millis(call.start_within_ms.into());
+        let (sender, mut receiver) = oneshot::channel();
+        let team = rendezvous::weight(&call.team, "");
+        let pushed = pool.queue.borrow_mut().push(call.level, team, sender, now + wait, now);
+        let expected = |pool: &EndpointPool| pool.queue.borrow().expected_wait(call.level);
+        if pushed.is_err() {
+            return Err(expected(pool));
+        }
+        match timeout(wait, &mut receiver).await {
+            Ok(Ok(())) => Ok(self.permit(pool, call)),
+            Ok(Err(_)) => Err(expected(pool)),
+            Err(_) => {
+                receiver.close();
+                match receiver.try_recv() {
+                    Ok(()) => Ok(self.permit(pool, call)),
+                    Err(_) => Err(expected(pool)),
+                }
+            }
+        }
+    }
+
+    async fn take_connection(
+        self: &Rc<Self>,
+        pool: &Rc<EndpointPool>,
+        call: &ExecuteCall,
+        latest: Instant,
+    ) -> Result<MemberConnection, TakeError> {
+        loop {
+            let now = self.now();
+            if let Some(idle) = take_idle(pool, &call.team) {
+                let rested = now.saturating_duration_since(idle.idle_since);
+                if rested < PROOF_AGE || call.repeatable {
+                    return Ok(idle.connection);
+                }
+                match self.prove(idle.connection).await {
+                    Some(connection) => return Ok(connection),
+                    None => {
+                        pool.open.set(pool.open.get().saturating_sub(1));
+                        continue;
+                    }
+                }
+            }
+            if pool.open.get() < pool.limit.get() {
+                return self.open_connection(pool, &call.team).await;
+            }
+            if let Some(idle) = take_oldest_idle(pool) {
+                pool.close(idle.connection);
+                continue;
+            }
+            let left = latest.saturating_duration_since(now);
+            if left.is_zero() || timeout(left, pool.freed.notified()).await.is_err() {
+                return Err(TakeError::Full);
+            }
+        }
+    }
+
+    async fn open_connection(
+        &self,
+        pool: &Rc<EndpointPool>,
+        team: &str,
+    ) -> Result<MemberConnection, TakeError> {
+        pool.open.set(pool.open.get() + 1);
+        pool.tried_at.set(Some(self.now()));
+        let mut startup = Vec::new();
+        E::Codec::encode_startup(&mut startup, &pool.service, team, &pool.endpoint);
+        let opened = MemberConnection::open::<E::Codec>(pool.address, &startup).await;
+        let now = self.now();
+        match opened {
+            Ok(connection) => {
+                pool.note_reached(now);
+                Ok(connection)
+            }
+            Err(error) => {
+                pool.open.set(pool.open.get().saturating_sub(1));
+                pool.freed.notify_one();
+                if let MemberError::Refused { code: RefusalCode::TooManyConnections | RefusalCode::Busy } =
+                    error
+                {
+                    return Err(TakeError::Full);
+                }
+                pool.note_failed(now, &error);
+                Err(TakeError::Unreachable)
+            }
+        }
+    }
+
+    /// Lets an idle connection prove that it still works.
+    async fn prove(&self, mut connection: MemberConnection) -> Option<MemberConnection> {
+        let mut bytes = Vec::new();
+        E::Codec::encode_control(&mut bytes, ControlStatement::Reset);
+        connection.setup = 0;
+        let proof = async {
+            connection.send(&bytes).await.ok()?;
+            connection.read_answer::<E::Codec>().await.ok()
+        };
+        timeout(CLEANUP_TIMEOUT, proof).await.ok().flatten()?;
+        Some(connection)
+    }
+
+    /// Sends the statements and reads their answers; none if the connection is lost.
+    async fn exchange(
+        self: &Rc<Self>,
+        pool: &Rc<EndpointPool>,
+        connection: &mut MemberConnection,
+        call: &ExecuteCall,
+    ) -> Option<Vec<StatementAnswer>> {
+        let prepares = call.pinned && call.setup_count > 0 || connection.setup != call.setup;
+        let mut skipped = 0;
+        if prepares && call.setup_count > 0 {
+            let bytes = [call.setup_bytes.as_slice(), call.bytes.as_slice()].concat();
+            connection.send(&bytes).await.ok()?;
+            skipped = call.setup_count;
+        } else {
+            connection.send(&call.bytes).await.ok()?;
+        }
+        if !call.pinned {
+            connection.setup = call.setup;
+        }
+        for _ in 0..skipped {
+            let answer = self.watched_answer(pool, connection, call).await?;
+            if answer.error.is_some() {
+                connection.setup = UNKNOWN_SETUP;
+            }
+        }
+        let mut answers = Vec::with_capacity(call.count.into());
+        for _ in 0..call.count {
+            answers.push(self.watched_answer(pool, connection, call).await?);
+        }
+        Some(answers)
+    }
+
+    /// Reads an answer; tries a fresh connection if the endpoint stays silent.
+    async fn watched_answer(
+        self: &Rc<Self>,
+        pool: &Rc<EndpointPool>,
+        connection: &mut MemberConnection,
+        call: &ExecuteCall,
+    ) -> Option<StatementAnswer> {
+        let reading = connection.read_answer::<E::Codec>();
+        tokio::pin!(reading);
+        loop {
+            tokio::select! {
+                answer = &mut reading => {
+                    let answer = answer.ok()?;
+                    pool.note_reached(self.now());
+                    return Some(answer);
+                }
+                () = sleep(SILENCE_TIME) => {
+                    if call.repeatable && pool.failing_since.get().is_some() {
+                        return None;
+                    }
+                    self.probe_silent(pool);
+                }
+            }
+        }
+    }
+
+    /// Tries a fresh connection to an endpoint that has been silent.
+    fn probe_silent(self: &Rc<Self>, pool: &Rc<EndpointPool>) {
+        let now = self.now();
+        let heard = |at: Instant| now.saturating_duration_since(at) < SILENCE_TIME;
+        if pool.probing.get() || pool.heard_at.get().is_some_and(heard) {
+            return;
+        }
+        pool.probing.set(true);
+        let (node, pool) = (self.clone(), pool.clone());
+        tokio::task::spawn_local(async move {
+            let reached = node.probe_member(&pool.endpoint).await.is_some();
+            let now = node.now();
+            if reached {
+                pool.note_reached(now);
+            } else {
+                pool.note_failed(now, &MemberError::ConnectTimeout);
+                pool.tried_at.set(Some(now));
+            }
+            pool.probing.set(false);
+        });
+    }
+
+    fn observe_answers(
+        &self,
+        pool: &EndpointPool,
+        call: &ExecuteCall,
+        answers: &[StatementAnswer],
+        asked_at: Instant,
+    ) {
+        let now = self.now();
+        let mut directory = self.directory.borrow_mut();
+        if let Some(position) = answers.iter().rev().find_map(|answer| answer.position) {
+            directory.observe(&pool.endpoint, |view| view.position = Some((position, now)));
+        }
+        let Some(proof) = call.proof.and_then(|index| answers.get(usize::from(index))) else {
+            return;
+        };
+        match (proof.error, proof.position) {
+            (None, Some(position)) => {
+                let mark = ProvedMark { asked_at, position };
+                if directory.note_leader(&pool.endpoint, mark) {
+                    log_event!(
+                        LogEvent::PrimaryChanged,
+                        "service={} endpoint={} term={}",
+                        pool.service,
+                        pool.endpoint,
+                        position.term
+                    );
+                }
+            }
+            (Some(RefusalCode::ReadOnly), _) => {
+                directory.observe(&pool.endpoint, |view| view.followed_at = Some(now));
+            }
+            _ => {}
+        }
+    }
+
+    /// Keeps a connection for its transaction, for others, or rolls it back first.
+    fn put_back(
+        self: &Rc<Self>,
+        pool: &Rc<EndpointPool>,
+        origin: CallOrigin,
+        call: &ExecuteCall,
+        connection: MemberConnection,
+        answers: &[StatementAnswer],
+    ) {
+        let state = answers.last().map_or(BlockState::Failed, |answer| answer.state);
+        let pinned = PinnedConnection { pool: pool.clone(), team: call.team.clone(), connection };
+        match state {
+            BlockState::Open if call.keeps && self.holder.is_open(origin) => {
+                self.holder.pinned.borrow_mut().insert((origin, call.channel), pinned);
+            }
+            BlockState::Idle => self.rest(pinned),
+            BlockState::Open | BlockState::Failed => self.roll_back(pinned),
+        }
+    }
+
+    fn rest(&self, pinned: PinnedConnection) {
+        let PinnedConnection { pool, team, connection } = pinned;
+        let idle_since = self.now();
+        pool.idle.borrow_mut().push(IdleConnection { team, connection, idle_since });
+        pool.freed.notify_one();
+    }
+
+    fn roll_back(self: &Rc<Self>, mut pinned: PinnedConnection) {
+        let node = self.clone();
+        tokio::task::spawn_local(async move {
+            let mut bytes = Vec::new();
+            E::Codec::encode_control(&mut bytes, ControlStatement::Rollback);
+            let rolled_back = async {
+                pinned.connection.send(&bytes).await.ok()?;
+                let answer = pinned.connection.read_answer::<E::Codec>().await.ok()?;
+                (answer.state == BlockState::Idle).then_some(())
+            };
+            match timeout(CLEANUP_TIMEOUT, rolled_back).await {
+                Ok(Some(())) => node.rest(pinned),
+                Ok(None) | Err(_) => pinned.pool.close(pinned.connection),
+            }
+        });
+    }
+}
+
+/// Name under which members are asked about themselves; no caller has a part in it.
+const PROBE_TEAM: &str = "-";
+
+fn take_idle(pool: &EndpointPool, team: &str) -> Option<IdleConnection> {
+    let mut idle = pool.idle.borrow_mut();
+    loop {
+        let place = idle.iter().rposition(|idle| idle.team == team)?;
+        let found = idle.remove(place);
+        if !found.connection.is_spoilt() {
+            return Some(found);
+        }
+        pool.open.set(pool.open.get().saturating_sub(1));
+    }
+}
+
+fn take_oldest_idle(pool: &EndpointPool) -> Option<IdleConnection> {
+    let mut idle = pool.idle.borrow_mut();
+    if idle.is_empty() { None } else { Some(idle.remove(0)) }
+}
+
+fn refused(reason: HoldReason, queue_ms: u32) -> ExecuteReply {
+    ExecuteReply { outcome: not_sent(reason, Duration::ZERO), queue_ms, mark: None }
+}
+
+fn not_sent(reason: HoldReason, retry: Duration) -> ExecuteOutcome {
+    ExecuteOutcome::NotSent { reason, retry_ms: millis(retry) }
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,21 @@
+//! Engine of an instance that serves a line protocol: sessions, endpoint connections, peers, duty.
+//!
+//! The decisions are in `coord`; this crate performs their input and output over the edges in
+//! [`link`].
+
+pub mod caller;
+pub mod directory;
+pub mod dispatch;
+pub mod holder;
+pub mod limits;
+pub mod lines;
+pub mod link;
+pub mod member;
+pub mod message;
+pub mod node;
+pub mod operation;
+pub mod peer;
+pub mod record;
+pub mod run;
+pub mod steward;
+pub mod watch;
--- /dev/null
+++ b/crates/engine/src/limits.rs
@@ -0,0 +1,78 @@
+//! Admission of operations within the limits of their teams.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use coord::rendezvous;
+use tokio::time::sleep;
+
+use crate::node::{EngineEdge, GatewayNode};
+
+/// Time in which the counter of a team must answer.
+const COUNT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Counters asked before an instance counts for itself.
+const ASKED_COUNTERS: usize = 2;
+/// Least time to state when an operation is refused.
+const LEAST_RETRY: Duration = Duration::from_millis(20);
+/// Time between observations of who can be reached.
+const OBSERVATION_PERIOD: Duration = Duration::from_millis(200);
+
+impl<E: EngineEdge> GatewayNode<E> {
+    /// Admits an operation of a team, or tells after which time it could be admitted.
+    ///
+    /// A short wait for the next token is spent here, up to `patience`.
+    pub async fn admit(self: &Rc<Self>, team: &str, patience: Duration) -> Result<(), Duration> {
+        if self.directory.borrow().document().limit(team).is_none() {
+            return Ok(());
+        }
+        let mut waited = Duration::ZERO;
+        loop {
+            let wait = self.count(team).await;
+            if wait.is_zero() {
+                return Ok(());
+            }
+            if waited + wait > patience {
+                return Err(wait.max(LEAST_RETRY));
+            }
+            sleep(wait).await;
+            waited += wait;
+        }
+    }
+
+    /// Counts an operation here, as the counter of its team.
+    pub fn count_here(&self, team: &str) -> Duration {
+        let Some(limit) = self.directory.borrow().document().limit(team) else {
+            return Duration::ZERO;
+        };
+        let (first, now) = (self.is_first_start(), self.now());
+        let taken = self.counters.borrow_mut().take(team, limit, first, now);
+        taken.map_or_else(|delay| delay.retry_after.max(Duration::from_millis(1)), |()| Duration::ZERO)
+    }
+
+    /// Keeps the counters informed about who can be reached.
+    pub async fn observe_reach(self: Rc<Self>) {
+        loop {
+            let reached = self.peers.live().len() + 1;
+            let registered = self.peers.registered();
+            self.counters.borrow_mut().observe(reached, registered, self.now());
+            sleep(OBSERVATION_PERIOD).await;
+        }
+    }
+
+    async fn count(self: &Rc<Self>, team: &str) -> Duration {
+        let names = self.peers.staying(self.is_leaving());
+        let order = rendezvous::first(team, names.iter().map(String::as_str), ASKED_COUNTERS);
+        for name in order {
+            if name == self.name() {
+                break;
+            }
+            let Some(link) = self.peers.link(name) else {
+                continue;
+            };
+            if let Some(wait) = link.count(team, COUNT_TIMEOUT).await {
+                return wait;
+            }
+        }
+        self.count_here(team)
+    }
+}
--- /dev/null
+++ b/crates/engine/src/node.rs
@@ -0,0 +1,250 @@
+//! State that the tasks of one instance share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use clock::SharedClock;
+use coord::quota::TeamCounters;
+use telemetry::event::LogEvent;
+use telemetry::log_event;
+use tokio::sync::Notify;
+
+use crate::directory::FleetDirectory;
+use crate::holder::ConnectionHolder;
+use crate::link::{PlatformLink, RowChange, WireCodec};
+use crate::message::InstanceStatus;
+use crate::peer::PeerTable;
+use crate::record::InstanceRecord;
+
+/// Choice of platform and protocol.
+pub trait EngineEdge: 'static {
+    /// Services of the platform.
+    type Platform: PlatformLink;
+    /// Protocol of callers and endpoints.
+    type Codec: WireCodec;
+}
+
+/// Settings of an instance.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Own registration.
+    pub record: InstanceRecord,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// The whole system starts for the first time.
+    pub first_start: bool,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+    /// Time after which a leaving endpoint gets no new work.
+    pub drain_limit: Duration,
+}
+
+/// Time after its start during which an instance of a first start may fill buckets.
+const FIRST_START_TIME: Duration = Duration::from_secs(20);
+
+/// One instance.
+pub struct GatewayNode<E: EngineEdge> {
+    /// Settings.
+    pub settings: EngineSettings,
+    /// Time.
+    pub clock: SharedClock,
+    /// Platform.
+    pub platform: E::Platform,
+    /// Document, endpoints, leaders.
+    pub directory: RefCell<FleetDirectory>,
+    /// Other instances.
+    pub peers: PeerTable,
+    /// Connections to endpoints.
+    pub holder: ConnectionHolder,
+    /// Team limits that this instance counts.
+    pub counters: RefCell<TeamCounters>,
+    /// Wakes whoever waits for a new leader or endpoint.
+    pub changed: Notify,
+    /// Open sessions of callers.
+    pub callers: Cell<usize>,
+    grace: Cell<Duration>,
+    started_at: Instant,
+    leaving_since: Cell<Option<Instant>>,
+    leave_signal: Notify,
+    store_reached: Cell<bool>,
+    duty: Cell<Option<u64>>,
+    next_channel: Cell<u32>,
+    next_session: Cell<u32>,
+}
+
+impl<E: EngineEdge> GatewayNode<E> {
+    /// Creates an instance that knows nothing yet.
+    pub fn new(settings: EngineSettings, clock: SharedClock, platform: E::Platform) -> Rc<Self> {
+        let started_at = clock.now();
+        let directory = FleetDirectory::new(settings.drain_limit);
+        Rc::new(Self {
+            peers: PeerTable::new(settings.record.clone()),
+            directory: RefCell::new(directory),
+            grace: Cell::new(settings.grace),
+            settings,
+            clock,
+            platform,
+            holder: ConnectionHolder::default(),
+            counters: RefCell::default(),
+            changed: Notify::new(),
+            started_at,
+            callers: Cell::new(0),
+            leaving_since: Cell::new(None),
+            leave_signal: Notify::new(),
+            store_reached: Cell::new(false),
+            duty: Cell::new(None),
+            next_channel: Cell::new(1),
+            next_session: Cell::new(1),
+        })
+    }
+
+    /// Takes bounds that changed while the instance runs.
+    pub fn apply_bounds(&self, grace: Duration, drain_limit: Duration) {
+        self.grace.set(grace);
+        self.directory.borrow_mut().set_drain_limit(drain_limit);
+    }
+
+    /// Returns the time from the signal to stop until the process is killed.
+    pub fn grace(&self) -> Duration {
+        self.grace.get()
+    }
+
+    /// Returns the name of the instance.
+    pub fn name(&self) -> &str {
+        &self.settings.record.name
+    }
+
+    /// Returns the current time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Tells whether the instance can serve callers and is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.directory.borrow().is_complete()
+    }
+
+    /// Tells whether the instance is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.get().is_some()
+    }
+
+    /// Returns the time at which the instance said that it is about to stop.
+    pub fn leaving_since(&self) -> Option<Instant> {
+        self.leaving_since.get()
+    }
+
+    /// Announces that the instance is about to stop.
+    pub fn leave(&self) {
+        self.leaving_since.set(Some(self.now()));
+        self.leave_signal.notify_waiters();
+    }
+
+    /// Waits until the instance is about to stop.
+    pub async fn left(&self) {
+        let signal = self.leave_signal.notified();
+        if !self.is_leaving() {
+            signal.await;
+        }
+    }
+
+    /// Tells whether team buckets may start full: nothing was admitted before.
+    pub fn is_first_start(&self) -> bool {
+        let age = self.now().saturating_duration_since(self.started_at);
+        self.settings.first_start && age < FIRST_START_TIME
+    }
+
+    /// Returns a number for a transaction, unique on this instance.
+    pub fn new_channel(&self) -> u32 {
+        let channel = self.next_channel.get();
+        self.next_channel.set(channel.wrapping_add(1).max(1));
+        channel
+    }
+
+    /// Returns a number for a session, unique over all instances.
+    pub fn new_session(&self) -> u64 {
+        let session = self.next_session.get();
+        self.next_session.set(session.wrapping_add(1));
+        (self.settings.record.incarnation & 0xffff_ffff) << 32 | u64::from(session)
+    }
+
+    /// Records whether the store answers.
+    pub fn note_store(&self, reached: bool, detail: &str) {
+        if self.store_reached.replace(reached) == reached {
+            return;
+        }
+        if reached {
+            log_event!(LogEvent::PlatformFound, "service=store");
+        } else {
+            log_event!(LogEvent::PlatformLost, "service=store cause=\"{detail}\"");
+        }
+    }
+
+    /// Tells whether the store answered last.
+    pub fn is_store_reached(&self) -> bool {
+        self.store_reached.get()
+    }
+
+    /// Returns the fencing token if this instance is on duty.
+    pub fn duty(&self) -> Option<u64> {
+        self.duty.get()
+    }
+
+    /// Records whether this instance is on duty.
+    pub fn set_duty(&self, token: Option<u64>) {
+        if self.duty.replace(token) != token {
+            log_event!(LogEvent::DutyChanged, "token={token:?}");
+        }
+    }
+
+    /// Returns what the instance tells others about itself.
+    pub fn status(&self) -> InstanceStatus {
+        let directory = self.directory.borrow();
+        InstanceStatus {
+            leaving: self.is_leaving(),
+            document: directory.document().version,
+            duty: self.duty.get(),
+            store_reached: self.store_reached.get(),
+            failing: self.holder.failing(),
+            leaders: directory.leaders(),
+        }
+    }
+
+    /// Takes a change of a watched row.
+    pub fn apply(&self, change: RowChange) {
+        let now = self.now();
+        match change {
+            RowChange::Document(document) => {
+                let (version, routes) = (document.version, document.routes.len());
+                let teams = document.teams.len();
+                if self.directory.borrow_mut().apply_document(document) {
+                    log_event!(
+                        LogEvent::DocumentInForce,
+                        "version={version} routes={routes} teams={teams}"
+                    );
+                }
+            }
+            RowChange::DocumentUnreadable(reason) => {
+                log_event!(LogEvent::DocumentRefused, "cause=\"{reason}\"");
+            }
+            RowChange::Endpoint(record) => {
+                let line = format!(
+                    "endpoint={} service={} zone={} leaving={} leads={}",
+                    record.name, record.service, record.zone, record.leaving, record.leads
+                );
+                if self.directory.borrow_mut().apply_endpoint(record, now) {
+                    log_event!(LogEvent::EndpointListed, "{line}");
+                }
+            }
+            RowChange::EndpointGone { name, reason } => {
+                if self.directory.borrow_mut().remove_endpoint(&name, now) {
+                    let reason = reason.unwrap_or_else(|| "row removed".to_owned());
+                    log_event!(LogEvent::EndpointUnlisted, "endpoint={name} cause=\"{reason}\"");
+                }
+            }
+        }
+        self.changed.notify_waiters();
+    }
+}
--- a/crates/lab/src/environment.rs
+++ b/crates/lab/src/environment.rs
@@ -6,7 +6,7 @@
 
 use admin::api::{self, AdminError};
 use admin::settings::{AdminSettings, OperatorCredential};
-use net::clock::SystemClock;
+use clock::SystemClock;
 use net::platform::{PlatformClient, PlatformError};
 use net::store::{DocumentStore, StoreError};
 use proxy::instance::{self, InstanceError, RunningInstance};
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,5 @@
 //! Transport layer: clock, sockets to members, connection pools and the platform's services.
 
-pub mod clock;
 pub mod member;
 pub mod peer;
 pub mod platform;
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -8,7 +8,7 @@
 
 use coord::confirmation::ConfirmationMachine;
 use metrics::gauge;
-use net::clock::SharedClock;
+use clock::SharedClock;
 use net::platform::{PlatformClient, PlatformError};
 use net::store::{LedgerEpoch, StoredDocument};
 use parking_lot::{Mutex, RwLock};
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use clap::Parser;
-use net::clock::SystemClock;
+use clock::SystemClock;
 use proxy::instance::{self, InstanceError};
 use proxy::settings::ProxySettings;
 use proxy::{drain, exposition};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -37,6 +37,8 @@
     ProgramStopped = 1002, Info, "program_stopped";
     /// A program ends because of an error.
     ProgramFailed = 1003, Error, "program_failed";
+    /// The settings file was read again.
+    SettingsReloaded = 1004, Info, "settings_reloaded";
     /// A document came into force on this instance.
     DocumentInForce = 1101, Info, "document_in_force";
     /// A document was refused by this instance.
@@ -63,6 +65,10 @@
     AnswerStale = 2006, Warn, "answer_stale";
     /// The connection that carried a request was lost.
     ExchangeLost = 2007, Info, "exchange_lost";
+    /// A caller's session was not opened.
+    CallerRefused = 2008, Info, "caller_refused";
+    /// An open transaction rested for too long and was rolled back.
+    TransactionExpired = 2009, Info, "transaction_expired";
     /// A member no longer answers this instance.
     MemberLost = 3001, Warn, "member_lost";
     /// A member answers this instance again.
@@ -75,6 +81,10 @@
     PromotionEnded = 3005, Warn, "promotion_ended";
     /// A member was told to follow the primary.
     MemberFollows = 3006, Info, "member_follows";
+    /// An endpoint was registered or its registration changed.
+    EndpointListed = 3007, Info, "endpoint_listed";
+    /// An endpoint's registration vanished or cannot be used.
+    EndpointUnlisted = 3008, Info, "endpoint_unlisted";
     /// The platform's service does not answer.
     PlatformLost = 4001, Warn, "platform_lost";
     /// The platform's service answers again.
@@ -85,6 +95,12 @@
     PeerLost = 5002, Warn, "peer_lost";
     /// An allotment ledger was counted anew.
     LedgerCounted = 5003, Info, "ledger_counted";
+    /// An instance that could not be reached for long is no longer counted.
+    PeerForgotten = 5004, Info, "peer_forgotten";
+    /// This instance took or lost the duty to promote.
+    DutyChanged = 5005, Info, "duty_changed";
+    /// A step towards the duty to promote failed.
+    DutyRefused = 5006, Warn, "duty_refused";
     /// The instance starts to drain.
     DrainStarted = 6001, Info, "drain_started";
     /// The instance has drained or reached its drain deadline.
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -31,6 +31,16 @@
     Json,
 }
 
+/// Stream to which log lines go.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, ValueEnum)]
+pub enum LogTarget {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
 /// Settings of logging.
 #[derive(Args, Clone, Debug)]
 pub struct LoggingSettings {
@@ -40,24 +50,31 @@
     /// Format of log lines.
     #[arg(long, env = "HIBISCUS_LOG_FORMAT", default_value = "plain")]
     pub log_format: LogFormat,
+    /// Stream to which log lines go.
+    #[arg(long, env = "HIBISCUS_LOG_TARGET", default_value = "stderr")]
+    pub log_target: LogTarget,
 }
 
 impl Default for LoggingSettings {
     fn default() -> Self {
-        Self { log_level: LevelFilter::Info, log_format: LogFormat::Plain }
+        Self { log_level: LevelFilter::Info, log_format: LogFormat::Plain, log_target: LogTarget::Stderr }
     }
 }
 
-/// Sends log lines to standard error.
+/// Starts logging; log lines go to the stream of the settings.
 pub fn start(settings: &LoggingSettings) -> Result<(), LoggingError> {
     let encoder: Box<dyn Encode> = match settings.log_format {
         LogFormat::Plain => Box::new(PatternEncoder::new(PLAIN_PATTERN)),
         LogFormat::Json => Box::new(JsonEncoder::new()),
     };
-    let appender = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
-    let root = Root::builder().appender("stderr").build(settings.log_level);
+    let target = match settings.log_target {
+        LogTarget::Stderr => Target::Stderr,
+        LogTarget::Stdout => Target::Stdout,
+    };
+    let appender = ConsoleAppender::builder().target(target).encoder(encoder).build();
+    let root = Root::builder().appender("console").build(settings.log_level);
     let config = Config::builder()
-        .appender(Appender::builder().build("stderr", Box::new(appender)))
+        .appender(Appender::builder().build("console", Box::new(appender)))
         .build(root)
         .map_err(|error| LoggingError { message: error.to_string() })?;
     log4rs::init_config(config).map_err(|error| LoggingError { message: error.to_string() })?;
