--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -44,16 +44,18 @@
         self.reach = reached.min(registered) as f64 / registered.max(1) as f64;
     }
 
-    /// Takes one operation of a team, or tells when the next one would pass.
+    /// Takes one operation of a team and returns the time after which it may start, or tells when
+    /// another one would pass if that is longer than `patience`.
     ///
     /// `full_start` lets a bucket that is new start full: nothing was admitted before.
     pub fn take(
         &mut self,
         team: &str,
         limit: TeamLimit,
+        patience: Duration,
         full_start: bool,
         now: Instant,
-    ) -> Result<(), BucketDelay> {
+    ) -> Result<Duration, BucketDelay> {
         let (rate, burst) = (limit.rate * self.reach, (limit.burst * self.reach).max(1.0));
         let bucket = match self.buckets.get_mut(team) {
             Some(bucket) => bucket,
@@ -66,7 +68,7 @@
             }
         };
         bucket.resize(rate, burst, now);
-        bucket.take(1.0, now)
+        bucket.reserve(1.0, patience, now)
     }
 
     /// Forgets buckets of teams for which this instance no longer counts.
--- a/crates/engine/src/limits.rs
+++ b/crates/engine/src/limits.rs
@@ -6,6 +6,7 @@
 use coord::rendezvous;
 use tokio::time::sleep;
 
+use crate::message::CountAnswer;
 use crate::node::{EngineEdge, GatewayNode};
 
 /// Time in which the counter of a team must answer.
@@ -25,28 +26,26 @@
         if self.directory.borrow().document().limit(team).is_none() {
             return Ok(());
         }
-        let mut waited = Duration::ZERO;
-        loop {
-            let wait = self.count(team).await;
-            if wait.is_zero() {
-                return Ok(());
-            }
-            if waited + wait > patience {
-                return Err(wait.max(LEAST_RETRY));
+        match self.count(team, patience).await {
+            CountAnswer::Admitted { after } if after.is_zero() => Ok(()),
+            CountAnswer::Admitted { after } => {
+                sleep(after).await;
+                Ok(())
             }
-            sleep(wait).await;
-            waited += wait;
+            CountAnswer::Refused { retry } => Err(retry.max(LEAST_RETRY)),
         }
     }
 
     /// Counts an operation here, as the counter of its team.
-    pub fn count_here(&self, team: &str) -> Duration {
+    pub fn count_here(&self, team: &str, patience: Duration) -> CountAnswer {
         let Some(limit) = self.directory.borrow().document().limit(team) else {
-            return Duration::ZERO;
+            return CountAnswer::Admitted { after: Duration::ZERO };
         };
         let (first, now) = (self.is_first_start(), self.now());
-        let taken = self.counters.borrow_mut().take(team, limit, first, now);
-        taken.map_or_else(|delay| delay.retry_after.max(Duration::from_millis(1)), |()| Duration::ZERO)
+        match self.counters.borrow_mut().take(team, limit, patience, first, now) {
+            Ok(after) => CountAnswer::Admitted { after },
+            Err(delay) => CountAnswer::Refused { retry: delay.retry_after },
+        }
     }
 
     /// Keeps the counters informed about who can be reached.
@@ -59,7 +58,7 @@
         }
     }
 
-    async fn count(self: &Rc<Self>, team: &str) -> Duration {
+    async fn count(self: &Rc<Self>, team: &str, patience: Duration) -> CountAnswer {
         let names = self.peers.staying(self.is_leaving());
         let order = rendezvous::first(team, names.iter().map(String::as_str), ASKED_COUNTERS);
         for name in order {
@@ -69,10 +68,10 @@
             let Some(link) = self.peers.link(name) else {
                 continue;
             };
-            if let Some(wait) = link.count(team, COUNT_TIMEOUT).await {
-                return wait;
+            if let Some(answer) = link.count(team, patience, COUNT_TIMEOUT).await {
+                return answer;
             }
         }
-        self.count_here(team)
+        self.count_here(team, patience)
     }
 }
--- a/crates/engine/src/link.rs
+++ b/crates/engine/src/link.rs
@@ -244,11 +244,8 @@
 pub enum ControlStatement<'a> {
     /// Opens a transaction that may write; only a leader accepts it.
     Begin,
-    /// Opens a transaction that reads, at or after a position.
-    BeginRead {
-        /// Position that the member must have reached.
-        after: Option<LogPosition>,
-    },
+    /// Opens a transaction that only reads.
+    BeginRead,
     /// Rolls back.
     Rollback,
     /// Drops values and prepared names.
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between instances, encoded with `postcard` behind a four-byte length.
 
+use std::time::Duration;
+
 use bytes::{Buf, BytesMut};
 use coord::dialogue::BlockState;
 use coord::urgency::UrgencyLevel;
@@ -139,6 +141,21 @@
     pub mark: Option<(LogPosition, u32)>,
 }
 
+/// Decision of a team's counter about an operation.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CountAnswer {
+    /// It may start.
+    Admitted {
+        /// Time to wait before.
+        after: Duration,
+    },
+    /// It is over the limit.
+    Refused {
+        /// Time after which another one would pass.
+        retry: Duration,
+    },
+}
+
 /// What an instance tells about itself.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct InstanceStatus {
@@ -184,6 +201,8 @@
         call: u32,
         /// Team.
         team: String,
+        /// Longest wait for the next token, in milliseconds.
+        patience_ms: u32,
     },
     /// Asks whether an endpoint can be reached by a fresh connection.
     Probe {
@@ -220,8 +239,8 @@
     Count {
         /// Number of the call.
         call: u32,
-        /// Zero if the operation may start, else the time until it could, in milliseconds.
-        wait_ms: u32,
+        /// The answer.
+        answer: CountAnswer,
     },
     /// Answer to [`PeerRequest::Probe`].
     Probe {
--- a/crates/engine/src/operation.rs
+++ b/crates/engine/src/operation.rs
@@ -345,10 +345,13 @@
         // Only a leader accepts the plain form, so it proves the lead for the whole transaction.
         let begin = match leads {
             true => ControlStatement::Begin,
-            false => ControlStatement::BeginRead { after: needed },
+            false => ControlStatement::BeginRead,
         };
         C::encode_control(&mut bytes, begin);
-        statement(&mut bytes, None);
+        // A replica that lacks the position must fail the transaction, not refuse to open it: the
+        // statement that follows at once would run outside of it.
+        let after = if plan.commits { None } else { needed };
+        statement(&mut bytes, after);
         let (keeps, repeatable) = (!plan.commits, !plan.commits);
         let proof = leads.then_some(0);
         return StatementShape { bytes, count: 2, answer: 1, proof, keeps, repeatable };
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::message::{
-    ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, InstanceStatus, PeerReply, PeerRequest,
+    CountAnswer, ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, InstanceStatus, PeerReply, PeerRequest,
     decode, encode,
 };
 use crate::node::{EngineEdge, GatewayNode};
@@ -86,7 +86,7 @@
 #[derive(Debug, Default)]
 struct PendingCalls {
     execute: HashMap<u32, oneshot::Sender<ExecuteReply>>,
-    count: HashMap<u32, oneshot::Sender<u32>>,
+    count: HashMap<u32, oneshot::Sender<CountAnswer>>,
     probe: HashMap<u32, oneshot::Sender<bool>>,
     document: HashMap<u32, oneshot::Sender<Vec<u8>>>,
 }
@@ -165,14 +165,20 @@
     }
 
     /// Asks whether an operation of a team may start; none without an answer in time.
-    pub async fn count(&self, team: &str, limit: Duration) -> Option<Duration> {
+    pub async fn count(
+        &self,
+        team: &str,
+        patience: Duration,
+        limit: Duration,
+    ) -> Option<CountAnswer> {
+        let patience_ms = u32::try_from(patience.as_millis()).unwrap_or(u32::MAX);
         let call = self.call_number();
         let (sender, receiver) = oneshot::channel();
         self.pending.borrow_mut().count.insert(call, sender);
-        self.send(&PeerRequest::Count { call, team: team.to_owned() });
-        let wait = timeout(limit, receiver).await;
+        self.send(&PeerRequest::Count { call, team: team.to_owned(), patience_ms });
+        let answer = timeout(limit, receiver).await;
         self.pending.borrow_mut().count.remove(&call);
-        wait.ok()?.ok().map(|wait| Duration::from_millis(wait.into()))
+        answer.ok()?.ok()
     }
 
     /// Asks whether the other instance reaches an endpoint; none without an answer in time.
@@ -216,8 +222,8 @@
             PeerReply::Execute { call, body } => {
                 pending.execute.remove(&call).map(|sender| sender.send(*body).ok());
             }
-            PeerReply::Count { call, wait_ms } => {
-                pending.count.remove(&call).map(|sender| sender.send(wait_ms).ok());
+            PeerReply::Count { call, answer } => {
+                pending.count.remove(&call).map(|sender| sender.send(answer).ok());
             }
             PeerReply::Probe { call, reached } => {
                 pending.probe.remove(&call).map(|sender| sender.send(reached).ok());
@@ -493,10 +499,9 @@
                 });
             }
             PeerRequest::Release { channel } => self.hold_release(origin, channel),
-            PeerRequest::Count { call, team } => {
-                let wait = self.count_here(&team);
-                let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-                output.push(&PeerReply::Count { call, wait_ms });
+            PeerRequest::Count { call, team, patience_ms } => {
+                let answer = self.count_here(&team, Duration::from_millis(patience_ms.into()));
+                output.push(&PeerReply::Count { call, answer });
             }
             PeerRequest::Probe { call, endpoint } => {
                 tokio::task::spawn_local(async move {
--- a/crates/state/src/bucket.rs
+++ b/crates/state/src/bucket.rs
@@ -34,6 +34,24 @@
         Err(BucketDelay { retry_after: self.delay(cost) })
     }
 
+    /// Takes `cost` tokens that are earned within `patience`, and returns the time until then.
+    ///
+    /// The tokens are taken at once, so those who wait are served in the order in which they asked.
+    pub fn reserve(
+        &mut self,
+        cost: f64,
+        patience: Duration,
+        now: Instant,
+    ) -> Result<Duration, BucketDelay> {
+        self.fill(now);
+        let delay = if self.tokens >= cost { Duration::ZERO } else { self.delay(cost) };
+        if delay > patience {
+            return Err(BucketDelay { retry_after: delay });
+        }
+        self.tokens -= cost;
+        Ok(delay)
+    }
+
     /// Changes rate and burst; tokens above the new burst are dropped.
     pub fn resize(&mut self, rate: f64, burst: f64, now: Instant) {
         self.fill(now);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -56,9 +56,9 @@
     /// A caller's connection closed.
     SessionClosed = 2002, Debug, "session_closed";
     /// A request was refused.
-    RequestRefused = 2003, Debug, "request_refused";
+    RequestRefused = 2003, Info, "request_refused";
     /// A request is tried again.
-    RequestRetried = 2004, Debug, "request_retried";
+    RequestRetried = 2004, Info, "request_retried";
     /// The outcome of a request whose answer was lost is known.
     OutcomeSettled = 2005, Info, "outcome_settled";
     /// An answer was dropped because its position does not cover the session.
