--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -489,14 +489,15 @@
         connection: &mut MemberConnection,
         call: &ExecuteCall,
     ) -> Option<Vec<StatementAnswer>> {
-        let prepares = call.pinned && call.setup_count > 0 || connection.setup != call.setup;
-        let mut skipped = 0;
-        if prepares && call.setup_count > 0 {
-            let bytes = [call.setup_bytes.as_slice(), call.bytes.as_slice()].concat();
-            connection.send(&bytes).await.ok()?;
-            skipped = call.setup_count;
+        let prepares = call.pinned || connection.setup != call.setup;
+        let skipped = if prepares { call.setup_count } else { 0 };
+        let setup_bytes = if skipped > 0 { call.setup_bytes.as_slice() } else { &[] };
+        let gated = !call.opening.is_empty();
+        let first = if gated { &call.opening } else { &call.bytes };
+        if setup_bytes.is_empty() {
+            connection.send(first).await.ok()?;
         } else {
-            connection.send(&call.bytes).await.ok()?;
+            connection.send(&[setup_bytes, first].concat()).await.ok()?;
         }
         if !call.pinned {
             connection.setup = call.setup;
@@ -507,6 +508,18 @@
                 connection.setup = UNKNOWN_SETUP;
             }
         }
+        if gated {
+            let opened = self.watched_answer(pool, connection, call).await?;
+            if opened.error.is_some() {
+                return Some(vec![opened]);
+            }
+            connection.send(&call.bytes).await.ok()?;
+            let mut answers = vec![opened];
+            for _ in 0..call.count {
+                answers.push(self.watched_answer(pool, connection, call).await?);
+            }
+            return Some(answers);
+        }
         let mut answers = Vec::with_capacity(call.count.into());
         for _ in 0..call.count {
             answers.push(self.watched_answer(pool, connection, call).await?);
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -59,11 +59,15 @@
     pub setup_bytes: Vec<u8>,
     /// Number of statements in `setup_bytes`.
     pub setup_count: u8,
+    /// Statement that opens a transaction and must succeed before the others are sent; may be empty.
+    ///
+    /// A member that refuses it would run what follows outside of a transaction.
+    pub opening: Vec<u8>,
     /// Statements as sent to the endpoint.
     pub bytes: Vec<u8>,
     /// Number of statements in `bytes`.
     pub count: u8,
-    /// Statement whose success proves that the endpoint leads.
+    /// Answer that proves that the endpoint leads, if it is a success.
     pub proof: Option<u8>,
     /// The statements may be sent again elsewhere if they bring no answer.
     pub repeatable: bool,
--- a/crates/engine/src/operation.rs
+++ b/crates/engine/src/operation.rs
@@ -85,10 +85,14 @@
 }
 
 /// Way in which a statement is sent to an endpoint.
+#[derive(Default)]
 struct StatementShape {
+    /// Opens a transaction; must succeed before the rest is sent.
+    opening: Vec<u8>,
     bytes: Vec<u8>,
+    /// Statements in `bytes`.
     count: u8,
-    /// Statement whose answer is the caller's.
+    /// Answer that is the caller's.
     answer: u8,
     proof: Option<u8>,
     keeps: bool,
@@ -179,14 +183,8 @@
         let mut bytes = Vec::new();
         E::Codec::encode_statement(&mut bytes, context.id, None, context.text);
         let commits = context.plan.commits;
-        let shape = StatementShape {
-            bytes,
-            count: 1,
-            answer: 0,
-            proof: None,
-            keeps: !commits,
-            repeatable: false,
-        };
+        let shape =
+            StatementShape { bytes, count: 1, keeps: !commits, ..StatementShape::default() };
         let mut call = self.build_call(context, &place.endpoint, shape, place.channel);
         call.pinned = true;
         call.setup_bytes.clear();
@@ -314,6 +312,7 @@
             setup,
             setup_bytes,
             setup_count,
+            opening: shape.opening,
             bytes: shape.bytes,
             count: shape.count,
             proof: shape.proof,
@@ -337,39 +336,32 @@
     needed: Option<LogPosition>,
 ) -> StatementShape {
     let plan = context.plan;
-    let mut bytes = Vec::new();
+    let mut shape = StatementShape { count: 1, ..StatementShape::default() };
     let statement = |bytes: &mut Vec<u8>, after| {
         C::encode_statement(bytes, context.id, after, context.text);
     };
     if plan.opens {
         // Only a leader accepts the plain form, so it proves the lead for the whole transaction.
-        let begin = match leads {
-            true => ControlStatement::Begin,
-            false => ControlStatement::BeginRead,
-        };
-        C::encode_control(&mut bytes, begin);
-        // A replica that lacks the position must fail the transaction, not refuse to open it: the
-        // statement that follows at once would run outside of it.
-        let after = if plan.commits { None } else { needed };
-        statement(&mut bytes, after);
-        let (keeps, repeatable) = (!plan.commits, !plan.commits);
-        let proof = leads.then_some(0);
-        return StatementShape { bytes, count: 2, answer: 1, proof, keeps, repeatable };
-    }
-    if plan.writes {
-        statement(&mut bytes, None);
-        let proof = Some(0);
-        return StatementShape { bytes, count: 1, answer: 0, proof, keeps: false, repeatable: false };
-    }
-    if leads {
-        C::encode_control(&mut bytes, ControlStatement::Begin);
-        statement(&mut bytes, None);
-        C::encode_control(&mut bytes, ControlStatement::Rollback);
-        let proof = Some(0);
-        return StatementShape { bytes, count: 3, answer: 1, proof, keeps: false, repeatable: true };
+        let begin = if leads { ControlStatement::Begin } else { ControlStatement::BeginRead };
+        C::encode_control(&mut shape.opening, begin);
+        statement(&mut shape.bytes, if leads || plan.commits { None } else { needed });
+        shape.answer = 1;
+        shape.proof = leads.then_some(0);
+        (shape.keeps, shape.repeatable) = (!plan.commits, !plan.commits);
+    } else if plan.writes {
+        statement(&mut shape.bytes, None);
+        shape.proof = Some(0);
+    } else if leads {
+        C::encode_control(&mut shape.opening, ControlStatement::Begin);
+        statement(&mut shape.bytes, None);
+        C::encode_control(&mut shape.bytes, ControlStatement::Rollback);
+        (shape.count, shape.answer, shape.proof) = (2, 1, Some(0));
+        shape.repeatable = true;
+    } else {
+        statement(&mut shape.bytes, needed);
+        shape.repeatable = true;
     }
-    statement(&mut bytes, needed);
-    StatementShape { bytes, count: 1, answer: 0, proof: None, keeps: false, repeatable: true }
+    shape
 }
 
 /// Decides what the answers to an operation's first statement mean.
