--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -23,15 +23,37 @@
     pub burst: f64,
 }
 
+/// Part of a burst that is admitted at once; the rest is spread over the window of the limit.
+const BURST_PART: f64 = 0.5;
+
+impl TeamLimit {
+    /// Returns rate and burst of a bucket that admits, in any span of `window`, at most what the
+    /// limit allows there: the rate for the whole span and the burst once.
+    ///
+    /// A bucket of the declared rate and burst would admit the burst once in all, and so refuse
+    /// steady load that every window allows.
+    fn shaped(&self, window: Duration) -> (f64, f64) {
+        let at_once = (self.burst * BURST_PART).max(self.burst.min(1.0));
+        let spread = (self.burst - at_once) / window.as_secs_f64().max(1.0);
+        (self.rate + spread, at_once)
+    }
+}
+
 /// Buckets of the teams that an instance counts for.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TeamCounters {
+    window: Duration,
     buckets: HashMap<String, TokenBucket>,
     reach: f64,
     seen_at: Option<Instant>,
 }
 
 impl TeamCounters {
+    /// Creates counters for limits that hold in every span of `window`.
+    pub fn new(window: Duration) -> Self {
+        Self { window, buckets: HashMap::new(), reach: 0.0, seen_at: None }
+    }
+
     /// Notes which part of all registered instances this one reaches, itself included.
     ///
     /// Must be called more often than every [`COUNTING_GAP`]; after a longer pause, such as a
@@ -56,7 +78,8 @@
         full_start: bool,
         now: Instant,
     ) -> Result<Duration, BucketDelay> {
-        let (rate, burst) = (limit.rate * self.reach, (limit.burst * self.reach).max(1.0));
+        let (rate, burst) = limit.shaped(self.window);
+        let (rate, burst) = (rate * self.reach, (burst * self.reach).max(1.0));
         let bucket = match self.buckets.get_mut(team) {
             Some(bucket) => bucket,
             None => {
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -1,8 +1,8 @@
 //! Connections to the endpoints that this instance holds for all instances.
 //!
 //! An endpoint has one holder as long as all instances agree on who is there, so its queue is one
-//! queue and its connections are counted in one place. Whoever asks takes what it can get: two
-//! holders share the endpoint's connections because each takes at most half of them.
+//! queue and its connections are counted in one place. While two instances disagree, the endpoint
+//! refuses what is beyond its own limit, and the refused holder waits.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -25,8 +25,9 @@
 use crate::message::{ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, StatementAnswer};
 use crate::node::{EngineEdge, GatewayNode};
 
-/// Part of an endpoint's connections that one holder takes, as a divisor; two may hold at a time.
-const CONNECTION_SHARE: usize = 2;
+/// Part of an endpoint's connections that its holder leaves free, as a divisor: for probes and for
+/// another holder that takes over.
+const SPARE_CONNECTIONS: usize = 6;
 /// Permits beyond the endpoint's slots: keeps the slots busy during the way of an answer.
 const SPARE_PERMITS: usize = 1;
 /// Time between attempts to reach an endpoint that failed.
@@ -282,7 +283,8 @@
         let entry = directory.endpoint(endpoint)?;
         let document = directory.document();
         let service = document.service(&entry.record.service)?;
-        let limit = (service.connections / CONNECTION_SHARE).max(1);
+        let spare = service.connections / SPARE_CONNECTIONS;
+        let limit = (service.connections - spare).max(1);
         let slots = entry.record.slots.max(1) + SPARE_PERMITS;
         let mut pools = self.holder.pools.borrow_mut();
         if let Some(pool) = pools.get(endpoint).filter(|pool| pool.born_ms == entry.record.born_ms) {
@@ -621,8 +623,11 @@
     ) {
         let state = answers.last().map_or(BlockState::Failed, |answer| answer.state);
         let pinned = PinnedConnection { pool: pool.clone(), team: call.team.clone(), connection };
+        // A refused statement may leave the transaction open, but its caller gives it up.
+        let failed = answers.iter().any(|answer| answer.error.is_some());
+        let kept = call.keeps && !failed && self.holder.is_open(origin);
         match state {
-            BlockState::Open if call.keeps && self.holder.is_open(origin) => {
+            BlockState::Open if kept => {
                 self.holder.pinned.borrow_mut().insert((origin, call.channel), pinned);
             }
             BlockState::Idle => self.rest(pinned),
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -39,6 +39,8 @@
     pub grace: Duration,
     /// Time after which a leaving endpoint gets no new work.
     pub drain_limit: Duration,
+    /// Span in which the limit of a team holds.
+    pub limit_window: Duration,
 }
 
 /// Time after its start during which an instance of a first start may fill buckets.
@@ -83,11 +85,11 @@
             peers: PeerTable::new(settings.record.clone()),
             directory: RefCell::new(directory),
             grace: Cell::new(settings.grace),
+            counters: RefCell::new(TeamCounters::new(settings.limit_window)),
             settings,
             clock,
             platform,
             holder: ConnectionHolder::default(),
-            counters: RefCell::default(),
             changed: Notify::new(),
             started_at,
             callers: Cell::new(0),
