--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -4,7 +4,8 @@
 //! before an operation starts. Load pattern: a team sends several times its rate through every
 //! instance at once, while some instances are cut off. Each side of a partition counts for itself,
 //! with the part of the limit that its instances are of all registered ones, so the sides together
-//! stay within the whole. A bucket starts empty whenever the counter may have missed admissions.
+//! stay within the whole. Tokens of a team over its limit go to its urgent operations first: the
+//! others leave a part of the bucket to them. A bucket starts empty whenever the counter may have missed admissions.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -23,6 +24,13 @@
     pub burst: f64,
 }
 
+/// Part of the bucket that operations of one urgency leave to those of the next higher one.
+const URGENT_PART: f64 = 0.2;
+/// Higher urgencies for which tokens are kept.
+const KEPT_RANKS: usize = 2;
+/// Longest wait for a token; the same for all, so that patience gives nobody precedence.
+pub const LIMIT_PATIENCE: Duration = Duration::from_millis(60);
+
 /// Part of a burst that is admitted at once; the rest is spread over the window of the limit.
 const BURST_PART: f64 = 0.5;
 
@@ -69,11 +77,13 @@
     /// Takes one operation of a team and returns the time after which it may start, or tells when
     /// another one would pass if that is longer than `patience`.
     ///
+    /// `rank` is the number of urgencies above that of the operation.
     /// `full_start` lets a bucket that is new start full: nothing was admitted before.
     pub fn take(
         &mut self,
         team: &str,
         limit: TeamLimit,
+        rank: usize,
         patience: Duration,
         full_start: bool,
         now: Instant,
@@ -91,7 +101,8 @@
             }
         };
         bucket.resize(rate, burst, now);
-        bucket.reserve(1.0, patience, now)
+        let floor = burst * URGENT_PART * rank.min(KEPT_RANKS) as f64;
+        bucket.reserve(1.0, floor, patience, now)
     }
 
     /// Forgets buckets of teams for which this instance no longer counts.
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -1,12 +1,13 @@
 //! What an instance knows of document, endpoints, leaders and proved positions.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use coord::marks::{MarkRing, ProvedMark};
 use coord::placement::{EndpointView, ReadCandidate, order_for_read};
 use coord::quota::TeamLimit;
+use coord::urgency::UrgencyLevel;
 use state::position::LogPosition;
 
 use crate::record::{EndpointRecord, FleetDocument, RouteRecord, ServiceRecord};
@@ -26,6 +27,7 @@
     services: HashMap<String, ServiceRecord>,
     teams_by_key: HashMap<String, Rc<str>>,
     limits: HashMap<String, Option<TeamLimit>>,
+    levels: BTreeSet<UrgencyLevel>,
 }
 
 impl DocumentIndex {
@@ -37,6 +39,7 @@
             teams_by_key.extend(team.keys.into_iter().map(|key| (key, name.clone())));
             limits.insert(team.name, team.limit);
         }
+        let levels = document.routes.iter().map(|route| route.level).collect();
         let routes = document.routes.into_iter();
         let services = document.services.into_iter();
         Self {
@@ -46,6 +49,7 @@
             services: services.map(|service| (service.name.clone(), service)).collect(),
             teams_by_key,
             limits,
+            levels,
         }
     }
 
@@ -64,6 +68,11 @@
         self.limits.get(team).copied().flatten()
     }
 
+    /// Returns how many urgencies above `level` the routes have.
+    pub fn rank(&self, level: UrgencyLevel) -> usize {
+        self.levels.iter().filter(|other| **other < level).count()
+    }
+
     /// Returns a service.
     pub fn service(&self, name: &str) -> Option<&ServiceRecord> {
         self.services.get(name)
--- a/crates/engine/src/limits.rs
+++ b/crates/engine/src/limits.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coord::quota::LIMIT_PATIENCE;
 use coord::rendezvous;
+use coord::urgency::UrgencyLevel;
 use tokio::time::sleep;
 
 use crate::message::CountAnswer;
@@ -22,11 +24,17 @@
     /// Admits an operation of a team, or tells after which time it could be admitted.
     ///
     /// A short wait for the next token is spent here, up to `patience`.
-    pub async fn admit(self: &Rc<Self>, team: &str, patience: Duration) -> Result<(), Duration> {
+    pub async fn admit(
+        self: &Rc<Self>,
+        team: &str,
+        level: UrgencyLevel,
+        patience: Duration,
+    ) -> Result<(), Duration> {
+        let patience = patience.min(LIMIT_PATIENCE);
         if self.directory.borrow().document().limit(team).is_none() {
             return Ok(());
         }
-        match self.count(team, patience).await {
+        match self.count(team, level, patience).await {
             CountAnswer::Admitted { after } if after.is_zero() => Ok(()),
             CountAnswer::Admitted { after } => {
                 sleep(after).await;
@@ -37,12 +45,13 @@
     }
 
     /// Counts an operation here, as the counter of its team.
-    pub fn count_here(&self, team: &str, patience: Duration) -> CountAnswer {
-        let Some(limit) = self.directory.borrow().document().limit(team) else {
+    pub fn count_here(&self, team: &str, level: UrgencyLevel, patience: Duration) -> CountAnswer {
+        let document = self.directory.borrow().document();
+        let Some(limit) = document.limit(team) else {
             return CountAnswer::Admitted { after: Duration::ZERO };
         };
         let (first, now) = (self.is_first_start(), self.now());
-        match self.counters.borrow_mut().take(team, limit, patience, first, now) {
+        match self.counters.borrow_mut().take(team, limit, document.rank(level), patience, first, now) {
             Ok(after) => CountAnswer::Admitted { after },
             Err(delay) => CountAnswer::Refused { retry: delay.retry_after },
         }
@@ -58,7 +67,12 @@
         }
     }
 
-    async fn count(self: &Rc<Self>, team: &str, patience: Duration) -> CountAnswer {
+    async fn count(
+        self: &Rc<Self>,
+        team: &str,
+        level: UrgencyLevel,
+        patience: Duration,
+    ) -> CountAnswer {
         let names = self.peers.staying(self.is_leaving());
         let order = rendezvous::first(team, names.iter().map(String::as_str), ASKED_COUNTERS);
         for name in order {
@@ -68,10 +82,10 @@
             let Some(link) = self.peers.link(name) else {
                 continue;
             };
-            if let Some(answer) = link.count(team, patience, COUNT_TIMEOUT).await {
+            if let Some(answer) = link.count(team, level, patience, COUNT_TIMEOUT).await {
                 return answer;
             }
         }
-        self.count_here(team, patience)
+        self.count_here(team, level, patience)
     }
 }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -205,6 +205,8 @@
         call: u32,
         /// Team.
         team: String,
+        /// Urgency of the operation.
+        level: UrgencyLevel,
         /// Longest wait for the next token, in milliseconds.
         patience_ms: u32,
     },
--- a/crates/engine/src/operation.rs
+++ b/crates/engine/src/operation.rs
@@ -119,7 +119,7 @@
             return self.run_pinned(context, pinned).await;
         }
         let patience = context.route.target_latency.mul_f64(LIMIT_PART);
-        if let Err(wait) = self.admit(context.team, patience).await {
+        if let Err(wait) = self.admit(context.team, context.route.level, patience).await {
             return not_run("over the limit of the team", wait);
         }
         let began_at = context.plan.began_at;
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -7,6 +7,7 @@
 
 use bytes::BytesMut;
 use coord::placement::{HolderCandidate, order_holders};
+use coord::urgency::UrgencyLevel;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -168,6 +169,7 @@
     pub async fn count(
         &self,
         team: &str,
+        level: UrgencyLevel,
         patience: Duration,
         limit: Duration,
     ) -> Option<CountAnswer> {
@@ -175,7 +177,7 @@
         let call = self.call_number();
         let (sender, receiver) = oneshot::channel();
         self.pending.borrow_mut().count.insert(call, sender);
-        self.send(&PeerRequest::Count { call, team: team.to_owned(), patience_ms });
+        self.send(&PeerRequest::Count { call, team: team.to_owned(), level, patience_ms });
         let answer = timeout(limit, receiver).await;
         self.pending.borrow_mut().count.remove(&call);
         answer.ok()?.ok()
@@ -499,8 +501,9 @@
                 });
             }
             PeerRequest::Release { channel } => self.hold_release(origin, channel),
-            PeerRequest::Count { call, team, patience_ms } => {
-                let answer = self.count_here(&team, Duration::from_millis(patience_ms.into()));
+            PeerRequest::Count { call, team, level, patience_ms } => {
+                let patience = Duration::from_millis(patience_ms.into());
+                let answer = self.count_here(&team, level, patience);
                 output.push(&PeerReply::Count { call, answer });
             }
             PeerRequest::Probe { call, endpoint } => {
--- a/crates/state/src/bucket.rs
+++ b/crates/state/src/bucket.rs
@@ -34,17 +34,20 @@
         Err(BucketDelay { retry_after: self.delay(cost) })
     }
 
-    /// Takes `cost` tokens that are earned within `patience`, and returns the time until then.
+    /// Takes `cost` tokens that are earned within `patience` beyond those kept as `floor`, and
+    /// returns the time until then.
     ///
     /// The tokens are taken at once, so those who wait are served in the order in which they asked.
     pub fn reserve(
         &mut self,
         cost: f64,
+        floor: f64,
         patience: Duration,
         now: Instant,
     ) -> Result<Duration, BucketDelay> {
         self.fill(now);
-        let delay = if self.tokens >= cost { Duration::ZERO } else { self.delay(cost) };
+        let needed = cost + floor;
+        let delay = if self.tokens >= needed { Duration::ZERO } else { self.delay(needed) };
         if delay > patience {
             return Err(BucketDelay { retry_after: delay });
         }
