Let one instance a zone read the store; ping only instances that say nothing; add tests of decisions

Change: the first instance of a zone in rendezvous order follows the tables and pushes changes; copies are compared by version and healed between instances; a status that others must know at once is pushed, so pings can be seldom.

--- /dev/null
+++ b/crates/coord/tests/worst_load.rs
@@ -0,0 +1,239 @@
+//! Replays the load patterns that queue, limits and placement answer.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Choices, check_cases};
+use coord::placement::{
+    EndpointView, HolderCandidate, ReadCandidate, order_for_read, order_holders,
+};
+use coord::queue::QueueRefusal;
+use coord::quota::{LIMIT_PATIENCE, TeamCounters, TeamLimit};
+use coord::urgency::UrgencyQueue;
+use state::position::LogPosition;
+
+/// Names a test and gives it the time at which its load starts.
+macro_rules! load_case {
+    ($name:ident, $start:ident => $body:block) => {
+        #[test]
+        fn $name() {
+            let $start = Instant::now();
+            $body
+        }
+    };
+}
+
+const WINDOW: Duration = Duration::from_secs(5);
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Runs a queue of one permit held for 10 ms each under `arrivals` (level, team) a millisecond
+/// apart, and returns the order in which they start; refused ones are missing.
+fn serve(arrivals: &[(u8, u32)], patience: Duration, start: Instant) -> Vec<usize> {
+    let mut queue = UrgencyQueue::new(1);
+    let mut started = Vec::new();
+    let mut running: Option<(u8, u32, Instant)> = None;
+    let mut expired = Vec::new();
+    let end = arrivals.len() as u64 + 10 * arrivals.len() as u64 + 50;
+    for tick in 0..end {
+        let now = start + millis(tick);
+        if let Some((level, team, since)) = running.take_if(|(_, _, since)| now - *since >= millis(10)) {
+            queue.release(level, team, now - since);
+            if let Some(index) = queue.pop(now, &mut expired) {
+                let (level, team) = arrivals[index];
+                started.push(index);
+                running = Some((level, team, now));
+            }
+        }
+        if let Some((level, team)) = arrivals.get(tick as usize) {
+            if queue.try_take(*level) {
+                started.push(tick as usize);
+                running = Some((*level, *team, now));
+            } else if queue.push(*level, *team, tick as usize, now + patience, now).is_err() {
+                expired.push(tick as usize);
+            }
+        }
+    }
+    started
+}
+
+load_case!(urgent_requests_pass_a_queue_of_others, start => {
+    let mut arrivals = vec![(2, 1); 20];
+    arrivals.push((1, 2));
+    let started = serve(&arrivals, millis(10_000), start);
+    let place = started.iter().position(|index| *index == 20).expect("it runs");
+    assert!(place <= 3, "the urgent request started as number {place} of {started:?}");
+});
+
+load_case!(a_flooding_team_does_not_delay_another_of_the_same_urgency, start => {
+    let mut arrivals = vec![(1, 1); 30];
+    arrivals.push((1, 2));
+    let started = serve(&arrivals, millis(10_000), start);
+    let place = started.iter().position(|index| *index == 30).expect("it runs");
+    assert!(place <= 5, "the other team started as number {place}");
+});
+
+load_case!(requests_that_would_start_too_late_are_refused_on_arrival, start => {
+    let arrivals = vec![(1, 1); 60];
+    let started = serve(&arrivals, millis(100), start);
+    // 60 requests of 10 ms come within 60 ms; about ten can start within 100 ms of their arrival.
+    assert!((8..=18).contains(&started.len()), "{} started", started.len());
+});
+
+load_case!(a_refusal_states_the_wait, start => {
+    let mut queue = UrgencyQueue::new(1);
+    assert!(queue.try_take(1));
+    for index in 0..5 {
+        queue.push(1, 1, index, start + millis(10_000), start).expect("there is time");
+    }
+    let refused = queue.push(1, 1, 9, start + millis(1), start);
+    match refused {
+        Err(QueueRefusal::Late { expected }) => assert!(expected >= millis(50), "{expected:?}"),
+        other => panic!("{other:?}"),
+    }
+});
+
+/// Admissions of a team never exceed its limit in any window, whoever asks and whatever the reach.
+#[test]
+fn no_window_admits_more_than_the_limit() {
+    check_cases(300, 400, |choices: &mut Choices| {
+        let start = Instant::now();
+        let limit =
+            TeamLimit { rate: 5.0 + choices.below(60) as f64, burst: 1.0 + choices.below(60) as f64 };
+        let mut counters = TeamCounters::new(WINDOW);
+        let mut starts: Vec<Duration> = Vec::new();
+        let mut now = Duration::ZERO;
+        counters.observe(1, 1, start);
+        while !choices.is_done() {
+            now += millis(choices.below(60) as u64);
+            counters.observe(1, 1, start + now);
+            for _ in 0..choices.below(12) {
+                let rank = choices.below(3);
+                if let Ok(after) =
+                    counters.take("team", limit, rank, LIMIT_PATIENCE, true, start + now)
+                {
+                    starts.push(now + after);
+                }
+            }
+        }
+        starts.sort();
+        for (index, first) in starts.iter().enumerate() {
+            let within = starts[index..].iter().take_while(|at| **at < *first + WINDOW).count();
+            let allowed = limit.rate * WINDOW.as_secs_f64() + limit.burst + 1.0;
+            assert!(within as f64 <= allowed, "{within} of {allowed} after {first:?}");
+        }
+    });
+}
+
+load_case!(sides_of_a_partition_stay_within_the_limit_together, start => {
+    let limit = TeamLimit { rate: 40.0, burst: 40.0 };
+    let mut admitted = 0;
+    for (reached, registered) in [(6, 9), (1, 9), (1, 9), (1, 9)] {
+        let mut counters = TeamCounters::new(WINDOW);
+        for tick in 0..500 {
+            let now = start + millis(10 * tick);
+            counters.observe(reached, registered, now);
+            for _ in 0..5 {
+                admitted += usize::from(counters.take("team", limit, 0, Duration::ZERO, false, now).is_ok());
+            }
+        }
+    }
+    assert!(admitted as f64 <= limit.rate * 5.0 + limit.burst, "{admitted}");
+});
+
+load_case!(a_counter_that_was_suspended_starts_empty, start => {
+    let limit = TeamLimit { rate: 1.0, burst: 50.0 };
+    let mut counters = TeamCounters::new(WINDOW);
+    counters.observe(1, 1, start);
+    assert!(counters.take("team", limit, 0, Duration::ZERO, true, start).is_ok());
+    let woken = start + millis(4_000);
+    counters.observe(1, 1, woken);
+    assert!(counters.take("team", limit, 0, Duration::ZERO, false, woken).is_err());
+});
+
+load_case!(a_team_over_its_limit_keeps_tokens_for_urgent_operations, start => {
+    let limit = TeamLimit { rate: 20.0, burst: 20.0 };
+    let mut counters = TeamCounters::new(WINDOW);
+    let (mut urgent, mut other) = (0, 0);
+    for tick in 0..1_000_u64 {
+        let now = start + millis(10 * tick);
+        counters.observe(1, 1, now);
+        // Fifty others a second and five urgent ones, against twenty tokens.
+        if tick % 2 == 0 {
+            other += usize::from(counters.take("team", limit, 1, Duration::ZERO, true, now).is_ok());
+        }
+        if tick % 20 == 0 {
+            urgent += usize::from(counters.take("team", limit, 0, Duration::ZERO, true, now).is_ok());
+        }
+    }
+    assert_eq!(urgent, 50, "every urgent operation passes");
+    assert!(other >= 140, "the others get the rest, {other}");
+});
+
+fn candidate(near: bool, leads: bool, queue_ms: u64, index: u64, now: Instant) -> ReadCandidate {
+    let view = EndpointView {
+        position: Some((LogPosition::new(1, index), now)),
+        queue: Some((millis(queue_ms), now)),
+        ..EndpointView::default()
+    };
+    ReadCandidate { view, near, leads }
+}
+
+load_case!(reads_leave_a_full_replica_nearby, start => {
+    let needed = Some(LogPosition::new(1, 10));
+    let near_full = candidate(true, false, 80, 10, start);
+    let far_free = candidate(false, false, 0, 10, start);
+    let leader = candidate(false, true, 0, 10, start);
+    assert_eq!(order_for_read(&[near_full, far_free, leader], needed, start), [1, 2, 0]);
+});
+
+load_case!(reads_pass_over_a_replica_that_lags, start => {
+    let needed = Some(LogPosition::new(1, 10));
+    let lagging = candidate(true, false, 0, 4, start);
+    let current = candidate(false, false, 0, 10, start);
+    assert_eq!(order_for_read(&[lagging, current], needed, start)[0], 1);
+});
+
+load_case!(reads_without_a_mark_need_the_leader, start => {
+    let replica = candidate(true, false, 0, 10, start);
+    let leader = candidate(false, true, 50, 10, start);
+    assert_eq!(order_for_read(&[replica, leader], None, start), [1]);
+});
+
+load_case!(an_endpoint_that_failed_comes_last, start => {
+    let mut failed = candidate(true, false, 0, 10, start);
+    failed.view.failed_at = Some(start);
+    let other = candidate(false, false, 30, 10, start);
+    let needed = Some(LogPosition::new(1, 1));
+    assert_eq!(order_for_read(&[failed, other], needed, start), [1, 0]);
+    let later = start + millis(1_000);
+    assert_eq!(order_for_read(&[failed, other], needed, later)[0], 0);
+});
+
+/// Losing one holder moves only what it held, and a near instance goes before a far one.
+#[test]
+fn a_lost_holder_moves_only_its_own_endpoints() {
+    let names: Vec<String> = (0..9).map(|index| format!("instance-{index}")).collect();
+    let near = |name: &str| name.ends_with(['0', '1', '2']);
+    let order = |endpoint: &str, without: &str| {
+        let candidates: Vec<HolderCandidate<'_>> = names
+            .iter()
+            .filter(|name| *name != without)
+            .map(|name| HolderCandidate { name, near: near(name) })
+            .collect();
+        order_holders(endpoint, &candidates).into_iter().map(str::to_owned).collect::<Vec<_>>()
+    };
+    for index in 0..40 {
+        let endpoint = format!("endpoint-{index}");
+        let first = order(&endpoint, "");
+        assert!(near(&first[0]));
+        for lost in &names {
+            let then = order(&endpoint, lost);
+            let expected = if first[0] == *lost { &first[1] } else { &first[0] };
+            assert_eq!(then[0], *expected);
+        }
+    }
+}
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -466,6 +466,7 @@
                     return Err(TakeError::Full);
                 }
                 pool.note_failed(now, &error);
+                self.announced.notify_waiters();
                 Err(TakeError::Unreachable)
             }
         }
@@ -571,6 +572,7 @@
                 pool.note_reached(now);
             } else {
                 pool.note_failed(now, &MemberError::ConnectTimeout);
+                node.announced.notify_waiters();
                 pool.tried_at.set(Some(now));
             }
             pool.probing.set(false);
@@ -596,6 +598,7 @@
             (None, Some(position)) => {
                 let mark = ProvedMark { asked_at, position };
                 if directory.note_leader(&pool.endpoint, mark) {
+                    self.announced.notify_waiters();
                     log_event!(
                         LogEvent::PrimaryChanged,
                         "service={} endpoint={} term={}",
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod record;
 pub mod run;
 pub mod steward;
+pub mod tables;
 pub mod watch;
--- a/crates/engine/src/link.rs
+++ b/crates/engine/src/link.rs
@@ -9,6 +9,7 @@
 use state::position::LogPosition;
 
 use crate::record::{DutyLease, EndpointRecord, FleetDocument, InstanceRecord};
+use crate::tables::StoredRow;
 
 /// Failure of a call to the platform.
 #[derive(Debug, Snafu)]
@@ -37,7 +38,7 @@
 }
 
 /// Table that instances follow.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub enum WatchedTable {
     /// Holds the document in force.
     Document,
@@ -45,6 +46,11 @@
     Endpoints,
 }
 
+impl WatchedTable {
+    /// All tables.
+    pub const ALL: [Self; 2] = [Self::Document, Self::Endpoints];
+}
+
 /// Change of one watched row.
 #[derive(Clone, Debug)]
 pub enum RowChange {
@@ -65,10 +71,10 @@
 
 /// Rows of a table or changes to it, with the version from which to follow.
 #[derive(Clone, Debug)]
-pub struct TableChanges {
-    /// Changes in order.
-    pub changes: Vec<RowChange>,
-    /// Version up to which the changes reach.
+pub struct TableRows {
+    /// Rows in the order of their keys or of their changes.
+    pub rows: Vec<StoredRow>,
+    /// Version of the store up to which they reach.
     pub version: u64,
 }
 
@@ -112,7 +118,7 @@
     fn read_table(
         &self,
         table: WatchedTable,
-    ) -> impl Future<Output = Result<TableChanges, LinkError>>;
+    ) -> impl Future<Output = Result<TableRows, LinkError>>;
 
     /// Waits up to `wait` for changes after `version`.
     fn follow_table(
@@ -120,7 +126,7 @@
         table: WatchedTable,
         version: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<TableChanges, LinkError>>;
+    ) -> impl Future<Output = Result<TableRows, LinkError>>;
 
     /// Reads the registered instances.
     fn read_instances(&self) -> impl Future<Output = Result<Vec<InstanceRecord>, LinkError>>;
@@ -153,11 +159,8 @@
         token: u64,
     ) -> impl Future<Output = Result<PromotionAnswer, LinkError>>;
 
-    /// Decodes a document that another instance passed on.
-    fn decode_document(&self, bytes: &[u8]) -> Result<FleetDocument, LinkError>;
-
-    /// Returns the document read last as the store holds it.
-    fn document_bytes(&self) -> Vec<u8>;
+    /// Decodes a row; none if it says nothing of interest.
+    fn decode_row(&self, table: WatchedTable, row: &StoredRow) -> Option<RowChange>;
 }
 
 /// Request of a caller.
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -9,8 +9,9 @@
 use snafu::Snafu;
 use state::position::LogPosition;
 
-use crate::link::RefusalCode;
+use crate::link::{RefusalCode, WatchedTable};
 use crate::record::InstanceRecord;
+use crate::tables::StoredRow;
 
 /// Longest message, in bytes; holds a document or an answer of the longest kind.
 const MESSAGE_LIMIT: usize = 4 << 20;
@@ -165,8 +166,8 @@
 pub struct InstanceStatus {
     /// It stops soon and takes no new work from others.
     pub leaving: bool,
-    /// Version of its document.
-    pub document: u64,
+    /// Versions of its copies of the platform's tables, in the order of [`WatchedTable::ALL`].
+    pub tables: [u64; 2],
     /// Fencing token if it is on duty.
     pub duty: Option<u64>,
     /// The store answers it.
@@ -217,10 +218,19 @@
         /// Endpoint.
         endpoint: String,
     },
-    /// Asks for the document.
-    Document {
+    /// Passes on rows that changed.
+    Rows {
+        /// Table.
+        table: WatchedTable,
+        /// Rows in the order of their changes.
+        rows: Vec<StoredRow>,
+    },
+    /// Asks for a table.
+    Table {
         /// Number for the answer.
         call: u32,
+        /// Table.
+        table: WatchedTable,
     },
 }
 
@@ -255,12 +265,14 @@
         /// The endpoint answered.
         reached: bool,
     },
-    /// Answer to [`PeerRequest::Document`].
-    Document {
+    /// Answer to [`PeerRequest::Table`].
+    Table {
         /// Number of the call.
         call: u32,
-        /// Document as the store holds it.
-        bytes: Vec<u8>,
+        /// All rows.
+        rows: Vec<StoredRow>,
+        /// Version of the last change.
+        version: u64,
     },
 }
 
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -17,6 +17,7 @@
 use crate::message::InstanceStatus;
 use crate::peer::PeerTable;
 use crate::record::InstanceRecord;
+use crate::tables::TableCopies;
 
 /// Choice of platform and protocol.
 pub trait EngineEdge: 'static {
@@ -56,14 +57,16 @@
     pub platform: E::Platform,
     /// Document, endpoints, leaders.
     pub directory: RefCell<FleetDirectory>,
+    /// Copies of the platform's tables.
+    pub tables: RefCell<TableCopies>,
     /// Other instances.
     pub peers: PeerTable,
     /// Connections to endpoints.
     pub holder: ConnectionHolder,
     /// Team limits that this instance counts.
     pub counters: RefCell<TeamCounters>,
-    /// Wakes whoever waits for a new leader or endpoint.
-    pub changed: Notify,
+    /// Wakes whoever tells other instances the status.
+    pub announced: Notify,
     /// Open sessions of callers.
     pub callers: Cell<usize>,
     grace: Cell<Duration>,
@@ -90,7 +93,8 @@
             clock,
             platform,
             holder: ConnectionHolder::default(),
-            changed: Notify::new(),
+            tables: RefCell::default(),
+            announced: Notify::new(),
             started_at,
             callers: Cell::new(0),
             leaving_since: Cell::new(None),
@@ -142,6 +146,7 @@
     pub fn leave(&self) {
         self.leaving_since.set(Some(self.now()));
         self.leave_signal.notify_waiters();
+        self.announced.notify_waiters();
     }
 
     /// Waits until the instance is about to stop.
@@ -197,6 +202,7 @@
     /// Records whether this instance is on duty.
     pub fn set_duty(&self, token: Option<u64>) {
         if self.duty.replace(token) != token {
+            self.announced.notify_waiters();
             log_event!(LogEvent::DutyChanged, "token={token:?}");
         }
     }
@@ -206,7 +212,7 @@
         let directory = self.directory.borrow();
         InstanceStatus {
             leaving: self.is_leaving(),
-            document: directory.document().version,
+            tables: self.tables.borrow().versions(),
             duty: self.duty.get(),
             store_reached: self.store_reached.get(),
             failing: self.holder.failing(),
@@ -247,6 +253,5 @@
                 }
             }
         }
-        self.changed.notify_waiters();
     }
 }
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -21,17 +21,22 @@
     decode, encode,
 };
 use crate::node::{EngineEdge, GatewayNode};
-use crate::link::PlatformLink;
+use crate::link::WatchedTable;
 use crate::record::InstanceRecord;
+use crate::tables::StoredRow;
 
 /// Time in which a connection to another instance must open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between attempts to reach another instance.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
-/// Time between signs of life.
-const PING_PERIOD: Duration = Duration::from_millis(250);
-/// Silence after which another instance counts as lost.
-const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+/// Time between looks at which instances must be asked for a sign of life.
+const PING_TICK: Duration = Duration::from_millis(200);
+/// Time without a sign of life after which an instance with no call outstanding is asked for one.
+const IDLE_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time without an answer to a ping after which another instance counts as lost.
+const SILENCE_LIMIT: Duration = Duration::from_millis(500);
+/// Time without a ping after which the caller's side of a connection counts as gone.
+const CALLER_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time for which an instance that cannot be reached stays registered.
 const MOURNING_TIME: Duration = Duration::from_secs(20);
 /// Bytes read at once.
@@ -83,13 +88,39 @@
     }
 }
 
+/// Status as told on one connection.
+#[derive(Debug, Default)]
+struct StatusTeller {
+    told: RefCell<InstanceStatus>,
+    version: Cell<u32>,
+}
+
+impl StatusTeller {
+    /// Takes the present status; tells whether it has changed.
+    fn refresh(&self, status: InstanceStatus) -> bool {
+        let changed = self.version.get() == 0 || *self.told.borrow() != status;
+        if changed {
+            self.version.set(self.version.get() + 1);
+            *self.told.borrow_mut() = status;
+        }
+        changed
+    }
+
+    /// Sends a sign of life, with the status if the other side does not have it.
+    fn tell(&self, output: &OutputQueue, known: u32) {
+        let version = self.version.get();
+        let status = (known != version).then(|| Box::new(self.told.borrow().clone()));
+        output.push(&PeerReply::Pong { version, status });
+    }
+}
+
 /// Calls that wait for an answer.
 #[derive(Debug, Default)]
 struct PendingCalls {
     execute: HashMap<u32, oneshot::Sender<ExecuteReply>>,
     count: HashMap<u32, oneshot::Sender<CountAnswer>>,
     probe: HashMap<u32, oneshot::Sender<bool>>,
-    document: HashMap<u32, oneshot::Sender<Vec<u8>>>,
+    table: HashMap<u32, oneshot::Sender<(Vec<StoredRow>, u64)>>,
 }
 
 /// Connection that this instance opened to another one.
@@ -100,7 +131,11 @@
     output: RefCell<Option<Rc<OutputQueue>>>,
     pending: RefCell<PendingCalls>,
     next_call: Cell<u32>,
+    /// Open connection, whether the other instance has answered on it or not.
+    connection: RefCell<Option<Rc<OutputQueue>>>,
     heard_at: Cell<Option<Instant>>,
+    /// Time of the first ping that was not answered.
+    asked_at: Cell<Option<Instant>>,
     lost_at: Cell<Option<Instant>>,
     status_version: Cell<u32>,
     status: RefCell<InstanceStatus>,
@@ -114,7 +149,9 @@
             output: RefCell::default(),
             pending: RefCell::default(),
             next_call: Cell::new(1),
+            connection: RefCell::default(),
             heard_at: Cell::new(None),
+            asked_at: Cell::new(None),
             lost_at: Cell::new(Some(now)),
             status_version: Cell::new(0),
             status: RefCell::default(),
@@ -132,6 +169,11 @@
         self.status.borrow().clone()
     }
 
+    fn has_calls(&self) -> bool {
+        let pending = self.pending.borrow();
+        !pending.execute.is_empty() || !pending.count.is_empty()
+    }
+
     fn call_number(&self) -> u32 {
         let call = self.next_call.get();
         self.next_call.set(call.wrapping_add(1));
@@ -194,18 +236,23 @@
         reached.ok()?.ok()
     }
 
-    /// Fetches the document of the other instance; none without an answer in time.
-    pub async fn document(&self, limit: Duration) -> Option<Vec<u8>> {
+    /// Fetches the other instance's copy of a table; none without an answer in time.
+    pub async fn table(
+        &self,
+        table: WatchedTable,
+        limit: Duration,
+    ) -> Option<(Vec<StoredRow>, u64)> {
         let call = self.call_number();
         let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().document.insert(call, sender);
-        self.send(&PeerRequest::Document { call });
-        let bytes = timeout(limit, receiver).await;
-        self.pending.borrow_mut().document.remove(&call);
-        bytes.ok()?.ok()
+        self.pending.borrow_mut().table.insert(call, sender);
+        self.send(&PeerRequest::Table { call, table });
+        let answer = timeout(limit, receiver).await;
+        self.pending.borrow_mut().table.remove(&call);
+        answer.ok()?.ok()
     }
 
-    fn send(&self, request: &PeerRequest) {
+    /// Sends a request that brings no answer, or drops it if the other instance is not connected.
+    pub(crate) fn send(&self, request: &PeerRequest) {
         if let Some(output) = &*self.output.borrow() {
             output.push(request);
         }
@@ -230,8 +277,8 @@
             PeerReply::Probe { call, reached } => {
                 pending.probe.remove(&call).map(|sender| sender.send(reached).ok());
             }
-            PeerReply::Document { call, bytes } => {
-                pending.document.remove(&call).map(|sender| sender.send(bytes).ok());
+            PeerReply::Table { call, rows, version } => {
+                pending.table.remove(&call).map(|sender| sender.send((rows, version)).ok());
             }
         }
     }
@@ -348,12 +395,13 @@
         output.push(&PeerRequest::Hello(self.settings.record.clone()));
         link.heard_at.set(None);
         link.status_version.set(0);
-        let opened_at = self.now();
+        link.asked_at.set(None);
+        *link.connection.borrow_mut() = Some(output.clone());
         tokio::select! {
             () = output.drain(writer) => {}
             () = self.read_link(link, &output, reader) => {}
-            () = self.ping_link(link, &output, opened_at) => {}
         }
+        *link.connection.borrow_mut() = None;
         close_link(link);
         if link.lost_at.get().is_none() {
             link.lost_at.set(Some(self.now()));
@@ -361,13 +409,31 @@
         }
     }
 
-    async fn ping_link(&self, link: &PeerLink, output: &OutputQueue, opened_at: Instant) {
+    /// Asks the other instances for signs of life, and closes connections that give none.
+    ///
+    /// Those with calls outstanding are asked at every tick, the others seldom: with many
+    /// instances most of them have nothing to say to each other.
+    pub async fn ping_peers(self: Rc<Self>) {
         loop {
-            output.push(&PeerRequest::Ping { known: link.status_version.get() });
-            sleep(PING_PERIOD).await;
-            let heard_at = link.heard_at.get().unwrap_or(opened_at);
-            if self.now().saturating_duration_since(heard_at) > SILENCE_LIMIT {
-                return;
+            sleep(PING_TICK).await;
+            let now = self.now();
+            let links: Vec<Rc<PeerLink>> = self.peers.links.borrow().values().cloned().collect();
+            for link in links {
+                let Some(output) = link.connection.borrow().clone() else {
+                    continue;
+                };
+                let older = |at: Option<Instant>, limit: Duration| {
+                    at.is_some_and(|at| now.saturating_duration_since(at) > limit)
+                };
+                if older(link.asked_at.get(), SILENCE_LIMIT) {
+                    output.close();
+                    continue;
+                }
+                let quiet = link.heard_at.get().is_none() || older(link.heard_at.get(), IDLE_PERIOD);
+                if quiet || link.has_calls() {
+                    output.push(&PeerRequest::Ping { known: link.status_version.get() });
+                    link.asked_at.set(link.asked_at.get().or(Some(now)));
+                }
             }
         }
     }
@@ -401,6 +467,7 @@
 
     fn hear(&self, link: &PeerLink, output: &Rc<OutputQueue>) {
         link.heard_at.set(Some(self.now()));
+        link.asked_at.set(None);
         if link.lost_at.take().is_some() {
             *link.output.borrow_mut() = Some(output.clone());
             log_event!(LogEvent::PeerFound, "instance={}", link.record.name);
@@ -440,9 +507,11 @@
         let (reader, writer) = stream.into_split();
         let output = Rc::new(OutputQueue::default());
         let origin = self.holder.open_origin();
+        let teller = StatusTeller::default();
         tokio::select! {
             () = output.drain(writer) => {}
-            () = self.read_peer(origin, &output, reader) => {}
+            () = self.read_peer(origin, &output, &teller, reader) => {}
+            () = self.announce_status(&output, &teller) => {}
         }
         output.close();
         self.close_origin(origin);
@@ -452,15 +521,14 @@
         self: &Rc<Self>,
         origin: u64,
         output: &Rc<OutputQueue>,
+        teller: &StatusTeller,
         mut reader: OwnedReadHalf,
     ) {
         let mut input = BytesMut::new();
-        let mut told = InstanceStatus::default();
-        let mut version = 0;
         loop {
             input.reserve(READ_BYTES);
             // The other side pings; without a sign of life its transactions must not linger.
-            match timeout(4 * SILENCE_LIMIT, reader.read_buf(&mut input)).await {
+            match timeout(CALLER_LIMIT, reader.read_buf(&mut input)).await {
                 Ok(Ok(0) | Err(_)) | Err(_) => return,
                 Ok(Ok(_)) => {}
             }
@@ -475,13 +543,8 @@
                 };
                 match request {
                     PeerRequest::Ping { known } => {
-                        let status = self.status();
-                        if version == 0 || status != told {
-                            version += 1;
-                            told = status;
-                        }
-                        let status = (known != version).then(|| Box::new(told.clone()));
-                        output.push(&PeerReply::Pong { version, status });
+                        teller.refresh(self.status());
+                        teller.tell(output, known);
                     }
                     other => self.take_request(origin, output, other),
                 }
@@ -489,6 +552,17 @@
         }
     }
 
+    /// Tells the status as soon as it changes in a way that others must know at once.
+    async fn announce_status(&self, output: &OutputQueue, teller: &StatusTeller) {
+        loop {
+            self.announced.notified().await;
+            let known = teller.version.get();
+            if teller.refresh(self.status()) {
+                teller.tell(output, known);
+            }
+        }
+    }
+
     fn take_request(self: &Rc<Self>, origin: u64, output: &Rc<OutputQueue>, request: PeerRequest) {
         let (node, output) = (self.clone(), output.clone());
         match request {
@@ -512,8 +586,12 @@
                     output.push(&PeerReply::Probe { call, reached });
                 });
             }
-            PeerRequest::Document { call } => {
-                output.push(&PeerReply::Document { call, bytes: self.platform.document_bytes() });
+            PeerRequest::Rows { table, rows } => self.take_rows(table, rows),
+            PeerRequest::Table { call, table } => {
+                let mut tables = self.tables.borrow_mut();
+                let copy = tables.table(table);
+                let (rows, version) = (copy.rows(), copy.version());
+                output.push(&PeerReply::Table { call, rows, version });
             }
         }
     }
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -43,7 +43,8 @@
         tokio::task::spawn_local(self.clone().watch_table(WatchedTable::Document));
         tokio::task::spawn_local(self.clone().watch_table(WatchedTable::Endpoints));
         tokio::task::spawn_local(self.clone().keep_registered());
-        tokio::task::spawn_local(self.clone().heal_document());
+        tokio::task::spawn_local(self.clone().heal_tables());
+        tokio::task::spawn_local(self.clone().ping_peers());
         tokio::task::spawn_local(self.clone().observe_reach());
         tokio::task::spawn_local(self.clone().serve_duty());
         let node = self.clone();
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -1,26 +1,33 @@
-//! Follows the platform's tables and keeps the own registration there.
+//! Follows the platform's tables, in the store or through another instance, and registers there.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use telemetry::event::LogEvent;
-use telemetry::log_event;
+use coord::rendezvous;
 use tokio::time::sleep;
 
-use crate::link::{LinkError, PlatformLink, RowChange, WatchedTable};
+use crate::link::{LinkError, PlatformLink, WatchedTable};
+use crate::message::PeerRequest;
 use crate::node::{EngineEdge, GatewayNode};
+use crate::tables::StoredRow;
 
 /// Time for which the store is asked to wait for changes; bounds how long a silent connection
 /// goes unnoticed, and costs a call each time.
 const FOLLOW_WAIT: Duration = Duration::from_secs(8);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Time between looks at peers with a newer document.
+/// Time between looks at whether another instance reads the store for this one.
+const DELEGATE_PERIOD: Duration = Duration::from_millis(200);
+/// Time between comparisons with the copies of other instances.
 const HEALING_PERIOD: Duration = Duration::from_millis(300);
-/// Time in which a peer must hand over its document.
-const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time in which a peer must hand over a table.
+const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between readings of the registered instances.
-const INSTANCES_PERIOD: Duration = Duration::from_secs(15);
+const INSTANCES_PERIOD: Duration = Duration::from_secs(12);
+/// Time after the start in which others that start at the same time register.
+const START_TIME: Duration = Duration::from_millis(600);
+/// Subject by which instances of an availability zone order themselves for reading the store.
+const READER_SUBJECT: &str = "reader";
 
 impl<E: EngineEdge> GatewayNode<E> {
     /// Follows a table for good.
@@ -29,7 +36,7 @@
             let version = match self.platform.read_table(table).await {
                 Ok(read) => {
                     self.note_store(true, "");
-                    self.take_table(table, read.changes);
+                    self.take_table(table, read.rows, read.version);
                     read.version
                 }
                 Err(error) => {
@@ -45,13 +52,15 @@
     /// Follows a table until its history is gone.
     async fn follow_from(&self, table: WatchedTable, mut version: u64) {
         loop {
+            while self.is_read_for() {
+                sleep(DELEGATE_PERIOD).await;
+            }
             match self.platform.follow_table(table, version, FOLLOW_WAIT).await {
                 Ok(read) => {
                     self.note_store(true, "");
                     version = read.version.max(version);
-                    for change in read.changes {
-                        self.apply(change);
-                    }
+                    self.pass_on(table, &read.rows);
+                    self.take_rows(table, read.rows);
                 }
                 Err(LinkError::HistoryGone) => return,
                 Err(error) => {
@@ -62,24 +71,48 @@
         }
     }
 
+    /// Tells whether another instance of this availability zone reads the store for this one.
+    fn is_read_for(&self) -> bool {
+        let zone = &self.settings.record.zone;
+        let reads = self.peers.live().into_iter().filter(|peer| {
+            let status = peer.status();
+            peer.record.zone == *zone && status.store_reached && !status.leaving
+        });
+        let names: Vec<String> = reads.map(|peer| peer.record.name.clone()).collect();
+        rendezvous::rank(READER_SUBJECT, self.name(), names.iter().map(String::as_str)) > 0
+    }
+
+    /// Pushes changes to the instances of this availability zone.
+    fn pass_on(&self, table: WatchedTable, rows: &[StoredRow]) {
+        if rows.is_empty() {
+            return;
+        }
+        let zone = &self.settings.record.zone;
+        for peer in self.peers.live().into_iter().filter(|peer| peer.record.zone == *zone) {
+            peer.send(&PeerRequest::Rows { table, rows: rows.to_vec() });
+        }
+    }
+
+    /// Takes changed rows.
+    pub(crate) fn take_rows(&self, table: WatchedTable, rows: Vec<StoredRow>) {
+        let news = self.tables.borrow_mut().table(table).take_changes(rows);
+        self.apply_rows(table, news);
+    }
+
     /// Takes all rows of a table; what is not among them is gone.
-    fn take_table(&self, table: WatchedTable, changes: Vec<RowChange>) {
+    fn take_table(&self, table: WatchedTable, rows: Vec<StoredRow>, version: u64) {
+        let news = self.tables.borrow_mut().table(table).take_all(rows, version);
         if table == WatchedTable::Endpoints {
-            let listed = |name: &String| {
-                changes.iter().any(|change| match change {
-                    RowChange::Endpoint(record) => record.name == *name,
-                    _ => false,
-                })
-            };
-            let known = self.directory.borrow().endpoint_names();
-            let missing: Vec<String> = known.into_iter().filter(|name| !listed(name)).collect();
-            for name in missing {
-                self.apply(RowChange::EndpointGone { name, reason: None });
-            }
             self.directory.borrow_mut().note_endpoints_read();
         }
-        for change in changes {
-            self.apply(change);
+        self.apply_rows(table, news);
+    }
+
+    fn apply_rows(&self, table: WatchedTable, rows: Vec<StoredRow>) {
+        for row in rows {
+            if let Some(change) = self.platform.decode_row(table, &row) {
+                self.apply(change);
+            }
         }
     }
 
@@ -89,6 +122,7 @@
             self.note_store(false, &error.to_string());
             sleep(RETRY_PAUSE).await;
         }
+        let mut pause = START_TIME;
         loop {
             match self.platform.read_instances().await {
                 Ok(records) => records.into_iter().for_each(|record| self.meet(record)),
@@ -98,26 +132,41 @@
                     continue;
                 }
             }
-            sleep(INSTANCES_PERIOD).await;
+            // Instances that start later connect to this one; reading again heals what was missed.
+            sleep(pause).await;
+            pause = INSTANCES_PERIOD;
+            while self.is_read_for() {
+                sleep(INSTANCES_PERIOD).await;
+            }
         }
     }
 
-    /// Takes a newer document from a peer, for when the store does not answer this instance.
-    pub async fn heal_document(self: Rc<Self>) {
+    /// Compares the copies of tables with those of other instances and fetches what is newer.
+    pub async fn heal_tables(self: Rc<Self>) {
+        let mut behind = [false; 2];
         loop {
             sleep(HEALING_PERIOD).await;
             self.directory.borrow_mut().forget_gone(self.now());
-            let own = self.directory.borrow().document().version;
-            let live = self.peers.live();
-            let Some(peer) = live.into_iter().find(|peer| peer.status().document > own) else {
-                continue;
-            };
-            let Some(bytes) = peer.document(DOCUMENT_TIMEOUT).await else {
-                continue;
-            };
-            match self.platform.decode_document(&bytes) {
-                Ok(document) => self.apply(RowChange::Document(document)),
-                Err(error) => log_event!(LogEvent::DocumentRefused, "source=peer cause=\"{error}\""),
+            for (index, table) in WatchedTable::ALL.into_iter().enumerate() {
+                let own = self.tables.borrow().versions()[index];
+                let live = self.peers.live();
+                let newest = live.into_iter().max_by_key(|peer| peer.status().tables[index]);
+                let ahead = newest.filter(|peer| peer.status().tables[index] > own);
+                let Some(peer) = ahead else {
+                    behind[index] = false;
+                    continue;
+                };
+                // What is on its way from the reader needs no healing.
+                if !std::mem::replace(&mut behind[index], true) && own > 0 {
+                    continue;
+                }
+                if let Some((rows, version)) = peer.table(table, TABLE_TIMEOUT).await {
+                    self.tables.borrow_mut().table(table).note_version(version);
+                    self.take_rows(table, rows);
+                    if table == WatchedTable::Endpoints {
+                        self.directory.borrow_mut().note_endpoints_read();
+                    }
+                }
             }
         }
     }
