Share an endpoint's connections between the sides of a partition

Change: a holder takes the part of the connections that its reachable instances are of all; holders that cannot reach an endpoint come last and probe it; writes go only where somebody may lead.

--- a/crates/coord/src/placement.rs
+++ b/crates/coord/src/placement.rs
@@ -120,3 +120,17 @@
     });
     order.into_iter().map(|candidate| candidate.name).collect()
 }
+
+/// Part of an endpoint's connections that its holders leave free, as a divisor: for probes and for
+/// the moments in which two instances take themselves for the holder.
+const SPARE_CONNECTIONS: usize = 6;
+
+/// Returns the connections that a holder may open to an endpoint which takes `connections`.
+///
+/// Load pattern: a partition leaves several holders of one endpoint, and each opens what it needs
+/// until the endpoint resets whatever is beyond its cap. Each side takes the part that its
+/// instances are of all registered ones, `reach`, so the sides together stay within the cap.
+pub fn connection_limit(connections: usize, reach: f64) -> usize {
+    let usable = connections - connections / SPARE_CONNECTIONS;
+    ((usable as f64 * reach) as usize).max(1)
+}
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -74,6 +74,11 @@
         self.reach = reached.min(registered) as f64 / registered.max(1) as f64;
     }
 
+    /// Returns the part of all registered instances that this one reaches, itself included.
+    pub fn reach(&self) -> f64 {
+        self.reach
+    }
+
     /// Takes one operation of a team and returns the time after which it may start, or tells when
     /// another one would pass if that is longer than `patience`.
     ///
--- a/crates/coord/tests/worst_load.rs
+++ b/crates/coord/tests/worst_load.rs
@@ -6,7 +6,7 @@
 
 use common::{Choices, check_cases};
 use coord::placement::{
-    EndpointView, HolderCandidate, ReadCandidate, order_for_read, order_holders,
+    EndpointView, HolderCandidate, ReadCandidate, connection_limit, order_for_read, order_holders,
 };
 use coord::queue::QueueRefusal;
 use coord::quota::{LIMIT_PATIENCE, TeamCounters, TeamLimit};
@@ -237,3 +237,13 @@
         }
     }
 }
+
+load_case!(sides_of_a_partition_share_the_connections, _start => {
+    for (connections, sides) in [(23, vec![6, 1, 1, 1]), (34, vec![8, 1]), (62, vec![40, 30, 19])] {
+        let registered: usize = sides.iter().sum();
+        let part = |side: &usize| connection_limit(connections, *side as f64 / registered as f64);
+        let held: usize = sides.iter().map(part).sum();
+        assert!(held <= connections, "{held} of {connections} by {sides:?}");
+    }
+    assert!(connection_limit(23, 1.0) >= 18, "one holder has nearly all");
+});
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -288,33 +288,52 @@
 
     /// Returns the endpoint that leads a service as far as this instance knows.
     pub fn leader(&self, service: &str, now: Instant) -> Option<String> {
-        let knowledge = self.services.get(service)?;
-        let proved = knowledge.leader.as_ref().map(|(endpoint, _)| endpoint);
-        let trusted = |name: &&String| {
-            self.endpoints.get(*name).is_some_and(|entry| !entry.view.is_follower(now))
-        };
-        let registered = knowledge.members.iter().find(|name| {
-            self.endpoints[*name].record.leads && !self.endpoints[*name].view.is_follower(now)
-        });
-        proved.filter(trusted).or(registered).cloned()
+        let claims = self.order_of_claims(service, now);
+        claims.into_iter().find(|name| !self.endpoints[*name].view.is_follower(now)).cloned()
     }
 
     /// Returns the endpoints to try for a write, best first.
+    ///
+    /// Others than those known or registered to lead are tried only if all of these say that they
+    /// do not lead: a leader that cannot be reached is still the only one that may take a write.
     pub fn order_for_write(&self, service: &str, now: Instant) -> Vec<String> {
-        let leader = self.leader(service, now);
         let usable = |name: &&String| self.endpoints[*name].is_usable(self.drain_limit, now);
-        let mut order: Vec<&String> = self.members(service).iter().filter(usable).collect();
+        let claims: Vec<&String> =
+            self.order_of_claims(service, now).into_iter().filter(usable).collect();
+        let led = claims.iter().any(|name| !self.endpoints[*name].view.is_follower(now));
+        let mut order: Vec<String> = claims.iter().map(|name| (*name).clone()).collect();
+        if !led {
+            let mut others: Vec<&String> = self
+                .members(service)
+                .iter()
+                .filter(usable)
+                .filter(|name| !claims.contains(name))
+                .collect();
+            others.sort_by_key(|name| {
+                let entry = &self.endpoints[*name];
+                (entry.view.is_follower(now), !entry.stays(), entry.view.is_avoided(now))
+            });
+            order.extend(others.into_iter().cloned());
+        }
+        order
+    }
+
+    /// Returns the endpoints known or registered to lead, the most credible first.
+    fn order_of_claims(&self, service: &str, now: Instant) -> Vec<&String> {
+        let Some(knowledge) = self.services.get(service) else {
+            return Vec::new();
+        };
+        let proved = knowledge.leader.as_ref().map(|(endpoint, _)| endpoint);
+        let claims = |name: &&String| {
+            self.endpoints[*name].record.leads || proved.is_some_and(|leader| leader == *name)
+        };
+        let mut order: Vec<&String> = knowledge.members.iter().filter(claims).collect();
         order.sort_by_key(|name| {
             let entry = &self.endpoints[*name];
-            (
-                leader.as_ref() != Some(*name),
-                entry.view.is_follower(now),
-                entry.view.is_avoided(now),
-                !entry.record.leads,
-                !entry.stays(),
-            )
+            // A leader that failed may have been replaced by one that has proved nothing yet.
+            (entry.view.is_follower(now), entry.view.is_avoided(now), proved != Some(*name))
         });
-        order.into_iter().cloned().collect()
+        order
     }
 
     /// Returns the endpoints to try for a read, best first, each with whether it leads.
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -12,6 +12,7 @@
 
 use coord::dialogue::BlockState;
 use coord::marks::ProvedMark;
+use coord::placement::connection_limit;
 use coord::rendezvous;
 use coord::takeover::MemberReport;
 use coord::urgency::{UrgencyLevel, UrgencyQueue};
@@ -25,11 +26,10 @@
 use crate::message::{ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, StatementAnswer};
 use crate::node::{EngineEdge, GatewayNode};
 
-/// Part of an endpoint's connections that its holder leaves free, as a divisor: for probes and for
-/// another holder that takes over.
-const SPARE_CONNECTIONS: usize = 6;
 /// Permits beyond the endpoint's slots: keeps the slots busy during the way of an answer.
 const SPARE_PERMITS: usize = 1;
+/// Time after an endpoint refused a connection for their number until another is tried.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// Time between attempts to reach an endpoint that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Silence of an endpoint with work outstanding after which a fresh connection is tried.
@@ -82,6 +82,7 @@
     tried_at: Cell<Option<Instant>>,
     heard_at: Cell<Option<Instant>>,
     probing: Cell<bool>,
+    refused_at: Cell<Option<Instant>>,
 }
 
 /// Permit to run at an endpoint; given back when dropped.
@@ -253,6 +254,11 @@
         let now = self.now();
         let pools: Vec<Rc<EndpointPool>> = self.holder.pools.borrow().values().cloned().collect();
         for pool in pools {
+            if pool.failing_since.get().is_some() {
+                // Others hold its connections meanwhile, so no request tells when it is back.
+                self.probe_endpoint(&pool);
+            }
+            self.resize_pool(&pool);
             let entry_born =
                 self.directory.borrow().endpoint(&pool.endpoint).map(|entry| entry.record.born_ms);
             let held_here = entry_born.is_some()
@@ -268,6 +274,11 @@
                 true
             });
             pool.open.set(pool.open.get().saturating_sub(closed.len()));
+            while pool.open.get() > pool.limit.get()
+                && let Some(idle) = take_oldest_idle(&pool)
+            {
+                pool.close(idle.connection);
+            }
             if !closed.is_empty() {
                 pool.freed.notify_one();
             }
@@ -278,18 +289,25 @@
         }
     }
 
+    /// Brings limit and permits of a pool in line with document, registration and reach.
+    fn resize_pool(&self, pool: &EndpointPool) {
+        let directory = self.directory.borrow();
+        let document = directory.document();
+        let reach = self.counters.borrow().reach();
+        if let Some(service) = document.service(&pool.service) {
+            pool.limit.set(connection_limit(service.connections, reach));
+        }
+        if let Some(entry) = directory.endpoint(&pool.endpoint) {
+            pool.queue.borrow_mut().resize(entry.record.slots.max(1) + SPARE_PERMITS);
+        }
+    }
+
+    /// Returns the pool of a registered endpoint; a restarted endpoint gets a new one.
     fn pool(&self, endpoint: &str) -> Option<Rc<EndpointPool>> {
         let directory = self.directory.borrow();
         let entry = directory.endpoint(endpoint)?;
-        let document = directory.document();
-        let service = document.service(&entry.record.service)?;
-        let spare = service.connections / SPARE_CONNECTIONS;
-        let limit = (service.connections - spare).max(1);
-        let slots = entry.record.slots.max(1) + SPARE_PERMITS;
         let mut pools = self.holder.pools.borrow_mut();
         if let Some(pool) = pools.get(endpoint).filter(|pool| pool.born_ms == entry.record.born_ms) {
-            pool.limit.set(limit);
-            pool.queue.borrow_mut().resize(slots);
             return Some(pool.clone());
         }
         let pool = Rc::new(EndpointPool {
@@ -297,16 +315,18 @@
             service: entry.record.service.clone(),
             address: entry.record.address,
             born_ms: entry.record.born_ms,
-            queue: RefCell::new(UrgencyQueue::new(slots)),
+            queue: RefCell::new(UrgencyQueue::new(1)),
             idle: RefCell::default(),
             open: Cell::new(0),
-            limit: Cell::new(limit),
+            limit: Cell::new(1),
             freed: Notify::new(),
             failing_since: Cell::new(None),
             tried_at: Cell::new(None),
             heard_at: Cell::new(None),
             probing: Cell::new(false),
+            refused_at: Cell::new(None),
         });
+        self.resize_pool(&pool);
         pools.insert(endpoint.to_owned(), pool.clone());
         Some(pool)
     }
@@ -427,7 +447,9 @@
                     }
                 }
             }
-            if pool.open.get() < pool.limit.get() {
+            let refused = |at: Instant| now.saturating_duration_since(at) < FULL_PAUSE;
+            let full = pool.refused_at.get().is_some_and(refused);
+            if pool.open.get() < pool.limit.get() && !full {
                 return self.open_connection(pool, &call.team).await;
             }
             if let Some(idle) = take_oldest_idle(pool) {
@@ -463,6 +485,7 @@
                 if let MemberError::Refused { code: RefusalCode::TooManyConnections | RefusalCode::Busy } =
                     error
                 {
+                    pool.refused_at.set(Some(now));
                     return Err(TakeError::Full);
                 }
                 pool.note_failed(now, &error);
@@ -560,16 +583,23 @@
     fn probe_silent(self: &Rc<Self>, pool: &Rc<EndpointPool>) {
         let now = self.now();
         let heard = |at: Instant| now.saturating_duration_since(at) < SILENCE_TIME;
-        if pool.probing.get() || pool.heard_at.get().is_some_and(heard) {
+        if !pool.heard_at.get().is_some_and(heard) {
+            self.probe_endpoint(pool);
+        }
+    }
+
+    /// Tries a fresh connection to an endpoint.
+    fn probe_endpoint(self: &Rc<Self>, pool: &Rc<EndpointPool>) {
+        if pool.probing.replace(true) {
             return;
         }
-        pool.probing.set(true);
         let (node, pool) = (self.clone(), pool.clone());
         tokio::task::spawn_local(async move {
             let reached = node.probe_member(&pool.endpoint).await.is_some();
             let now = node.now();
             if reached {
                 pool.note_reached(now);
+                node.announced.notify_waiters();
             } else {
                 pool.note_failed(now, &MemberError::ConnectTimeout);
                 node.announced.notify_waiters();
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -342,10 +342,20 @@
 
 impl<E: EngineEdge> GatewayNode<E> {
     /// Returns the instances that may hold an endpoint's connections, the first choice first.
+    ///
+    /// Those that cannot reach it come last, so that all instances agree on another one.
     pub fn holders_of(&self, endpoint: &str) -> Vec<String> {
         let directory = self.directory.borrow();
         let zone = directory.endpoint(endpoint).map_or("", |entry| entry.record.zone.as_str());
-        self.peers.holders(endpoint, zone, self.is_leaving())
+        let mut holders = self.peers.holders(endpoint, zone, self.is_leaving());
+        holders.sort_by_key(|name| {
+            if name == self.name() {
+                return self.holder.failing_since(endpoint).is_some();
+            }
+            let link = self.peers.link(name);
+            link.is_some_and(|link| link.status.borrow().failing.iter().any(|name| name == endpoint))
+        });
+        holders
     }
 
     /// Connects to an instance that was heard of.
--- a/crates/engine/src/steward.rs
+++ b/crates/engine/src/steward.rs
@@ -31,6 +31,10 @@
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(450);
 /// Other instances asked whether they reach a leader.
 const WITNESSES: usize = 2;
+/// Looks at a promoted member before it is left to others to find that it leads.
+const PROMOTION_LOOKS: usize = 12;
+/// Time between those looks; a promotion takes some hundred milliseconds.
+const PROMOTION_PAUSE: Duration = Duration::from_millis(100);
 /// Subject by which instances order themselves for the duty.
 const DUTY_SUBJECT: &str = "promotion";
 
@@ -275,7 +279,22 @@
                 "service={service} endpoint={name} cause={cause:?} was={was} reports={reports:?}"
             );
             machine.borrow_mut().note_call(now);
-            self.call_promotion(service, name, held).await;
+            if self.call_promotion(service, name, held).await {
+                self.await_leader(name).await;
+            }
+        }
+    }
+
+    /// Looks for a promoted member to lead, so that others learn of it without the store.
+    async fn await_leader(&self, endpoint: &str) {
+        for _ in 0..PROMOTION_LOOKS {
+            sleep(PROMOTION_PAUSE).await;
+            let members = [endpoint.to_owned()];
+            let reports = [self.probe_member(endpoint).await];
+            if self.note_reports(&members, &reports).is_some() {
+                self.announced.notify_waiters();
+                return;
+            }
         }
     }
 
@@ -329,7 +348,12 @@
         false
     }
 
-    async fn call_promotion(&self, service: &str, endpoint: &str, held: &RefCell<HeldLease>) {
+    async fn call_promotion(
+        &self,
+        service: &str,
+        endpoint: &str,
+        held: &RefCell<HeldLease>,
+    ) -> bool {
         if held.borrow().spent {
             let (version, token, runs_until) = {
                 let held = held.borrow();
@@ -341,7 +365,7 @@
             self.write_lease(held, version, store_now, token).await;
         }
         let Some(token) = self.duty() else {
-            return;
+            return false;
         };
         let called = self.platform.promote(service, endpoint, self.name(), token).await;
         let outcome = match &called {
@@ -359,6 +383,7 @@
             LogEvent::PromotionEnded,
             "service={service} endpoint={endpoint} token={token} outcome=\"{outcome}\""
         );
+        matches!(called, Ok(PromotionAnswer::Accepted))
     }
 }
 
