--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,5 @@
+//! Stand-ins for the users' platform: members that speak the line protocol, store, promotion.
+
+pub mod group;
+pub mod member;
+pub mod store;
--- /dev/null
+++ b/crates/standin/src/fleet/store.rs
@@ -0,0 +1,241 @@
+//! The platform's store and promotion service, with faults.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use axum::extract::{Query, State};
+use axum::http::{HeaderMap, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+use super::group::LineGroup;
+
+/// Time that a promotion takes to come into force.
+const PROMOTION_TIME: Duration = Duration::from_millis(60);
+
+/// Row; without a value once it was removed.
+#[derive(Clone, Debug)]
+struct KeptRow {
+    table: String,
+    key: String,
+    value: Option<Vec<u8>>,
+    version: u64,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    rows: Vec<KeptRow>,
+    version: u64,
+    history_start: u64,
+    down: bool,
+    promotions: Vec<(String, String, u64)>,
+}
+
+/// Stand-in for the store and the promotion service.
+#[derive(Clone, Debug)]
+pub struct FleetStore {
+    state: Arc<Mutex<StoreState>>,
+    groups: Arc<Mutex<HashMap<String, LineGroup>>>,
+    changed: Arc<Notify>,
+    started_at: Instant,
+}
+
+impl Default for FleetStore {
+    fn default() -> Self {
+        Self {
+            state: Arc::default(),
+            groups: Arc::default(),
+            changed: Arc::default(),
+            started_at: Instant::now(),
+        }
+    }
+}
+
+impl FleetStore {
+    /// Serves the store on a free loopback port.
+    pub async fn serve(&self) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let router = Router::new()
+            .route("/v1/rows-get", get(rows_get))
+            .route("/v1/rows-feed", get(rows_feed))
+            .route("/v1/rows-tx", post(rows_tx))
+            .route("/promotion", post(promote))
+            .with_state(self.clone());
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(address)
+    }
+
+    /// Lets the promotion service know a group.
+    pub fn add_group(&self, group: LineGroup) {
+        let service = group.lock().service.clone();
+        self.groups.lock().insert(service, group);
+    }
+
+    /// Writes a row as operator or member.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, Some(value.to_string().into_bytes()));
+    }
+
+    /// Writes a row of any content, or removes it.
+    pub fn put_bytes(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        let mut state = self.state.lock();
+        state.version += 1;
+        let version = state.version;
+        state.rows.retain(|row| row.table != table || row.key != key);
+        state.rows.push(KeptRow { table: table.to_owned(), key: key.to_owned(), value, version });
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Refuses every call, or serves again.
+    pub fn set_down(&self, down: bool) {
+        self.state.lock().down = down;
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets the history of changes.
+    pub fn compact(&self) {
+        let mut state = self.state.lock();
+        state.history_start = state.version;
+    }
+
+    /// Returns the promotions that were called for: service, member, fencing token.
+    pub fn promotions(&self) -> Vec<(String, String, u64)> {
+        self.state.lock().promotions.clone()
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn answer(&self, rows: Vec<Value>) -> Value {
+        let version = self.state.lock().version;
+        json!({ "rows": rows, "has_more": false, "row_version": version, "now_ms": self.now_ms() })
+    }
+}
+
+fn show(row: &KeptRow) -> Value {
+    let mut shown = json!({
+        "table": row.table, "part": "", "key": row.key, "row_version": row.version,
+    });
+    match &row.value {
+        Some(value) => shown["value"] = STANDARD.encode(value).into(),
+        None => shown["tombstone"] = true.into(),
+    }
+    shown
+}
+
+type StoreQuery = Query<HashMap<String, String>>;
+
+fn number(query: &HashMap<String, String>, name: &str) -> u64 {
+    query.get(name).and_then(|text| text.parse().ok()).unwrap_or_default()
+}
+
+async fn rows_get(State(store): State<FleetStore>, Query(query): StoreQuery) -> Response {
+    let rows: Vec<Value> = {
+        let state = store.state.lock();
+        if state.down {
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        }
+        let table = query.get("table").cloned().unwrap_or_default();
+        let kept = |row: &&KeptRow| row.table == table && row.value.is_some();
+        state.rows.iter().filter(kept).map(show).collect()
+    };
+    Json(store.answer(rows)).into_response()
+}
+
+async fn rows_feed(State(store): State<FleetStore>, Query(query): StoreQuery) -> Response {
+    let (after, wait) = (number(&query, "after"), number(&query, "wait_ms"));
+    let table = query.get("table").cloned().unwrap_or_default();
+    let deadline = Instant::now() + Duration::from_millis(wait);
+    loop {
+        let changed = store.changed.notified();
+        let rows: Vec<Value> = {
+            let state = store.state.lock();
+            if state.down {
+                return StatusCode::SERVICE_UNAVAILABLE.into_response();
+            }
+            if after < state.history_start {
+                return StatusCode::GONE.into_response();
+            }
+            let news = |row: &&KeptRow| row.table == table && row.version > after;
+            state.rows.iter().filter(news).map(show).collect()
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        if !rows.is_empty() || left.is_zero() {
+            return Json(store.answer(rows)).into_response();
+        }
+        // Running into the limit is an answer without rows.
+        let _ = tokio::time::timeout(left, changed).await;
+    }
+}
+
+async fn rows_tx(State(store): State<FleetStore>, Json(body): Json<Value>) -> Response {
+    let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
+    let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    {
+        let state = store.state.lock();
+        if state.down {
+            return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        }
+        let holds = |expected: &Value| {
+            let (table, key) = (text(expected, "table"), text(expected, "key"));
+            let found = state.rows.iter().find(|row| row.table == table && row.key == key);
+            let version = found.filter(|row| row.value.is_some()).map_or(0, |row| row.version);
+            expected["row_version"].as_u64() == Some(version)
+        };
+        if !entries("expected").iter().all(holds) {
+            return StatusCode::PRECONDITION_FAILED.into_response();
+        }
+    }
+    for put in entries("puts") {
+        let value = STANDARD.decode(text(&put, "value")).unwrap_or_default();
+        store.put_bytes(&text(&put, "table"), &text(&put, "key"), Some(value));
+    }
+    for delete in entries("deletes") {
+        store.put_bytes(&text(&delete, "table"), &text(&delete, "key"), None);
+    }
+    let version = store.state.lock().version;
+    Json(json!({ "row_version": version, "now_ms": store.now_ms() })).into_response()
+}
+
+async fn promote(
+    State(store): State<FleetStore>,
+    headers: HeaderMap,
+    Json(body): Json<Value>,
+) -> Response {
+    let token = headers
+        .get("Hibiscusworks-Fencing-Token")
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let (Some(token), Some(service), Some(id)) =
+        (token, body["service"].as_str(), body["id"].as_str())
+    else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    {
+        let mut state = store.state.lock();
+        if state.promotions.iter().any(|(known, _, seen)| known == service && *seen > token) {
+            return StatusCode::CONFLICT.into_response();
+        }
+        state.promotions.push((service.to_owned(), id.to_owned(), token));
+    }
+    let Some(group) = store.groups.lock().get(service).cloned() else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    let id = id.to_owned();
+    tokio::spawn(async move {
+        tokio::time::sleep(PROMOTION_TIME).await;
+        group.lock().promote(&id);
+    });
+    StatusCode::OK.into_response()
+}
