Bound the log and count requests, refusals, retries and times

Change: standard output gets a budget of lines a second and is never waited for; refusals and retries carry team, document, wait and cause; counters and a histogram are served for each.

--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -6,8 +6,9 @@
 use coord::dialogue::{
     BlockState, DialogueError, DialogueStep, ForwardPlan, SessionDialogue, StatementClass,
 };
+use metrics::{counter, histogram};
 use telemetry::event::LogEvent;
-use telemetry::log_event;
+use telemetry::{log_event, meter};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -40,7 +41,8 @@
     dialogue: SessionDialogue,
     session: u64,
     pinned: Option<PinnedPlace>,
-    rests_since: Instant,
+    /// Arrival of the statement that is being answered.
+    began_at: Instant,
 }
 
 /// What a session waits for.
@@ -81,7 +83,7 @@
     let (reader, writer) = stream.into_split();
     let mut session = CallerSession {
         session: node.new_session(),
-        rests_since: node.now(),
+        began_at: node.now(),
         node: node.clone(),
         reader,
         writer,
@@ -144,6 +146,7 @@
                     match request {
                         CallerRequest::Terminate => return,
                         CallerRequest::Statement { id, text, class } => {
+                            self.began_at = began_at;
                             let answer = self.answer(&id, &text, &class, began_at).await;
                             if self.write(&answer).await.is_none() {
                                 return;
@@ -159,7 +162,6 @@
                             }
                         }
                     }
-                    self.rests_since = self.node.now();
                 }
                 SessionEvent::RestedTooLong => {
                     log_event!(LogEvent::TransactionExpired, "database={}", self.database);
@@ -275,6 +277,10 @@
             pending,
         };
         let result = self.node.run_statement(&context, self.pinned.as_ref()).await;
+        let class = if plan.read_only { "read" } else { "write" };
+        counter!(meter::REQUESTS, "class" => class).increment(1);
+        let waited = self.node.now().saturating_duration_since(self.began_at);
+        histogram!(meter::REQUEST_SECONDS, "class" => class).record(waited.as_secs_f64());
         match result {
             OperationResult::Success { content, position, place } => {
                 self.dialogue.note_success(plan, position);
@@ -318,11 +324,19 @@
     }
 
     fn log_refusal(&self, id: &str, code: RefusalCode, explanation: &str) {
+        counter!(meter::REFUSALS, "reason" => code.label()).increment(1);
+        let document = self.document();
+        let team = self.key.as_deref().and_then(|key| document.team_of(key));
         log_event!(
             LogEvent::RequestRefused,
-            "request={id} database={} code={code:?} document={} cause=\"{explanation}\"",
+            "request={id} database={} team={} code={} document={} state={:?} waited_ms={} \
+             cause=\"{explanation}\"",
             self.database,
-            self.document().version
+            team.as_deref().unwrap_or(OPEN_TEAM),
+            code.label(),
+            document.version,
+            self.dialogue.state(),
+            self.node.now().saturating_duration_since(self.began_at).as_millis()
         );
     }
 
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -183,6 +183,15 @@
         self.pools.borrow().get(endpoint).and_then(|pool| pool.failing_since.get())
     }
 
+    /// Returns how many requests run or wait at the endpoints held here.
+    pub fn work(&self) -> usize {
+        let work = |pool: &Rc<EndpointPool>| {
+            let queue = pool.queue.borrow();
+            queue.in_use() + queue.waiting_before(UrgencyLevel::MAX)
+        };
+        self.pools.borrow().values().map(work).sum()
+    }
+
     /// Tells whether transactions of other instances or of this one hold connections.
     pub fn has_pinned(&self) -> bool {
         !self.pinned.borrow().is_empty()
--- a/crates/engine/src/link.rs
+++ b/crates/engine/src/link.rs
@@ -221,6 +221,28 @@
     Other,
 }
 
+impl RefusalCode {
+    /// Returns the label of the code in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::Aborted => "aborted",
+            Self::Lagging => "lagging",
+            Self::ReadOnly => "read_only",
+            Self::Misrouted => "misrouted",
+            Self::TooManyConnections => "too_many_connections",
+            Self::Unknown => "unknown",
+            Self::Timeout => "timeout",
+            Self::Failed => "failed",
+            Self::UnknownName => "unknown_name",
+            Self::Malformed => "malformed",
+            Self::UnknownDatabase => "unknown_database",
+            Self::UnknownKey => "unknown_key",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// Line of an endpoint's answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerLine {
--- a/crates/engine/src/operation.rs
+++ b/crates/engine/src/operation.rs
@@ -8,9 +8,10 @@
 
 use coord::dialogue::{ForwardPlan, SessionDialogue};
 use coord::marks::MarkRing;
+use metrics::counter;
 use state::position::LogPosition;
 use telemetry::event::LogEvent;
-use telemetry::log_event;
+use telemetry::{log_event, meter};
 use tokio::time::sleep;
 
 use crate::link::{ControlStatement, RefusalCode, WireCodec};
@@ -320,11 +321,18 @@
         }
     }
 
-    fn log_retry(&self, context: &OperationContext<'_>, endpoint: &str, cause: &str, attempt: usize) {
+    fn log_retry(&self, context: &OperationContext<'_>, endpoint: &str, cause: &'static str, attempt: usize) {
+        counter!(meter::RETRIES, "reason" => cause).increment(1);
+        let waited = self.now().saturating_duration_since(context.plan.began_at);
         log_event!(
             LogEvent::RequestRetried,
-            "request={} endpoint={endpoint} cause={cause} attempt={attempt}",
-            context.id
+            "request={} team={} service={} endpoint={endpoint} cause={cause} attempt={attempt} \
+             waited_ms={} timeout_ms={}",
+            context.id,
+            context.team,
+            context.route.service,
+            waited.as_millis(),
+            context.route.statement_timeout.as_millis()
         );
     }
 }
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use metrics::gauge;
 use snafu::{ResultExt, Snafu};
 use telemetry::event::LogEvent;
-use telemetry::log_event;
+use telemetry::{log_event, meter};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
@@ -52,6 +53,8 @@
             loop {
                 sleep(TIDY_PERIOD).await;
                 node.tidy_connections();
+                gauge!(meter::CALLERS).set(node.callers.get() as f64);
+                gauge!(meter::ENDPOINT_WORK).set(node.holder.work() as f64);
             }
         });
         Ok(())
--- a/crates/engine/src/steward.rs
+++ b/crates/engine/src/steward.rs
@@ -7,8 +7,9 @@
 
 use coord::rendezvous;
 use coord::takeover::{FAILING_TIME, MemberOutlook, MemberReport, TakeoverMachine, TakeoverStep};
+use metrics::counter;
 use telemetry::event::LogEvent;
-use telemetry::log_event;
+use telemetry::{log_event, meter};
 use tokio::time::sleep;
 
 use crate::link::{LeaseWrite, PlatformLink, PromotionAnswer};
@@ -379,6 +380,12 @@
                 error.to_string()
             }
         };
+        let label = match &called {
+            Ok(PromotionAnswer::Accepted) => "accepted",
+            Ok(PromotionAnswer::Rejected) => "rejected",
+            Err(_) => "unanswered",
+        };
+        counter!(meter::PROMOTIONS, "outcome" => label).increment(1);
         log_event!(
             LogEvent::PromotionEnded,
             "service={service} endpoint={endpoint} token={token} outcome=\"{outcome}\""
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -39,6 +39,8 @@
     ProgramFailed = 1003, Error, "program_failed";
     /// The settings file was read again.
     SettingsReloaded = 1004, Info, "settings_reloaded";
+    /// Log lines were left out to bound their volume.
+    LinesLeftOut = 1005, Warn, "lines_left_out";
     /// A document came into force on this instance.
     DocumentInForce = 1101, Info, "document_in_force";
     /// A document was refused by this instance.
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub use log;
 
+pub mod bounded;
 pub mod event;
 pub mod logging;
 pub mod meter;
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -3,6 +3,7 @@
 use clap::{Args, ValueEnum};
 use log::LevelFilter;
 use log4rs::Config;
+use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::config::{Appender, Root};
 use log4rs::encode::Encode;
@@ -10,6 +11,8 @@
 use log4rs::encode::pattern::PatternEncoder;
 use snafu::Snafu;
 
+use crate::bounded::BoundedAppender;
+
 /// Line layout of the plain format.
 const PLAIN_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {t} {m}{n}";
 
@@ -37,7 +40,7 @@
     /// Standard error.
     #[default]
     Stderr,
-    /// Standard output.
+    /// Standard output, bounded and never waiting for its reader.
     Stdout,
 }
 
@@ -67,14 +70,15 @@
         LogFormat::Plain => Box::new(PatternEncoder::new(PLAIN_PATTERN)),
         LogFormat::Json => Box::new(JsonEncoder::new()),
     };
-    let target = match settings.log_target {
-        LogTarget::Stderr => Target::Stderr,
-        LogTarget::Stdout => Target::Stdout,
+    let appender: Box<dyn Append> = match settings.log_target {
+        LogTarget::Stderr => {
+            Box::new(ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build())
+        }
+        LogTarget::Stdout => Box::new(BoundedAppender::new(encoder)),
     };
-    let appender = ConsoleAppender::builder().target(target).encoder(encoder).build();
     let root = Root::builder().appender("console").build(settings.log_level);
     let config = Config::builder()
-        .appender(Appender::builder().build("console", Box::new(appender)))
+        .appender(Appender::builder().build("console", appender))
         .build(root)
         .map_err(|error| LoggingError { message: error.to_string() })?;
     log4rs::init_config(config).map_err(|error| LoggingError { message: error.to_string() })?;
