Start new counters with a part of the tolerance; close idle connections sooner

Cause: after a restart of all instances 500 operations were refused within a second because every team's counter started empty; endpoints count connections of dead instances for 3 s. Change: a new counter admits a third of the tolerance that the settings state; idle connections are closed after 4 s instead of 20 s.

--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -5,7 +5,8 @@
 //! instance at once, while some instances are cut off. Each side of a partition counts for itself,
 //! with the part of the limit that its instances are of all registered ones, so the sides together
 //! stay within the whole. Tokens of a team over its limit go to its urgent operations first: the
-//! others leave a part of the bucket to them. A bucket starts empty whenever the counter may have missed admissions.
+//! others leave a part of the bucket to them. A bucket starts with a
+//! part of the tolerance only whenever the counter may have missed admissions.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -15,6 +16,21 @@
 /// Pause after which a counter assumes that another one stood in for it.
 const COUNTING_GAP: Duration = Duration::from_millis(800);
 
+/// Part of the tolerance that a new bucket starts with, as a divisor: in one window a team may get a
+/// new counter twice, when an instance goes and when it comes back.
+const TOLERANCE_SHARE: f64 = 3.0;
+
+/// Span in which limits hold, and by how much they may be exceeded when counters change.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitWindow {
+    /// Span.
+    pub span: Duration,
+    /// Tolerance as a part of what the limit allows in the span.
+    pub tolerated_part: f64,
+    /// Tolerance in operations, besides.
+    pub tolerated_operations: f64,
+}
+
 /// Declared limits of a team.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TeamLimit {
@@ -40,32 +56,39 @@
     ///
     /// A bucket of the declared rate and burst would admit the burst once in all, and so refuse
     /// steady load that every window allows.
-    fn shaped(&self, window: Duration) -> (f64, f64) {
+    fn shaped(&self, window: LimitWindow) -> (f64, f64) {
         let at_once = (self.burst * BURST_PART).max(self.burst.min(1.0));
-        let spread = (self.burst - at_once) / window.as_secs_f64().max(1.0);
+        let spread = (self.burst - at_once) / window.span.as_secs_f64().max(1.0);
         (self.rate + spread, at_once)
     }
+
+    /// Returns the operations that a new counter may admit though it does not know what the one
+    /// before it admitted.
+    fn start_tokens(&self, window: LimitWindow) -> f64 {
+        let allowed = self.rate * window.span.as_secs_f64() + self.burst;
+        (allowed * window.tolerated_part + window.tolerated_operations) / TOLERANCE_SHARE
+    }
 }
 
 /// Buckets of the teams that an instance counts for.
 #[derive(Debug)]
 pub struct TeamCounters {
-    window: Duration,
+    window: LimitWindow,
     buckets: HashMap<String, TokenBucket>,
     reach: f64,
     seen_at: Option<Instant>,
 }
 
 impl TeamCounters {
-    /// Creates counters for limits that hold in every span of `window`.
-    pub fn new(window: Duration) -> Self {
+    /// Creates counters for limits that hold in every `window`.
+    pub fn new(window: LimitWindow) -> Self {
         Self { window, buckets: HashMap::new(), reach: 0.0, seen_at: None }
     }
 
     /// Notes which part of all registered instances this one reaches, itself included.
     ///
     /// Must be called more often than every [`COUNTING_GAP`]; after a longer pause, such as a
-    /// suspension, every bucket starts empty.
+    /// suspension, every bucket starts anew.
     pub fn observe(&mut self, reached: usize, registered: usize, now: Instant) {
         if self.seen_at.is_some_and(|at| now.saturating_duration_since(at) > COUNTING_GAP) {
             self.buckets.clear();
@@ -93,15 +116,14 @@
         full_start: bool,
         now: Instant,
     ) -> Result<Duration, BucketDelay> {
+        let start_tokens = limit.start_tokens(self.window) * self.reach;
         let (rate, burst) = limit.shaped(self.window);
         let (rate, burst) = (rate * self.reach, (burst * self.reach).max(1.0));
         let bucket = match self.buckets.get_mut(team) {
             Some(bucket) => bucket,
             None => {
                 let mut bucket = TokenBucket::empty(rate, burst, now);
-                if full_start {
-                    bucket.deposit(burst, now);
-                }
+                bucket.deposit(if full_start { burst } else { start_tokens }, now);
                 self.buckets.entry(team.to_owned()).or_insert(bucket)
             }
         };
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -40,8 +40,9 @@
 const CLEANUP_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle time after which a connection must prove itself before it carries a write.
 const PROOF_AGE: Duration = Duration::from_millis(1_500);
-/// Idle time after which a connection is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// Idle time after which a connection is closed. Connections of instances that lost power count at
+/// the endpoint for three seconds more; whoever takes over finds only what was left free.
+const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Setup of a connection whose values are not known.
 const UNKNOWN_SETUP: u64 = u64::MAX;
 
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use clock::SharedClock;
-use coord::quota::TeamCounters;
+use coord::quota::{LimitWindow, TeamCounters};
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::sync::Notify;
@@ -40,8 +40,8 @@
     pub grace: Duration,
     /// Time after which a leaving endpoint gets no new work.
     pub drain_limit: Duration,
-    /// Span in which the limit of a team holds.
-    pub limit_window: Duration,
+    /// Span in which the limits of teams hold.
+    pub limit_window: LimitWindow,
 }
 
 /// Time after its start during which an instance of a first start may fill buckets.
