--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -1,13 +1,16 @@
 //! Sends statements to the instance that holds the endpoint's connections.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coord::marks::ProvedMark;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 
-use crate::message::{ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason};
+use crate::link::RefusalCode;
+use crate::message::{
+    ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, StatementAnswer, millis,
+};
 use crate::node::{EngineEdge, GatewayNode};
 
 /// Holders tried for statements that none has sent yet.
@@ -24,9 +27,22 @@
 
 impl<E: EngineEdge> GatewayNode<E> {
     /// Runs statements through the first holder that reaches the endpoint.
-    pub async fn dispatch(self: &Rc<Self>, call: &ExecuteCall) -> HeldReply {
+    ///
+    /// They start before `latest_start` and are answered before `deadline`, or not at all.
+    pub async fn dispatch(
+        self: &Rc<Self>,
+        mut call: ExecuteCall,
+        latest_start: Instant,
+        deadline: Instant,
+    ) -> HeldReply {
         let mut last = None;
         for holder in self.holders_of(&call.endpoint).into_iter().take(TRIED_HOLDERS) {
+            let now = self.now();
+            if last.is_some() && now >= latest_start {
+                break;
+            }
+            call.start_within_ms = millis(latest_start.saturating_duration_since(now)).max(1);
+            call.answer_within_ms = millis(deadline.saturating_duration_since(now)).max(1);
             let reply = self.dispatch_to(&holder, call.clone()).await;
             let goes_on = matches!(
                 reply.outcome,
@@ -114,8 +130,8 @@
     pub(crate) fn learn_leader(
         &self,
         endpoint: &str,
-        proof: &crate::message::StatementAnswer,
-        sent_at: std::time::Instant,
+        proof: &StatementAnswer,
+        sent_at: Instant,
     ) {
         let now = self.now();
         let mut directory = self.directory.borrow_mut();
@@ -130,7 +146,7 @@
                     );
                 }
             }
-            (Some(crate::link::RefusalCode::ReadOnly), _) => {
+            (Some(RefusalCode::ReadOnly), _) => {
                 directory.observe(endpoint, |view| view.followed_at = Some(now));
             }
             _ => {}
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -22,14 +22,18 @@
 use tokio::time::{sleep, timeout};
 
 use crate::link::{ControlStatement, RefusalCode, WireCodec};
-use crate::member::{MemberConnection, MemberError};
-use crate::message::{ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, StatementAnswer};
+use crate::member::{CONNECT_TIMEOUT, MemberConnection, MemberError, OPEN_TIMEOUT};
+use crate::message::{
+    ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, StatementAnswer, millis,
+};
 use crate::node::{EngineEdge, GatewayNode};
 
 /// Permits beyond the endpoint's slots: keeps the slots busy during the way of an answer.
 const SPARE_PERMITS: usize = 1;
 /// Time after an endpoint refused a connection for their number until another is tried.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
+/// Least time given to the opening of a connection, however little is left to its request.
+const LEAST_OPEN_TIME: Duration = Duration::from_millis(60);
 /// Time between attempts to reach an endpoint that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Silence of an endpoint with work outstanding after which a fresh connection is tried.
@@ -250,7 +254,7 @@
             let mut startup = Vec::new();
             E::Codec::encode_startup(&mut startup, &service, PROBE_TEAM, endpoint);
             E::Codec::encode_control(&mut startup, ControlStatement::Status);
-            let mut connection = MemberConnection::open::<E::Codec>(address, &startup).await?;
+            let mut connection = MemberConnection::open::<E::Codec>(address, &startup, OPEN_TIMEOUT).await?;
             connection.read_answer::<E::Codec>().await
         };
         match timeout(PROBE_TIMEOUT, probe).await {
@@ -460,7 +464,8 @@
             let refused = |at: Instant| now.saturating_duration_since(at) < FULL_PAUSE;
             let full = pool.refused_at.get().is_some_and(refused);
             if pool.open.get() < pool.limit.get() && !full {
-                return self.open_connection(pool, &call.team).await;
+                let limit = latest.saturating_duration_since(now).clamp(LEAST_OPEN_TIME, OPEN_TIMEOUT);
+                return self.open_connection(pool, &call.team, limit).await;
             }
             if let Some(idle) = take_oldest_idle(pool) {
                 pool.close(idle.connection);
@@ -477,12 +482,13 @@
         &self,
         pool: &Rc<EndpointPool>,
         team: &str,
+        limit: Duration,
     ) -> Result<MemberConnection, TakeError> {
         pool.open.set(pool.open.get() + 1);
         pool.tried_at.set(Some(self.now()));
         let mut startup = Vec::new();
         E::Codec::encode_startup(&mut startup, &pool.service, team, &pool.endpoint);
-        let opened = MemberConnection::open::<E::Codec>(pool.address, &startup).await;
+        let opened = MemberConnection::open::<E::Codec>(pool.address, &startup, limit).await;
         let now = self.now();
         match opened {
             Ok(connection) => {
@@ -498,7 +504,10 @@
                     pool.refused_at.set(Some(now));
                     return Err(TakeError::Full);
                 }
-                pool.note_failed(now, &error);
+                // A request with little time left proves nothing about the endpoint.
+                if limit >= CONNECT_TIMEOUT || !matches!(error, MemberError::ConnectTimeout) {
+                    pool.note_failed(now, &error);
+                }
                 self.announced.notify_waiters();
                 Err(TakeError::Unreachable)
             }
@@ -730,7 +739,3 @@
 fn not_sent(reason: HoldReason, retry: Duration) -> ExecuteOutcome {
     ExecuteOutcome::NotSent { reason, retry_ms: millis(retry) }
 }
-
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/engine/src/member.rs
+++ b/crates/engine/src/member.rs
@@ -16,8 +16,8 @@
 
 /// Time in which a TCP connection to an endpoint must open.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time in which an endpoint must accept the opening of a session.
-pub const STARTUP_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time in which a connection and a session on it must open; the opening waits for a slot.
+pub const OPEN_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Failure of a connection to an endpoint.
 #[derive(Debug, Snafu)]
@@ -55,10 +55,19 @@
 }
 
 impl MemberConnection {
-    /// Opens a connection and a session on it.
+    /// Opens a connection and a session on it within `limit`.
     pub async fn open<C: WireCodec>(
         address: SocketAddr,
         startup: &[u8],
+        limit: Duration,
+    ) -> Result<Self, MemberError> {
+        let opening = Self::open_unbounded::<C>(address, startup);
+        timeout(limit, opening).await.unwrap_or_else(|_| ConnectTimeoutSnafu.fail())
+    }
+
+    async fn open_unbounded<C: WireCodec>(
+        address: SocketAddr,
+        startup: &[u8],
     ) -> Result<Self, MemberError> {
         let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = match opened {
@@ -69,8 +78,7 @@
         stream.set_nodelay(true).map_err(|source| MemberError::Io { source })?;
         let mut connection = Self { stream, input: LineBuffer::default(), setup: 0 };
         connection.send(startup).await?;
-        let answer = timeout(STARTUP_TIMEOUT, connection.read_startup::<C>()).await;
-        answer.unwrap_or_else(|_| ConnectTimeoutSnafu.fail())?;
+        connection.read_startup::<C>().await?;
         Ok(connection)
     }
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -276,6 +276,11 @@
     },
 }
 
+/// Returns a span in whole milliseconds, as messages carry it.
+pub fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Appends a message to a buffer.
 pub fn encode<M: Serialize>(message: &M, out: &mut Vec<u8>) -> Result<(), MessageError> {
     let start = out.len();
--- a/crates/engine/src/operation.rs
+++ b/crates/engine/src/operation.rs
@@ -15,9 +15,9 @@
 use tokio::time::sleep;
 
 use crate::link::{ControlStatement, RefusalCode, WireCodec};
-use crate::message::{ExecuteCall, ExecuteOutcome, HoldReason, StatementAnswer};
+use crate::message::{ExecuteCall, ExecuteOutcome, HoldReason, StatementAnswer, millis};
 use crate::node::{EngineEdge, GatewayNode};
-use crate::record::RouteRecord;
+use crate::record::{RouteConsistency, RouteRecord};
 
 /// Places at which one statement is tried.
 const TRIED_PLACES: usize = 24;
@@ -224,7 +224,7 @@
             let marks = directory.marks(service)?;
             let mark = marks.oldest_within(context.plan.began_at, stated_age)?;
             let own = match context.route.consistency {
-                crate::record::RouteConsistency::OwnWrites { .. } => context.dialogue.own_commit(),
+                RouteConsistency::OwnWrites { .. } => context.dialogue.own_commit(),
                 _ => None,
             };
             Some(MarkRing::needed_position(mark, own))
@@ -254,11 +254,9 @@
         let shape = shape_statement::<E::Codec>(context, leads, needed);
         let (answer, proof, keeps) = (shape.answer, shape.proof, shape.keeps);
         let channel = if keeps { self.new_channel() } else { 0 };
-        let mut call = self.build_call(context, endpoint, shape, channel);
+        let call = self.build_call(context, endpoint, shape, channel);
         let now = self.now();
-        call.start_within_ms = millis(soft.saturating_duration_since(now)).max(1);
-        call.answer_within_ms = millis(deadline.saturating_duration_since(now)).max(1);
-        let held = self.dispatch(&call).await;
+        let held = self.dispatch(call, soft, deadline).await;
         match held.reply.outcome {
             ExecuteOutcome::Answered(answers) => {
                 if let Some(proof) = proof.and_then(|index| answers.get(usize::from(index))) {
@@ -432,7 +430,3 @@
     let retry = retry.max(LEAST_RETRY).as_millis();
     failure(RefusalCode::Busy, format!("not run: {cause}; retry after {retry} ms"))
 }
-
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
