--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -28,6 +28,37 @@
     Profile(ProfileOptions),
     /// Measures the slopes that docs/CAPACITY.md rests on.
     Capacity(CapacityOptions),
+    /// Plays random faults against instances as processes and checks promises.
+    Soak(SoakOptions),
+}
+
+/// Options of the soak.
+#[derive(Args, Clone, Debug)]
+pub struct SoakOptions {
+    /// First seed.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Number of seeds.
+    #[arg(long, default_value_t = 1)]
+    pub seeds: u64,
+    /// Seeds played at a time.
+    #[arg(long, default_value_t = 1)]
+    pub jobs: usize,
+    /// Seconds during which faults begin.
+    #[arg(long, default_value_t = 15)]
+    pub seconds: u64,
+    /// Instances.
+    #[arg(long, default_value_t = 3)]
+    pub instances: usize,
+    /// Callers.
+    #[arg(long, default_value_t = 8)]
+    pub callers: u32,
+    /// Program of an instance; absent means the one beside this program.
+    #[arg(long)]
+    pub program: Option<std::path::PathBuf>,
+    /// Folder for the settings and logs of seeds that failed.
+    #[arg(long, default_value = "target/soak")]
+    pub folder: std::path::PathBuf,
 }
 
 /// Options of the comparison.
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -6,6 +6,7 @@
 mod cpu;
 mod overhead;
 mod report;
+mod soak;
 mod timeline;
 mod workload;
 
@@ -32,5 +33,6 @@
         LoadCommand::Overhead(options) => overhead::run(options, arguments.json),
         LoadCommand::Profile(options) => workload::run(options, arguments.json),
         LoadCommand::Capacity(options) => capacity::run(options, arguments.json),
+        LoadCommand::Soak(options) => soak::run(options),
     }
 }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -7,6 +7,7 @@
 
 /// Errors of an experiment.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum LoadError {
     /// The environment did not start.
     #[snafu(display("{source}"), context(false))]
@@ -26,6 +27,12 @@
         /// Cause reported by the system.
         source: std::io::Error,
     },
+    /// The soak found broken promises or could not take place.
+    #[snafu(display("promises broken or not run: seeds {seeds}"))]
+    Soak {
+        /// Seeds concerned.
+        seeds: String,
+    },
     /// The report cannot be written.
     #[snafu(display("{source}"), context(false))]
     Report {
--- /dev/null
+++ b/crates/soak/src/instance.rs
@@ -0,0 +1,109 @@
+//! Instance under test: a process of its own that gets signals.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::process::{Child, Command};
+
+/// Where an instance finds the platform, and its own place.
+#[derive(Clone, Debug)]
+pub struct InstancePlace {
+    /// Number from one; its address is 127.0.1.NUMBER.
+    pub number: u8,
+    /// Availability zone.
+    pub zone: String,
+    /// Store as this instance reaches it.
+    pub store: SocketAddr,
+    /// Ports for callers, readiness and other instances.
+    pub base_port: u16,
+}
+
+impl InstancePlace {
+    /// Returns the address for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        SocketAddr::from(([127, 0, 1, self.number], self.base_port))
+    }
+
+    fn settings(&self, first_start: bool) -> String {
+        let ip = format!("127.0.1.{}", self.number);
+        let (callers, ready, peers) = (self.base_port, self.base_port + 1, self.base_port + 2);
+        format!(
+            "node=instance-{number}\nzone={zone}\nip={ip}\nlisten.frontend={ip}:{callers}\n\
+             listen.readiness={ip}:{ready}\ninternal_ports={peers},{peers}\n\
+             bootstrap={first_start}\nplatform.address={store}\ncloud.address={store}\n\
+             bounds.grace_s=4\nbounds.drain_ms=5000\nbounds.quota_window_s=5\n\
+             bounds.quota_overage=0.1\nbounds.quota_slack=20\n",
+            number = self.number,
+            zone = self.zone,
+            store = self.store,
+        )
+    }
+}
+
+/// Process of an instance.
+#[derive(Debug)]
+pub struct InstanceProcess {
+    /// Its place.
+    pub place: InstancePlace,
+    program: PathBuf,
+    folder: PathBuf,
+    child: Option<Child>,
+    starts: u32,
+}
+
+impl InstanceProcess {
+    /// Describes an instance; its log and settings go to `folder`.
+    pub fn new(place: InstancePlace, program: &Path, folder: &Path) -> Self {
+        let (program, folder) = (program.to_owned(), folder.to_owned());
+        Self { place, program, folder, child: None, starts: 0 }
+    }
+
+    /// Starts the process.
+    pub fn start(&mut self) -> std::io::Result<()> {
+        let name = format!("instance-{}", self.place.number);
+        let settings = self.folder.join(format!("{name}.conf"));
+        std::fs::write(&settings, self.place.settings(self.starts == 0))?;
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))?;
+        let child = Command::new(&self.program)
+            .arg("--config")
+            .arg(&settings)
+            .arg("--log-target")
+            .arg("stdout")
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        self.starts += 1;
+        Ok(())
+    }
+
+    /// Sends a signal to this process and no other.
+    pub fn signal(&self, signal: Signal) -> std::io::Result<()> {
+        let id = self.child.as_ref().and_then(Child::id);
+        let id = id.and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
+        match id {
+            Some(id) => Ok(kill_process(id, signal)?),
+            None => Ok(()),
+        }
+    }
+
+    /// Waits for the end of the process.
+    pub async fn ended(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // The status of a process that got a signal says nothing of interest.
+            let _ = child.wait().await;
+        }
+    }
+
+    /// Tells whether the process ended without having been told to.
+    pub fn has_failed(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,8 @@
+//! Randomized soak: real instances as processes, faults from outside, promises checked meanwhile.
+
+pub mod caller;
+pub mod fault;
+pub mod instance;
+pub mod relay;
+pub mod run;
+pub mod verdict;
--- /dev/null
+++ b/crates/soak/src/relay.rs
@@ -0,0 +1,146 @@
+//! Loopback relay that delays, resets, cuts or silences the connections through it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Bytes passed on at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// Direction of bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ByteDirection {
+    Forth,
+    Back,
+}
+
+/// What happens to bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RelayMode {
+    /// They pass.
+    Pass,
+    /// They pass late.
+    Delay(Duration),
+    /// Those towards the target are swallowed.
+    CutForth,
+    /// Those from the target are swallowed.
+    CutBack,
+    /// All are swallowed, on new connections too.
+    Dark,
+}
+
+#[derive(Debug)]
+struct RelayState {
+    mode: watch::Sender<RelayMode>,
+    /// Connections up to this number are silent for good.
+    silenced: AtomicU64,
+    /// Raised to end all open connections.
+    resets: watch::Sender<u32>,
+    opened: AtomicU64,
+    reset_count: AtomicU32,
+}
+
+/// Relay in front of one target.
+#[derive(Clone, Debug)]
+pub struct FaultRelay {
+    /// Address that callers of the target use.
+    pub address: SocketAddr,
+    state: Arc<RelayState>,
+}
+
+impl FaultRelay {
+    /// Starts a relay to `target`.
+    pub async fn start(target: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(RelayState {
+            mode: watch::channel(RelayMode::Pass).0,
+            silenced: AtomicU64::new(0),
+            resets: watch::channel(0).0,
+            opened: AtomicU64::new(0),
+            reset_count: AtomicU32::new(0),
+        });
+        let shared = state.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(shared.clone(), stream, target));
+            }
+        });
+        Ok(Self { address, state })
+    }
+
+    /// Changes what happens to bytes.
+    pub fn set_mode(&self, mode: RelayMode) {
+        self.state.mode.send_replace(mode);
+    }
+
+    /// Ends all open connections.
+    pub fn reset(&self) {
+        let count = self.state.reset_count.fetch_add(1, Ordering::Relaxed) + 1;
+        self.state.resets.send_replace(count);
+    }
+
+    /// Silences all open connections for good; new ones work.
+    pub fn silence(&self) {
+        let opened = self.state.opened.load(Ordering::Relaxed);
+        self.state.silenced.store(opened, Ordering::Relaxed);
+    }
+}
+
+async fn serve(state: Arc<RelayState>, near: TcpStream, target: SocketAddr) {
+    let number = state.opened.fetch_add(1, Ordering::Relaxed) + 1;
+    let Ok(far) = TcpStream::connect(target).await else {
+        return;
+    };
+    // Without the option bytes only come later.
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let (near_reader, near_writer) = near.into_split();
+    let (far_reader, far_writer) = far.into_split();
+    let mut resets = state.resets.subscribe();
+    resets.mark_unchanged();
+    tokio::select! {
+        () = pump(&state, number, ByteDirection::Forth, near_reader, far_writer) => {}
+        () = pump(&state, number, ByteDirection::Back, far_reader, near_writer) => {}
+        _ = resets.changed() => {}
+    }
+}
+
+async fn pump(
+    state: &RelayState,
+    number: u64,
+    direction: ByteDirection,
+    mut reader: OwnedReadHalf,
+    mut writer: OwnedWriteHalf,
+) {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let read = match reader.read(&mut chunk).await {
+            Ok(0) | Err(_) => return,
+            Ok(read) => read,
+        };
+        let mode = *state.mode.borrow();
+        let swallowed = match mode {
+            RelayMode::Pass => false,
+            RelayMode::Delay(delay) => {
+                sleep(delay).await;
+                false
+            }
+            RelayMode::CutForth => direction == ByteDirection::Forth,
+            RelayMode::CutBack => direction == ByteDirection::Back,
+            RelayMode::Dark => true,
+        };
+        if swallowed || number <= state.silenced.load(Ordering::Relaxed) {
+            continue;
+        }
+        if writer.write_all(&chunk[..read]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/standin/src/fleet/group.rs
+++ b/crates/standin/src/fleet/group.rs
@@ -71,6 +71,7 @@
     /// Connections that each member takes.
     pub connection_limit: usize,
     log: Vec<LogEntry>,
+    rolled_back: Vec<LogEntry>,
     next_connection: u64,
 }
 
@@ -95,6 +96,7 @@
             members: ids.iter().map(member).collect(),
             connection_limit: 20,
             log: Vec::new(),
+            rolled_back: Vec::new(),
             next_connection: 1,
         }))
     }
@@ -110,7 +112,7 @@
         self.leader = index;
         self.term += 1;
         let kept = self.members[index].applied;
-        self.log.truncate(kept as usize);
+        self.rolled_back.extend(self.log.split_off(kept as usize));
         for member in &mut self.members {
             member.applied = member.applied.min(kept);
         }
@@ -148,6 +150,23 @@
         }
     }
 
+    /// Lets a member that no longer lags show the whole log.
+    pub fn catch_up(&mut self, member: usize) {
+        if !self.members[member].faults.lags {
+            self.members[member].applied = self.log.len() as u64;
+        }
+    }
+
+    /// Returns the data of all committed writes.
+    pub fn committed(&self) -> impl Iterator<Item = &str> {
+        self.log.iter().map(|entry| entry.data.as_str())
+    }
+
+    /// Returns the data of committed writes that promotions rolled back.
+    pub fn rolled_back(&self) -> impl Iterator<Item = &str> {
+        self.rolled_back.iter().map(|entry| entry.data.as_str())
+    }
+
     /// Reads an item as a member shows it.
     pub fn read(&self, member: usize, item: &str) -> Option<String> {
         let shown = self.members[member].applied as usize;
--- a/crates/standin/src/fleet/store.rs
+++ b/crates/standin/src/fleet/store.rs
@@ -31,13 +31,26 @@
     version: u64,
 }
 
+/// Call for a promotion that was accepted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PromotionCall {
+    /// Service.
+    pub service: String,
+    /// Member to lead.
+    pub endpoint: String,
+    /// Instance on duty.
+    pub holder: String,
+    /// Fencing token.
+    pub token: u64,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     rows: Vec<KeptRow>,
     version: u64,
     history_start: u64,
     down: bool,
-    promotions: Vec<(String, String, u64)>,
+    promotions: Vec<PromotionCall>,
 }
 
 /// Stand-in for the store and the promotion service.
@@ -109,8 +122,8 @@
         state.history_start = state.version;
     }
 
-    /// Returns the promotions that were called for: service, member, fencing token.
-    pub fn promotions(&self) -> Vec<(String, String, u64)> {
+    /// Returns the promotions that were accepted.
+    pub fn promotions(&self) -> Vec<PromotionCall> {
         self.state.lock().promotions.clone()
     }
 
@@ -217,6 +230,8 @@
     let token = headers
         .get("Hibiscusworks-Fencing-Token")
         .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let holder = headers.get("Hibiscusworks-Lease-Holder").and_then(|value| value.to_str().ok());
+    let holder = holder.unwrap_or_default().to_owned();
     let (Some(token), Some(service), Some(id)) =
         (token, body["service"].as_str(), body["id"].as_str())
     else {
@@ -224,10 +239,11 @@
     };
     {
         let mut state = store.state.lock();
-        if state.promotions.iter().any(|(known, _, seen)| known == service && *seen > token) {
+        if state.promotions.iter().any(|call| call.service == service && call.token > token) {
             return StatusCode::CONFLICT.into_response();
         }
-        state.promotions.push((service.to_owned(), id.to_owned(), token));
+        let (service, endpoint) = (service.to_owned(), id.to_owned());
+        state.promotions.push(PromotionCall { service, endpoint, holder, token });
     }
     let Some(group) = store.groups.lock().get(service).cloned() else {
         return StatusCode::NOT_FOUND.into_response();
