Notice a silent reader of the store before a document is overdue

Ruled out: pushes between instances and copies, which were healed at once afterwards. Change: the store is asked to wait for 0.4 of the bound; a reader that gets no answer says so at once and the next instance reads.

--- a/crates/engine/src/link.rs
+++ b/crates/engine/src/link.rs
@@ -120,12 +120,13 @@
         table: WatchedTable,
     ) -> impl Future<Output = Result<TableRows, LinkError>>;
 
-    /// Waits up to `wait` for changes after `version`.
+    /// Lets the store wait up to `wait` for changes after `version`; gives up after `limit`.
     fn follow_table(
         &self,
         table: WatchedTable,
         version: u64,
         wait: Duration,
+        limit: Duration,
     ) -> impl Future<Output = Result<TableRows, LinkError>>;
 
     /// Reads the registered instances.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -40,6 +40,8 @@
     pub grace: Duration,
     /// Time after which a leaving endpoint gets no new work.
     pub drain_limit: Duration,
+    /// Time within which a new document must be in force.
+    pub document_bound: Duration,
     /// Span in which the limits of teams hold.
     pub limit_window: LimitWindow,
 }
@@ -182,6 +184,8 @@
         if self.store_reached.replace(reached) == reached {
             return;
         }
+        // Others rely on whoever reads the store for them.
+        self.announced.notify_waiters();
         if reached {
             log_event!(LogEvent::PlatformFound, "service=store");
         } else {
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -11,9 +11,13 @@
 use crate::node::{EngineEdge, GatewayNode};
 use crate::tables::StoredRow;
 
-/// Time for which the store is asked to wait for changes; bounds how long a silent connection
-/// goes unnoticed, and costs a call each time.
-const FOLLOW_WAIT: Duration = Duration::from_secs(8);
+/// Part of the time within which a change must be in force for which the store is asked to wait.
+///
+/// It bounds how long a reader that is cut off goes unnoticed while others rely on it, and costs a
+/// call each time: 8 s left all instances without three documents for 6 s.
+const WAIT_PART: f64 = 0.4;
+/// Time beyond the wait in which the store must answer; it may be slow.
+const ANSWER_RESERVE: Duration = Duration::from_millis(600);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Time between looks at whether another instance reads the store for this one.
@@ -51,11 +55,16 @@
 
     /// Follows a table until its history is gone.
     async fn follow_from(&self, table: WatchedTable, mut version: u64) {
+        let bound = match table {
+            WatchedTable::Document => self.settings.document_bound,
+            WatchedTable::Endpoints => self.settings.drain_limit,
+        };
+        let wait = bound.mul_f64(WAIT_PART);
         loop {
             while self.is_read_for() {
                 sleep(DELEGATE_PERIOD).await;
             }
-            match self.platform.follow_table(table, version, FOLLOW_WAIT).await {
+            match self.platform.follow_table(table, version, wait, wait + ANSWER_RESERVE).await {
                 Ok(read) => {
                     self.note_store(true, "");
                     version = read.version.max(version);
--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -10,8 +10,10 @@
 /// Where an instance finds the platform, and its own place.
 #[derive(Clone, Debug)]
 pub struct InstancePlace {
-    /// Number from one; its address is 127.0.1.NUMBER.
+    /// Number from one, the last part of its address.
     pub number: u8,
+    /// First three parts of its address; runs side by side have different ones.
+    pub network: [u8; 3],
     /// Availability zone.
     pub zone: String,
     /// Store as this instance reaches it.
@@ -23,17 +25,22 @@
 impl InstancePlace {
     /// Returns the address for callers.
     pub fn caller_address(&self) -> SocketAddr {
-        SocketAddr::from(([127, 0, 1, self.number], self.base_port))
+        SocketAddr::from((self.ip(), self.base_port))
+    }
+
+    fn ip(&self) -> [u8; 4] {
+        let [first, second, third] = self.network;
+        [first, second, third, self.number]
     }
 
     fn settings(&self, first_start: bool) -> String {
-        let ip = format!("127.0.1.{}", self.number);
+        let ip = std::net::Ipv4Addr::from(self.ip());
         let (callers, ready, peers) = (self.base_port, self.base_port + 1, self.base_port + 2);
         format!(
             "node=instance-{number}\nzone={zone}\nip={ip}\nlisten.frontend={ip}:{callers}\n\
              listen.readiness={ip}:{ready}\ninternal_ports={peers},{peers}\n\
              bootstrap={first_start}\nplatform.address={store}\ncloud.address={store}\n\
-             bounds.grace_s=4\nbounds.drain_ms=5000\nbounds.quota_window_s=5\n\
+             bounds.grace_s=4\nbounds.drain_ms=5000\nbounds.config_apply_ms=3000\nbounds.quota_window_s=5\n\
              bounds.quota_overage=0.1\nbounds.quota_slack=20\n",
             number = self.number,
             zone = self.zone,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: starts everything, plays the faults of a seed, mends them, checks.
 
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
@@ -146,12 +147,15 @@
             let address = member::serve(group.clone(), index).await.context(IoSnafu)?;
             member_relays.push(FaultRelay::start(address).await.context(IoSnafu)?);
         }
-        let base_port = free_base_port().context(IoSnafu)?;
+        let [_, .., high, low] = settings.seed.to_be_bytes();
+        let network = [127, high.wrapping_add(1).max(1), low];
+        let base_port = free_base_port(network).context(IoSnafu)?;
         let (mut store_relays, mut processes) = (Vec::new(), Vec::new());
         for index in 0..settings.instances {
             let relay = FaultRelay::start(store_address).await.context(IoSnafu)?;
             let place = InstancePlace {
                 number: u8::try_from(index + 1).unwrap_or(u8::MAX),
+                network,
                 zone: format!("zone-{}", index % 3),
                 store: relay.address,
                 base_port,
@@ -345,9 +349,9 @@
 }
 
 /// Returns the first of three ports that are free on the addresses of the instances.
-fn free_base_port() -> std::io::Result<u16> {
+fn free_base_port([first, second, third]: [u8; 3]) -> std::io::Result<u16> {
     loop {
-        let listener = std::net::TcpListener::bind("127.0.1.1:0")?;
+        let listener = std::net::TcpListener::bind((Ipv4Addr::new(first, second, third, 1), 0))?;
         let port = listener.local_addr()?.port();
         if port < u16::MAX - 3 {
             return Ok(port);
