--- a/crates/coord/src/dialogue.rs
+++ b/crates/coord/src/dialogue.rs
@@ -191,7 +191,12 @@
     }
 
     /// Decides about a statement whose first byte came in at `began_at`.
-    pub fn handle(&mut self, class: &StatementClass, text: &str, began_at: Instant) -> DialogueStep {
+    pub fn handle(
+        &mut self,
+        class: &StatementClass,
+        text: &str,
+        began_at: Instant,
+    ) -> DialogueStep {
         use StatementClass as Class;
         match class {
             Class::Commit | Class::Rollback => return self.handle_end(class, began_at),
@@ -313,7 +318,14 @@
     fn handle_work(&mut self, writes: bool, now: Instant) -> DialogueStep {
         let plan = |opens, pinned, read_only, began_at| {
             let commits = false;
-            DialogueStep::Forward(ForwardPlan { opens, pinned, commits, writes, read_only, began_at })
+            DialogueStep::Forward(ForwardPlan {
+                opens,
+                pinned,
+                commits,
+                writes,
+                read_only,
+                began_at,
+            })
         };
         match self.block {
             TransactionBlock::Begun { read_only: true, .. }
@@ -323,8 +335,12 @@
                 DialogueStep::Refuse(DialogueError::ReadOnly)
             }
             TransactionBlock::Idle => plan(false, false, !writes, now),
-            TransactionBlock::Begun { read_only, began_at } => plan(true, false, read_only, began_at),
-            TransactionBlock::Pinned { read_only, began_at } => plan(false, true, read_only, began_at),
+            TransactionBlock::Begun { read_only, began_at } => {
+                plan(true, false, read_only, began_at)
+            }
+            TransactionBlock::Pinned { read_only, began_at } => {
+                plan(false, true, read_only, began_at)
+            }
             TransactionBlock::Failed => DialogueStep::Refuse(DialogueError::Malformed),
         }
     }
--- a/crates/coord/src/placement.rs
+++ b/crates/coord/src/placement.rs
@@ -50,8 +50,9 @@
         let Some((wait, at)) = self.queue else {
             return Duration::ZERO;
         };
-        wait.saturating_sub(now.saturating_duration_since(at).mul_f64(0.5))
-            .min(if now.saturating_duration_since(at) > QUEUE_MEMORY { Duration::ZERO } else { wait })
+        wait.saturating_sub(now.saturating_duration_since(at).mul_f64(0.5)).min(
+            if now.saturating_duration_since(at) > QUEUE_MEMORY { Duration::ZERO } else { wait },
+        )
     }
 
     fn position_wait(&self, needed: Option<LogPosition>, now: Instant) -> Duration {
@@ -93,8 +94,11 @@
         let zone = if candidate.near { Duration::ZERO } else { ZONE_COST };
         // Writes run only on the leader; reads leave its slots to them.
         let lead = if candidate.leads { 2 * ZONE_COST } else { Duration::ZERO };
-        let lag =
-            if candidate.leads { Duration::ZERO } else { candidate.view.position_wait(needed, now) };
+        let lag = if candidate.leads {
+            Duration::ZERO
+        } else {
+            candidate.view.position_wait(needed, now)
+        };
         (candidate.view.is_avoided(now), candidate.view.queue_wait(now) + zone + lead + lag)
     };
     let serves = |index: &usize| candidates[*index].leads || needed.is_some();
--- a/crates/coord/src/takeover.rs
+++ b/crates/coord/src/takeover.rs
@@ -72,17 +72,15 @@
 impl TakeoverMachine {
     /// Tells whether members must be probed before a takeover can be weighed.
     pub fn wants_probe(&self, suspected: bool, now: Instant) -> bool {
-        let waiting = self
-            .called_at
-            .is_some_and(|at| now.saturating_duration_since(at) < PROMOTION_TIME);
+        let waiting =
+            self.called_at.is_some_and(|at| now.saturating_duration_since(at) < PROMOTION_TIME);
         suspected && !waiting
     }
 
     /// Records a round of probes: whether anybody reached the leader.
     pub fn note_round(&mut self, leader_answered: bool, now: Instant) {
-        let stale = self
-            .probed_at
-            .is_none_or(|at| now.saturating_duration_since(at) > PROBE_MEMORY);
+        let stale =
+            self.probed_at.is_none_or(|at| now.saturating_duration_since(at) > PROBE_MEMORY);
         self.failed_rounds = match leader_answered {
             true => 0,
             false if stale => 1,
--- a/crates/coord/tests/sessions.rs
+++ b/crates/coord/tests/sessions.rs
@@ -9,9 +9,7 @@
     BlockState, DialogueError, DialogueStep, ForwardPlan, SessionDialogue, StatementClass,
 };
 use coord::marks::{MarkRing, ProvedMark};
-use coord::takeover::{
-    MemberOutlook, MemberReport, TakeoverCause, TakeoverMachine, TakeoverStep,
-};
+use coord::takeover::{MemberOutlook, MemberReport, TakeoverCause, TakeoverMachine, TakeoverStep};
 use state::position::LogPosition;
 
 fn plan_of(step: DialogueStep) -> ForwardPlan {
@@ -180,7 +178,8 @@
             for round in 0..$failed {
                 machine.note_round(false, now + Duration::from_millis(100 * round));
             }
-            let members = $members.map(|(stays, report)| MemberOutlook { name: "m", stays, report });
+            let members =
+                $members.map(|(stays, report)| MemberOutlook { name: "m", stays, report });
             assert_eq!(machine.weigh($leader, &members, $synchronous), $step);
         }
     };
--- a/crates/coord/tests/worst_load.rs
+++ b/crates/coord/tests/worst_load.rs
@@ -42,7 +42,9 @@
     let end = arrivals.len() as u64 + 10 * arrivals.len() as u64 + 50;
     for tick in 0..end {
         let now = start + millis(tick);
-        if let Some((level, team, since)) = running.take_if(|(_, _, since)| now - *since >= millis(10)) {
+        if let Some((level, team, since)) =
+            running.take_if(|(_, _, since)| now - *since >= millis(10))
+        {
             queue.release(level, team, now - since);
             if let Some(index) = queue.pop(now, &mut expired) {
                 let (level, team) = arrivals[index];
@@ -103,8 +105,10 @@
 fn no_window_admits_more_than_the_limit() {
     check_cases(300, 400, |choices: &mut Choices| {
         let start = Instant::now();
-        let limit =
-            TeamLimit { rate: 5.0 + choices.below(60) as f64, burst: 1.0 + choices.below(60) as f64 };
+        let limit = TeamLimit {
+            rate: 5.0 + choices.below(60) as f64,
+            burst: 1.0 + choices.below(60) as f64,
+        };
         let mut counters = TeamCounters::new(WINDOW);
         let mut starts: Vec<Duration> = Vec::new();
         let mut now = Duration::ZERO;
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -304,9 +304,7 @@
     }
 
     /// Returns route and team, or why the caller may not go on.
-    fn authorize(
-        &self,
-    ) -> Result<(Rc<RouteRecord>, Rc<str>), (RefusalCode, &'static str)> {
+    fn authorize(&self) -> Result<(Rc<RouteRecord>, Rc<str>), (RefusalCode, &'static str)> {
         let document = self.document();
         let Some(route) = document.route(&self.database) else {
             return Err((RefusalCode::UnknownDatabase, "no database of that name"));
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -113,7 +113,8 @@
             match &reply.outcome {
                 ExecuteOutcome::Answered(answers) => {
                     view.failed_at = None;
-                    if let Some(position) = answers.iter().rev().find_map(|answer| answer.position) {
+                    if let Some(position) = answers.iter().rev().find_map(|answer| answer.position)
+                    {
                         view.position = Some((position, now));
                     }
                 }
@@ -127,12 +128,7 @@
     }
 
     /// Learns from the proof that a statement carried whether the endpoint leads.
-    pub(crate) fn learn_leader(
-        &self,
-        endpoint: &str,
-        proof: &StatementAnswer,
-        sent_at: Instant,
-    ) {
+    pub(crate) fn learn_leader(&self, endpoint: &str, proof: &StatementAnswer, sent_at: Instant) {
         let now = self.now();
         let mut directory = self.directory.borrow_mut();
         match (proof.error, proof.position) {
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -209,7 +209,11 @@
 
 impl<E: EngineEdge> GatewayNode<E> {
     /// Runs statements at an endpoint that this instance holds connections to.
-    pub async fn hold_execute(self: &Rc<Self>, origin: CallOrigin, call: ExecuteCall) -> ExecuteReply {
+    pub async fn hold_execute(
+        self: &Rc<Self>,
+        origin: CallOrigin,
+        call: ExecuteCall,
+    ) -> ExecuteReply {
         let Some(pool) = self.pool(&call.endpoint) else {
             return refused(HoldReason::UnknownEndpoint, 0);
         };
@@ -254,7 +258,8 @@
             let mut startup = Vec::new();
             E::Codec::encode_startup(&mut startup, &service, PROBE_TEAM, endpoint);
             E::Codec::encode_control(&mut startup, ControlStatement::Status);
-            let mut connection = MemberConnection::open::<E::Codec>(address, &startup, OPEN_TIMEOUT).await?;
+            let mut connection =
+                MemberConnection::open::<E::Codec>(address, &startup, OPEN_TIMEOUT).await?;
             connection.read_answer::<E::Codec>().await
         };
         match timeout(PROBE_TIMEOUT, probe).await {
@@ -321,7 +326,8 @@
         let directory = self.directory.borrow();
         let entry = directory.endpoint(endpoint)?;
         let mut pools = self.holder.pools.borrow_mut();
-        if let Some(pool) = pools.get(endpoint).filter(|pool| pool.born_ms == entry.record.born_ms) {
+        if let Some(pool) = pools.get(endpoint).filter(|pool| pool.born_ms == entry.record.born_ms)
+        {
             return Some(pool.clone());
         }
         let pool = Rc::new(EndpointPool {
@@ -464,7 +470,8 @@
             let refused = |at: Instant| now.saturating_duration_since(at) < FULL_PAUSE;
             let full = pool.refused_at.get().is_some_and(refused);
             if pool.open.get() < pool.limit.get() && !full {
-                let limit = latest.saturating_duration_since(now).clamp(LEAST_OPEN_TIME, OPEN_TIMEOUT);
+                let limit =
+                    latest.saturating_duration_since(now).clamp(LEAST_OPEN_TIME, OPEN_TIMEOUT);
                 return self.open_connection(pool, &call.team, limit).await;
             }
             if let Some(idle) = take_oldest_idle(pool) {
@@ -498,8 +505,9 @@
             Err(error) => {
                 pool.open.set(pool.open.get().saturating_sub(1));
                 pool.freed.notify_one();
-                if let MemberError::Refused { code: RefusalCode::TooManyConnections | RefusalCode::Busy } =
-                    error
+                if let MemberError::Refused {
+                    code: RefusalCode::TooManyConnections | RefusalCode::Busy,
+                } = error
                 {
                     pool.refused_at.set(Some(now));
                     return Err(TakeError::Full);
--- a/crates/engine/src/limits.rs
+++ b/crates/engine/src/limits.rs
@@ -51,7 +51,14 @@
             return CountAnswer::Admitted { after: Duration::ZERO };
         };
         let (first, now) = (self.is_first_start(), self.now());
-        match self.counters.borrow_mut().take(team, limit, document.rank(level), patience, first, now) {
+        match self.counters.borrow_mut().take(
+            team,
+            limit,
+            document.rank(level),
+            patience,
+            first,
+            now,
+        ) {
             Ok(after) => CountAnswer::Admitted { after },
             Err(delay) => CountAnswer::Refused { retry: delay.retry_after },
         }
--- a/crates/engine/src/link.rs
+++ b/crates/engine/src/link.rs
@@ -115,10 +115,8 @@
 /// Services of the platform.
 pub trait PlatformLink: 'static {
     /// Reads a table in full.
-    fn read_table(
-        &self,
-        table: WatchedTable,
-    ) -> impl Future<Output = Result<TableRows, LinkError>>;
+    fn read_table(&self, table: WatchedTable)
+    -> impl Future<Output = Result<TableRows, LinkError>>;
 
     /// Lets the store wait up to `wait` for changes after `version`; gives up after `limit`.
     fn follow_table(
--- a/crates/engine/src/operation.rs
+++ b/crates/engine/src/operation.rs
@@ -104,7 +104,11 @@
 enum TryOutcome {
     Done(OperationResult),
     /// Did not run; another try makes sense after a pause, at the same or another endpoint.
-    Again { code: RefusalCode, cause: &'static str, pause: Duration },
+    Again {
+        code: RefusalCode,
+        cause: &'static str,
+        pause: Duration,
+    },
     /// Sent and not answered.
     Lost,
 }
@@ -200,9 +204,10 @@
             ExecuteOutcome::Lost if commits => {
                 failure(RefusalCode::Unknown, "the answer to the commit is lost".to_owned())
             }
-            ExecuteOutcome::Lost | ExecuteOutcome::NotSent { .. } => {
-                failure(RefusalCode::Aborted, "the connection of the transaction is lost".to_owned())
-            }
+            ExecuteOutcome::Lost | ExecuteOutcome::NotSent { .. } => failure(
+                RefusalCode::Aborted,
+                "the connection of the transaction is lost".to_owned(),
+            ),
         }
     }
 
@@ -319,7 +324,13 @@
         }
     }
 
-    fn log_retry(&self, context: &OperationContext<'_>, endpoint: &str, cause: &'static str, attempt: usize) {
+    fn log_retry(
+        &self,
+        context: &OperationContext<'_>,
+        endpoint: &str,
+        cause: &'static str,
+        attempt: usize,
+    ) {
         counter!(meter::RETRIES, "reason" => cause).increment(1);
         let waited = self.now().saturating_duration_since(context.plan.began_at);
         log_event!(
@@ -407,17 +418,13 @@
     let index = usize::from(answer).min(answers.len().saturating_sub(1));
     let answer = answers.swap_remove(index);
     match (first_error, answer.error) {
-        (None, None) => OperationResult::Success {
-            content: answer.content,
-            position: answer.position,
-            place,
-        },
+        (None, None) => {
+            OperationResult::Success { content: answer.content, position: answer.position, place }
+        }
         (Some(code), _) => failure(code, "the transaction could not be opened".to_owned()),
-        (None, Some(code)) => OperationResult::Failure {
-            content: answer.content,
-            code,
-            explanation: String::new(),
-        },
+        (None, Some(code)) => {
+            OperationResult::Failure { content: answer.content, code, explanation: String::new() }
+        }
     }
 }
 
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -16,12 +16,12 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
+use crate::link::WatchedTable;
 use crate::message::{
-    CountAnswer, ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, InstanceStatus, PeerReply, PeerRequest,
-    decode, encode,
+    CountAnswer, ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, InstanceStatus, PeerReply,
+    PeerRequest, decode, encode,
 };
 use crate::node::{EngineEdge, GatewayNode};
-use crate::link::WatchedTable;
 use crate::record::InstanceRecord;
 use crate::tables::StoredRow;
 
@@ -320,8 +320,7 @@
     /// Returns the names of the instances that answer and stay, this one included.
     pub fn staying(&self, leaving: bool) -> Vec<String> {
         let links = self.links.borrow();
-        let stays =
-            links.values().filter(|link| link.is_live() && !link.status.borrow().leaving);
+        let stays = links.values().filter(|link| link.is_live() && !link.status.borrow().leaving);
         let mut names: Vec<String> = stays.map(|link| link.record.name.clone()).collect();
         if !leaving || names.is_empty() {
             names.push(self.own.name.clone());
@@ -334,8 +333,10 @@
         let names = self.staying(leaving);
         let links = self.links.borrow();
         let zone_of = |name: &str| links.get(name).map_or(&self.own.zone, |link| &link.record.zone);
-        let candidates: Vec<HolderCandidate<'_>> =
-            names.iter().map(|name| HolderCandidate { name, near: zone_of(name) == zone }).collect();
+        let candidates: Vec<HolderCandidate<'_>> = names
+            .iter()
+            .map(|name| HolderCandidate { name, near: zone_of(name) == zone })
+            .collect();
         order_holders(endpoint, &candidates).into_iter().map(str::to_owned).collect()
     }
 }
@@ -353,7 +354,9 @@
                 return self.holder.failing_since(endpoint).is_some();
             }
             let link = self.peers.link(name);
-            link.is_some_and(|link| link.status.borrow().failing.iter().any(|name| name == endpoint))
+            link.is_some_and(|link| {
+                link.status.borrow().failing.iter().any(|name| name == endpoint)
+            })
         });
         holders
     }
@@ -439,7 +442,8 @@
                     output.close();
                     continue;
                 }
-                let quiet = link.heard_at.get().is_none() || older(link.heard_at.get(), IDLE_PERIOD);
+                let quiet =
+                    link.heard_at.get().is_none() || older(link.heard_at.get(), IDLE_PERIOD);
                 if quiet || link.has_calls() {
                     output.push(&PeerRequest::Ping { known: link.status_version.get() });
                     link.asked_at.set(link.asked_at.get().or(Some(now)));
@@ -448,7 +452,12 @@
         }
     }
 
-    async fn read_link(&self, link: &PeerLink, output: &Rc<OutputQueue>, mut reader: OwnedReadHalf) {
+    async fn read_link(
+        &self,
+        link: &PeerLink,
+        output: &Rc<OutputQueue>,
+        mut reader: OwnedReadHalf,
+    ) {
         let mut input = BytesMut::new();
         loop {
             input.reserve(READ_BYTES);
--- a/crates/engine/src/steward.rs
+++ b/crates/engine/src/steward.rs
@@ -106,7 +106,8 @@
         }
         let peers = self.peers.live();
         let own_token = held.borrow().lease.token;
-        let filled = peers.iter().any(|peer| peer.status().duty.is_some_and(|token| token > own_token));
+        let filled =
+            peers.iter().any(|peer| peer.status().duty.is_some_and(|token| token > own_token));
         let names = self.peers.staying(false);
         let rank = rendezvous::rank(DUTY_SUBJECT, self.name(), names.iter().map(String::as_str));
         if filled || rank > 0 {
@@ -152,7 +153,13 @@
         self.write_lease(held, version, store_now, token).await;
     }
 
-    async fn write_lease(&self, held: &RefCell<HeldLease>, version: u64, store_ms: u64, token: u64) {
+    async fn write_lease(
+        &self,
+        held: &RefCell<HeldLease>,
+        version: u64,
+        store_ms: u64,
+        token: u64,
+    ) {
         let asked_at = self.now();
         held.borrow_mut().tried_at = Some(asked_at);
         let lease = DutyLease {
--- a/crates/load/src/soak.rs
+++ b/crates/load/src/soak.rs
@@ -24,7 +24,8 @@
     let mut failed = Vec::new();
     let seeds: Vec<u64> = (options.seed..options.seed + options.seeds).collect();
     for batch in seeds.chunks(options.jobs.max(1)) {
-        let playing = batch.iter().map(|seed| (*seed, tokio::spawn(play_one(*seed, options.clone()))));
+        let playing =
+            batch.iter().map(|seed| (*seed, tokio::spawn(play_one(*seed, options.clone()))));
         let playing: Vec<_> = playing.collect();
         for (seed, run) in playing {
             match run.await {
@@ -50,7 +51,10 @@
 
 fn print(seed: u64, report: &SoakReport) {
     let SoakReport { broken, faults, writes, reads } = report;
-    println!("seed {seed}: {} broken, {faults} faults, {writes} writes, {reads} reads", broken.len());
+    println!(
+        "seed {seed}: {} broken, {faults} faults, {writes} writes, {reads} reads",
+        broken.len()
+    );
 }
 
 async fn play_one(seed: u64, options: SoakOptions) -> Result<SoakReport, String> {
--- a/crates/proxy/src/instance.rs
+++ b/crates/proxy/src/instance.rs
@@ -6,9 +6,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use clock::SharedClock;
 use coord::confirmation::ConfirmationMachine;
 use metrics::gauge;
-use clock::SharedClock;
 use net::platform::{PlatformClient, PlatformError};
 use net::store::{LedgerEpoch, StoredDocument};
 use parking_lot::{Mutex, RwLock};
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -178,8 +178,7 @@
         item: &str,
     ) -> Option<(String, ToldOutcome)> {
         let data = self.fresh('t');
-        let steps =
-            ["BEGIN".to_owned(), format!("WRITE {item} {data}"), format!("READ {item}")];
+        let steps = ["BEGIN".to_owned(), format!("WRITE {item} {data}"), format!("READ {item}")];
         for (step, text) in steps.iter().enumerate() {
             let answer = session.exchange(&format!("QUERY {data}s{step} {text}\r\n")).await;
             let Some(answer) = answer else {
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -62,7 +62,8 @@
         let instance = random.random_range(0..instances);
         let member = random.random_range(0..members);
         let delay = Duration::from_millis(random.random_range(20..250));
-        let modes = [RelayMode::Delay(delay), RelayMode::CutForth, RelayMode::CutBack, RelayMode::Dark];
+        let modes =
+            [RelayMode::Delay(delay), RelayMode::CutForth, RelayMode::CutBack, RelayMode::Dark];
         let mode = modes[random.random_range(0..modes.len())];
         let action = match random.random_range(0..15) {
             0 => FaultAction::Pause(instance),
@@ -79,7 +80,11 @@
             12 => FaultAction::MemberLags(member),
             13 => FaultAction::MemberLoses(member),
             _ => {
-                if random.random_bool(0.5) { FaultAction::MemberGrey(member) } else { FaultAction::Document }
+                if random.random_bool(0.5) {
+                    FaultAction::MemberGrey(member)
+                } else {
+                    FaultAction::Document
+                }
             }
         };
         let length = Duration::from_millis(random.random_range(200..3_000));
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -121,25 +121,25 @@
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
-        let read = match reader.read(&mut chunk).await {
+        let read = reader.read(&mut chunk).await;
+        let mode = *state.mode.borrow();
+        let swallowed = number <= state.silenced.load(Ordering::Relaxed)
+            || match mode {
+                RelayMode::Pass | RelayMode::Delay(_) => false,
+                RelayMode::CutForth => direction == ByteDirection::Forth,
+                RelayMode::CutBack => direction == ByteDirection::Back,
+                RelayMode::Dark => true,
+            };
+        let read = match read {
+            // A cut hides the end of a connection, too.
+            Ok(0) | Err(_) if swallowed => std::future::pending().await,
             Ok(0) | Err(_) => return,
             Ok(read) => read,
         };
-        let mode = *state.mode.borrow();
-        let swallowed = match mode {
-            RelayMode::Pass => false,
-            RelayMode::Delay(delay) => {
-                sleep(delay).await;
-                false
-            }
-            RelayMode::CutForth => direction == ByteDirection::Forth,
-            RelayMode::CutBack => direction == ByteDirection::Back,
-            RelayMode::Dark => true,
-        };
-        if swallowed || number <= state.silenced.load(Ordering::Relaxed) {
-            continue;
+        if let RelayMode::Delay(delay) = mode {
+            sleep(delay).await;
         }
-        if writer.write_all(&chunk[..read]).await.is_err() {
+        if !swallowed && writer.write_all(&chunk[..read]).await.is_err() {
             return;
         }
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -260,8 +260,12 @@
                 self.store.set_down(false);
             }
             FaultAction::StoreCompact => self.store.compact(),
-            FaultAction::MemberDark(index) => self.misbehave(index, length, |faults, on| faults.silent = on).await,
-            FaultAction::MemberLags(index) => self.misbehave(index, length, |faults, on| faults.lags = on).await,
+            FaultAction::MemberDark(index) => {
+                self.misbehave(index, length, |faults, on| faults.silent = on).await
+            }
+            FaultAction::MemberLags(index) => {
+                self.misbehave(index, length, |faults, on| faults.lags = on).await
+            }
             FaultAction::MemberLoses(index) => {
                 self.misbehave(index, length, |faults, on| faults.loses_commits = on).await;
             }
@@ -290,7 +294,9 @@
         let mut process = self.processes[index].lock().await;
         self.note(process.signal(signal));
         if timeout(STOP_TIME, process.ended()).await.is_err() {
-            self.failures.lock().push(format!("instance {index} did not end within its grace period"));
+            self.failures
+                .lock()
+                .push(format!("instance {index} did not end within its grace period"));
         }
         sleep(Duration::from_millis(200)).await;
         self.note(process.start());
@@ -309,7 +315,9 @@
             while !serves(*address).await {
                 self.register_members();
                 if begun_at.elapsed() > RECOVERY_TIME {
-                    self.failures.lock().push(format!("{address} serves nothing after all is mended"));
+                    self.failures
+                        .lock()
+                        .push(format!("{address} serves nothing after all is mended"));
                     break;
                 }
                 sleep(Duration::from_millis(100)).await;
--- a/crates/soak/src/verdict.rs
+++ b/crates/soak/src/verdict.rs
@@ -41,7 +41,10 @@
             ToldOutcome::Unknown => times <= 1,
         };
         if !right {
-            broken.push(format!("{} was told {:?} and is there {times} times", write.data, write.told));
+            broken.push(format!(
+                "{} was told {:?} and is there {times} times",
+                write.data, write.told
+            ));
         }
     }
     for (shown, own) in &history.regressions {
--- a/crates/standin/src/fleet/member.rs
+++ b/crates/standin/src/fleet/member.rs
@@ -203,7 +203,8 @@
                 state.commit(writes);
             }
         } else if writes {
-            let (item, data) = (words[words.len() - 2].to_owned(), words[words.len() - 1].to_owned());
+            let (item, data) =
+                (words[words.len() - 2].to_owned(), words[words.len() - 1].to_owned());
             if in_transaction {
                 self.writes.push((item, data));
             } else {
--- a/crates/telemetry/src/bounded.rs
+++ b/crates/telemetry/src/bounded.rs
@@ -73,8 +73,8 @@
     /// Creates an appender and makes standard output refuse what its reader does not take.
     pub fn new(encoder: Box<dyn Encode>) -> Self {
         let output = rustix::stdio::stdout();
-        let nonblocking = fcntl_getfl(output)
-            .and_then(|flags| fcntl_setfl(output, flags | OFlags::NONBLOCK));
+        let nonblocking =
+            fcntl_getfl(output).and_then(|flags| fcntl_setfl(output, flags | OFlags::NONBLOCK));
         if let Err(error) = nonblocking {
             // Lines are still bounded; only a reader that stalls can hold the process up.
             eprintln!("standard output stays blocking: {error}");
@@ -111,10 +111,17 @@
         if let Some(count) = left_out {
             let event = LogEvent::LinesLeftOut;
             let arguments = format_args!("{event} count={count}");
-            let report = Record::builder().level(event.level()).target(module_path!()).args(arguments).build();
+            let report = Record::builder()
+                .level(event.level())
+                .target(module_path!())
+                .args(arguments)
+                .build();
             self.write(&report)?;
         }
-        if taken && !self.write(record)? && let Ok(mut budget) = self.budget.lock() {
+        if taken
+            && !self.write(record)?
+            && let Ok(mut budget) = self.budget.lock()
+        {
             budget.note_left_out();
         }
         Ok(())
--- a/crates/telemetry/src/logging.rs
+++ b/crates/telemetry/src/logging.rs
@@ -60,7 +60,11 @@
 
 impl Default for LoggingSettings {
     fn default() -> Self {
-        Self { log_level: LevelFilter::Info, log_format: LogFormat::Plain, log_target: LogTarget::Stderr }
+        Self {
+            log_level: LevelFilter::Info,
+            log_format: LogFormat::Plain,
+            log_target: LogTarget::Stderr,
+        }
     }
 }
 
