--- a/crates/coord/tests/sessions.rs
+++ b/crates/coord/tests/sessions.rs
@@ -168,16 +168,22 @@
     Some(MemberReport { leads, term: 1, received: LogPosition::new(1, index) })
 }
 
+/// Returns a machine that has seen rounds of probes which reached nobody.
+fn machine_after(failed_rounds: u64) -> TakeoverMachine {
+    let now = Instant::now();
+    let mut machine = TakeoverMachine::default();
+    for round in 0..failed_rounds {
+        machine.note_round(false, now + Duration::from_millis(100 * round));
+    }
+    machine
+}
+
 /// Names a takeover case: rounds that failed, leader, members, synchronous replicas, decision.
 macro_rules! takeover_case {
     ($name:ident, $failed:expr, $leader:expr, $members:expr, $synchronous:expr, $step:expr) => {
         #[test]
         fn $name() {
-            let now = Instant::now();
-            let mut machine = TakeoverMachine::default();
-            for round in 0..$failed {
-                machine.note_round(false, now + Duration::from_millis(100 * round));
-            }
+            let machine = machine_after($failed);
             let members =
                 $members.map(|(stays, report)| MemberOutlook { name: "m", stays, report });
             assert_eq!(machine.weigh($leader, &members, $synchronous), $step);
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -45,6 +45,9 @@
     began_at: Instant,
 }
 
+/// Route that a caller may use, with its team.
+type AllowedRoute = (Rc<RouteRecord>, Rc<str>);
+
 /// What a session waits for.
 enum SessionEvent {
     Line(usize, Instant),
@@ -304,7 +307,7 @@
     }
 
     /// Returns route and team, or why the caller may not go on.
-    fn authorize(&self) -> Result<(Rc<RouteRecord>, Rc<str>), (RefusalCode, &'static str)> {
+    fn authorize(&self) -> Result<AllowedRoute, (RefusalCode, &'static str)> {
         let document = self.document();
         let Some(route) = document.route(&self.database) else {
             return Err((RefusalCode::UnknownDatabase, "no database of that name"));
