--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -23,6 +23,10 @@
 
 /// Time in which a caller must open its session.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which the opening of a session waits for the first document; callers give up after 2 s.
+const DOCUMENT_PATIENCE: Duration = Duration::from_millis(1_200);
+/// Time between looks for the first document.
+const DOCUMENT_PAUSE: Duration = Duration::from_millis(20);
 /// Pause after an accept that failed, for want of descriptors as a rule.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time in which a caller must take an answer.
@@ -116,6 +120,11 @@
             return None;
         };
         (self.database, self.key) = (database, key);
+        if !self.wait_for_document().await {
+            self.refuse_startup(RefusalCode::Busy, "not run: the instance has no document yet")
+                .await;
+            return None;
+        }
         if let Err((code, text)) = self.authorize() {
             self.refuse_startup(code, text).await;
             return None;
@@ -125,6 +134,18 @@
         self.write(&out).await
     }
 
+    /// Waits a short while for the first document; without one nobody can be told what exists.
+    async fn wait_for_document(&self) -> bool {
+        let begun_at = self.node.now();
+        while !self.node.directory.borrow().is_complete() {
+            if self.node.now().saturating_duration_since(begun_at) > DOCUMENT_PATIENCE {
+                return false;
+            }
+            sleep(DOCUMENT_PAUSE).await;
+        }
+        true
+    }
+
     async fn refuse_startup(&mut self, code: RefusalCode, text: &str) {
         log_event!(
             LogEvent::CallerRefused,
