--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -6,7 +6,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +26,10 @@
     ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, StatementAnswer, millis,
 };
 use crate::node::{EngineEdge, GatewayNode};
+use crate::pool::{
+    EndpointPool, IdleConnection, PinnedConnection, RETRY_PAUSE, RunPermit, TakeError, take_idle,
+    take_oldest_idle,
+};
 
 /// Permits beyond the endpoint's slots: keeps the slots busy during the way of an answer.
 const SPARE_PERMITS: usize = 1;
@@ -34,8 +37,6 @@
 const FULL_PAUSE: Duration = Duration::from_millis(100);
 /// Least time given to the opening of a connection, however little is left to its request.
 const LEAST_OPEN_TIME: Duration = Duration::from_millis(60);
-/// Time between attempts to reach an endpoint that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Silence of an endpoint with work outstanding after which a fresh connection is tried.
 const SILENCE_TIME: Duration = Duration::from_millis(300);
 /// Time in which a fresh connection must answer a probe.
@@ -53,109 +54,6 @@
 /// Origin of calls: the connection to another instance, or zero for this one.
 pub type CallOrigin = u64;
 
-type PermitSender = oneshot::Sender<()>;
-
-/// Connection that waits for work.
-#[derive(Debug)]
-struct IdleConnection {
-    team: String,
-    connection: MemberConnection,
-    idle_since: Instant,
-}
-
-/// Connection of an open transaction.
-#[derive(Debug)]
-struct PinnedConnection {
-    pool: Rc<EndpointPool>,
-    team: String,
-    connection: MemberConnection,
-}
-
-/// Queue and connections of one endpoint.
-#[derive(Debug)]
-struct EndpointPool {
-    endpoint: String,
-    service: String,
-    address: SocketAddr,
-    born_ms: u64,
-    queue: RefCell<UrgencyQueue<u64, PermitSender>>,
-    idle: RefCell<Vec<IdleConnection>>,
-    open: Cell<usize>,
-    limit: Cell<usize>,
-    freed: Notify,
-    failing_since: Cell<Option<Instant>>,
-    tried_at: Cell<Option<Instant>>,
-    heard_at: Cell<Option<Instant>>,
-    probing: Cell<bool>,
-    refused_at: Cell<Option<Instant>>,
-}
-
-/// Permit to run at an endpoint; given back when dropped.
-struct RunPermit {
-    pool: Rc<EndpointPool>,
-    clock: clock::SharedClock,
-    level: UrgencyLevel,
-    team: u64,
-    taken_at: Instant,
-}
-
-impl Drop for RunPermit {
-    fn drop(&mut self) {
-        let now = self.clock.now();
-        let held = now.saturating_duration_since(self.taken_at);
-        self.pool.queue.borrow_mut().release(self.level, self.team, held);
-        self.pool.wake_next(now);
-    }
-}
-
-impl EndpointPool {
-    /// Starts waiting requests while permits are free.
-    fn wake_next(&self, now: Instant) {
-        let mut expired = Vec::new();
-        loop {
-            let next = self.queue.borrow_mut().pop(now, &mut expired);
-            let Some(sender) = next else {
-                break;
-            };
-            if sender.send(()).is_err() {
-                self.queue.borrow_mut().release(0, 0, Duration::ZERO);
-            }
-        }
-    }
-
-    fn close(&self, connection: MemberConnection) {
-        drop(connection);
-        self.open.set(self.open.get().saturating_sub(1));
-        self.freed.notify_one();
-    }
-
-    fn note_reached(&self, now: Instant) {
-        self.heard_at.set(Some(now));
-        if self.failing_since.replace(None).is_some() {
-            log_event!(LogEvent::MemberFound, "endpoint={}", self.endpoint);
-        }
-    }
-
-    fn note_failed(&self, now: Instant, cause: &MemberError) {
-        if self.failing_since.get().is_none() {
-            self.failing_since.set(Some(now));
-            log_event!(LogEvent::MemberLost, "endpoint={} cause=\"{cause}\"", self.endpoint);
-        }
-    }
-
-    /// Tells whether the endpoint failed so recently that another attempt is not worth while.
-    fn is_shunned(&self, now: Instant) -> bool {
-        let recent = |at: Instant| now.saturating_duration_since(at) < RETRY_PAUSE;
-        self.failing_since.get().is_some() && self.tried_at.get().is_some_and(recent)
-    }
-}
-
-/// Why no connection could be had.
-enum TakeError {
-    Unreachable,
-    Full,
-}
-
 /// Connections that this instance holds.
 #[derive(Debug, Default)]
 pub struct ConnectionHolder {
@@ -723,23 +621,6 @@
 /// Name under which members are asked about themselves; no caller has a part in it.
 const PROBE_TEAM: &str = "-";
 
-fn take_idle(pool: &EndpointPool, team: &str) -> Option<IdleConnection> {
-    let mut idle = pool.idle.borrow_mut();
-    loop {
-        let place = idle.iter().rposition(|idle| idle.team == team)?;
-        let found = idle.remove(place);
-        if !found.connection.is_spoilt() {
-            return Some(found);
-        }
-        pool.open.set(pool.open.get().saturating_sub(1));
-    }
-}
-
-fn take_oldest_idle(pool: &EndpointPool) -> Option<IdleConnection> {
-    let mut idle = pool.idle.borrow_mut();
-    if idle.is_empty() { None } else { Some(idle.remove(0)) }
-}
-
 fn refused(reason: HoldReason, queue_ms: u32) -> ExecuteReply {
     ExecuteReply { outcome: not_sent(reason, Duration::ZERO), queue_ms, mark: None }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`link`].
 
 pub mod caller;
+pub mod channel;
 pub mod directory;
 pub mod dispatch;
 pub mod holder;
@@ -15,6 +16,7 @@
 pub mod node;
 pub mod operation;
 pub mod peer;
+mod pool;
 pub mod record;
 pub mod run;
 pub mod steward;
--- a/crates/engine/src/link.rs
+++ b/crates/engine/src/link.rs
@@ -199,7 +199,7 @@
     /// Did not run: the member does not lead.
     ReadOnly,
     /// Did not run: another process has the address.
-    Misrouted,
+    WrongMember,
     /// Did not run: too many connections.
     TooManyConnections,
     /// The outcome is not known.
@@ -228,7 +228,7 @@
             Self::Aborted => "aborted",
             Self::Lagging => "lagging",
             Self::ReadOnly => "read_only",
-            Self::Misrouted => "misrouted",
+            Self::WrongMember => "wrong_member",
             Self::TooManyConnections => "too_many_connections",
             Self::Unknown => "unknown",
             Self::Timeout => "timeout",
--- a/crates/engine/src/operation.rs
+++ b/crates/engine/src/operation.rs
@@ -398,7 +398,7 @@
         RefusalCode::Lagging => again("member_lags"),
         RefusalCode::ReadOnly => again("member_follows"),
         RefusalCode::UnknownName => again("member_lacks_name"),
-        RefusalCode::Misrouted => again("member_misrouted"),
+        RefusalCode::WrongMember => again("member_wrong"),
         RefusalCode::TooManyConnections => again("member_connections"),
         RefusalCode::Aborted if !context.plan.changes_data() => again("member_aborted"),
         RefusalCode::Failed | RefusalCode::Timeout if context.plan.read_only => {
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -1,29 +1,23 @@
 //! Connections between instances: calls, signs of life and what instances tell each other.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use coord::placement::{HolderCandidate, order_holders};
-use coord::urgency::UrgencyLevel;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
-use crate::link::WatchedTable;
-use crate::message::{
-    CountAnswer, ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, InstanceStatus, PeerReply,
-    PeerRequest, decode, encode,
-};
+use crate::channel::{OutputQueue, PeerLink, SILENCE_LIMIT, StatusTeller, close_link};
+use crate::message::{InstanceStatus, PeerReply, PeerRequest, decode};
 use crate::node::{EngineEdge, GatewayNode};
 use crate::record::InstanceRecord;
-use crate::tables::StoredRow;
 
 /// Time in which a connection to another instance must open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -33,261 +27,12 @@
 const PING_TICK: Duration = Duration::from_millis(200);
 /// Time without a sign of life after which an instance with no call outstanding is asked for one.
 const IDLE_PERIOD: Duration = Duration::from_millis(1_000);
-/// Time without an answer to a ping after which another instance counts as lost.
-const SILENCE_LIMIT: Duration = Duration::from_millis(500);
 /// Time without a ping after which the caller's side of a connection counts as gone.
 const CALLER_LIMIT: Duration = Duration::from_millis(2_500);
 /// Time for which an instance that cannot be reached stays registered.
 const MOURNING_TIME: Duration = Duration::from_secs(20);
 /// Bytes read at once.
 const READ_BYTES: usize = 8_192;
-/// Bytes waiting for a connection above which it counts as stuck.
-const OUTPUT_LIMIT: usize = 8 << 20;
-
-/// Bytes that a connection's writer has still to send.
-#[derive(Debug, Default)]
-struct OutputQueue {
-    bytes: RefCell<Vec<u8>>,
-    filled: Notify,
-    closed: Cell<bool>,
-}
-
-impl OutputQueue {
-    fn push<M: serde::Serialize>(&self, message: &M) {
-        let mut bytes = self.bytes.borrow_mut();
-        if self.closed.get() {
-            return;
-        }
-        if let Err(error) = encode(message, &mut bytes) {
-            log_event!(LogEvent::PeerLost, "cause=\"message not sent: {error}\"");
-        }
-        if bytes.len() > OUTPUT_LIMIT {
-            self.closed.set(true);
-        }
-        self.filled.notify_one();
-    }
-
-    fn close(&self) {
-        self.closed.set(true);
-        self.filled.notify_one();
-    }
-
-    async fn drain(&self, mut stream: OwnedWriteHalf) {
-        loop {
-            let bytes = std::mem::take(&mut *self.bytes.borrow_mut());
-            if self.closed.get() {
-                return;
-            }
-            if bytes.is_empty() {
-                self.filled.notified().await;
-            } else if stream.write_all(&bytes).await.is_err() {
-                self.closed.set(true);
-                return;
-            }
-        }
-    }
-}
-
-/// Status as told on one connection.
-#[derive(Debug, Default)]
-struct StatusTeller {
-    told: RefCell<InstanceStatus>,
-    version: Cell<u32>,
-}
-
-impl StatusTeller {
-    /// Takes the present status; tells whether it has changed.
-    fn refresh(&self, status: InstanceStatus) -> bool {
-        let changed = self.version.get() == 0 || *self.told.borrow() != status;
-        if changed {
-            self.version.set(self.version.get() + 1);
-            *self.told.borrow_mut() = status;
-        }
-        changed
-    }
-
-    /// Sends a sign of life, with the status if the other side does not have it.
-    fn tell(&self, output: &OutputQueue, known: u32) {
-        let version = self.version.get();
-        let status = (known != version).then(|| Box::new(self.told.borrow().clone()));
-        output.push(&PeerReply::Pong { version, status });
-    }
-}
-
-/// Calls that wait for an answer.
-#[derive(Debug, Default)]
-struct PendingCalls {
-    execute: HashMap<u32, oneshot::Sender<ExecuteReply>>,
-    count: HashMap<u32, oneshot::Sender<CountAnswer>>,
-    probe: HashMap<u32, oneshot::Sender<bool>>,
-    table: HashMap<u32, oneshot::Sender<(Vec<StoredRow>, u64)>>,
-}
-
-/// Connection that this instance opened to another one.
-#[derive(Debug)]
-pub struct PeerLink {
-    /// The other instance.
-    pub record: InstanceRecord,
-    output: RefCell<Option<Rc<OutputQueue>>>,
-    pending: RefCell<PendingCalls>,
-    next_call: Cell<u32>,
-    /// Open connection, whether the other instance has answered on it or not.
-    connection: RefCell<Option<Rc<OutputQueue>>>,
-    heard_at: Cell<Option<Instant>>,
-    /// Time of the first ping that was not answered.
-    asked_at: Cell<Option<Instant>>,
-    lost_at: Cell<Option<Instant>>,
-    status_version: Cell<u32>,
-    status: RefCell<InstanceStatus>,
-    dropped: Cell<bool>,
-}
-
-impl PeerLink {
-    fn new(record: InstanceRecord, now: Instant) -> Self {
-        Self {
-            record,
-            output: RefCell::default(),
-            pending: RefCell::default(),
-            next_call: Cell::new(1),
-            connection: RefCell::default(),
-            heard_at: Cell::new(None),
-            asked_at: Cell::new(None),
-            lost_at: Cell::new(Some(now)),
-            status_version: Cell::new(0),
-            status: RefCell::default(),
-            dropped: Cell::new(false),
-        }
-    }
-
-    /// Tells whether the other instance answers.
-    pub fn is_live(&self) -> bool {
-        self.lost_at.get().is_none()
-    }
-
-    /// Returns what the other instance told last.
-    pub fn status(&self) -> InstanceStatus {
-        self.status.borrow().clone()
-    }
-
-    fn has_calls(&self) -> bool {
-        let pending = self.pending.borrow();
-        !pending.execute.is_empty() || !pending.count.is_empty()
-    }
-
-    fn call_number(&self) -> u32 {
-        let call = self.next_call.get();
-        self.next_call.set(call.wrapping_add(1));
-        call
-    }
-
-    /// Runs statements at the other instance.
-    pub async fn execute(&self, body: ExecuteCall) -> ExecuteReply {
-        let Some(output) = self.output.borrow().clone() else {
-            return not_held();
-        };
-        let limit = Duration::from_millis(u64::from(body.answer_within_ms)) + SILENCE_LIMIT;
-        let call = self.call_number();
-        let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().execute.insert(call, sender);
-        output.push(&PeerRequest::Execute { call, body: Box::new(body) });
-        let reply = timeout(limit, receiver).await;
-        self.pending.borrow_mut().execute.remove(&call);
-        match reply {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(_)) | Err(_) => {
-                ExecuteReply { outcome: ExecuteOutcome::Lost, queue_ms: 0, mark: None }
-            }
-        }
-    }
-
-    /// Ends a transaction whose connection the other instance holds.
-    pub fn release(&self, channel: u32) {
-        if let Some(output) = &*self.output.borrow() {
-            output.push(&PeerRequest::Release { channel });
-        }
-    }
-
-    /// Asks whether an operation of a team may start; none without an answer in time.
-    pub async fn count(
-        &self,
-        team: &str,
-        level: UrgencyLevel,
-        patience: Duration,
-        limit: Duration,
-    ) -> Option<CountAnswer> {
-        let patience_ms = u32::try_from(patience.as_millis()).unwrap_or(u32::MAX);
-        let call = self.call_number();
-        let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().count.insert(call, sender);
-        self.send(&PeerRequest::Count { call, team: team.to_owned(), level, patience_ms });
-        let answer = timeout(limit, receiver).await;
-        self.pending.borrow_mut().count.remove(&call);
-        answer.ok()?.ok()
-    }
-
-    /// Asks whether the other instance reaches an endpoint; none without an answer in time.
-    pub async fn probe(&self, endpoint: &str, limit: Duration) -> Option<bool> {
-        let call = self.call_number();
-        let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().probe.insert(call, sender);
-        self.send(&PeerRequest::Probe { call, endpoint: endpoint.to_owned() });
-        let reached = timeout(limit, receiver).await;
-        self.pending.borrow_mut().probe.remove(&call);
-        reached.ok()?.ok()
-    }
-
-    /// Fetches the other instance's copy of a table; none without an answer in time.
-    pub async fn table(
-        &self,
-        table: WatchedTable,
-        limit: Duration,
-    ) -> Option<(Vec<StoredRow>, u64)> {
-        let call = self.call_number();
-        let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().table.insert(call, sender);
-        self.send(&PeerRequest::Table { call, table });
-        let answer = timeout(limit, receiver).await;
-        self.pending.borrow_mut().table.remove(&call);
-        answer.ok()?.ok()
-    }
-
-    /// Sends a request that brings no answer, or drops it if the other instance is not connected.
-    pub(crate) fn send(&self, request: &PeerRequest) {
-        if let Some(output) = &*self.output.borrow() {
-            output.push(request);
-        }
-    }
-
-    fn take_reply(&self, reply: PeerReply) {
-        let mut pending = self.pending.borrow_mut();
-        // A caller that no longer waits has dropped its receiver; the answer is of no use then.
-        match reply {
-            PeerReply::Pong { version, status } => {
-                if let Some(status) = status {
-                    self.status_version.set(version);
-                    *self.status.borrow_mut() = *status;
-                }
-            }
-            PeerReply::Execute { call, body } => {
-                pending.execute.remove(&call).map(|sender| sender.send(*body).ok());
-            }
-            PeerReply::Count { call, answer } => {
-                pending.count.remove(&call).map(|sender| sender.send(answer).ok());
-            }
-            PeerReply::Probe { call, reached } => {
-                pending.probe.remove(&call).map(|sender| sender.send(reached).ok());
-            }
-            PeerReply::Table { call, rows, version } => {
-                pending.table.remove(&call).map(|sender| sender.send((rows, version)).ok());
-            }
-        }
-    }
-}
-
-fn not_held() -> ExecuteReply {
-    let outcome = ExecuteOutcome::NotSent { reason: HoldReason::NoHolder, retry_ms: 0 };
-    ExecuteReply { outcome, queue_ms: 0, mark: None }
-}
 
 /// Other instances.
 #[derive(Debug)]
@@ -615,11 +360,3 @@
         }
     }
 }
-
-/// Ends a connection; whoever waits on it learns that the answer is lost.
-fn close_link(link: &PeerLink) {
-    if let Some(output) = link.output.borrow_mut().take() {
-        output.close();
-    }
-    *link.pending.borrow_mut() = PendingCalls::default();
-}
--- /dev/null
+++ b/crates/engine/src/pool.rs
@@ -0,0 +1,139 @@
+//! Queue and connections of one endpoint.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use clock::SharedClock;
+use coord::urgency::{UrgencyLevel, UrgencyQueue};
+use telemetry::event::LogEvent;
+use telemetry::log_event;
+use tokio::sync::{Notify, oneshot};
+
+use crate::member::{MemberConnection, MemberError};
+
+/// Time between attempts to reach an endpoint that failed.
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+pub(crate) type PermitSender = oneshot::Sender<()>;
+
+/// Connection that waits for work.
+#[derive(Debug)]
+pub(crate) struct IdleConnection {
+    pub(crate) team: String,
+    pub(crate) connection: MemberConnection,
+    pub(crate) idle_since: Instant,
+}
+
+/// Connection of an open transaction.
+#[derive(Debug)]
+pub(crate) struct PinnedConnection {
+    pub(crate) pool: Rc<EndpointPool>,
+    pub(crate) team: String,
+    pub(crate) connection: MemberConnection,
+}
+
+/// Queue and connections of one endpoint.
+#[derive(Debug)]
+pub(crate) struct EndpointPool {
+    pub(crate) endpoint: String,
+    pub(crate) service: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) born_ms: u64,
+    pub(crate) queue: RefCell<UrgencyQueue<u64, PermitSender>>,
+    pub(crate) idle: RefCell<Vec<IdleConnection>>,
+    pub(crate) open: Cell<usize>,
+    pub(crate) limit: Cell<usize>,
+    pub(crate) freed: Notify,
+    pub(crate) failing_since: Cell<Option<Instant>>,
+    pub(crate) tried_at: Cell<Option<Instant>>,
+    pub(crate) heard_at: Cell<Option<Instant>>,
+    pub(crate) probing: Cell<bool>,
+    pub(crate) refused_at: Cell<Option<Instant>>,
+}
+
+/// Permit to run at an endpoint; given back when dropped.
+pub(crate) struct RunPermit {
+    pub(crate) pool: Rc<EndpointPool>,
+    pub(crate) clock: SharedClock,
+    pub(crate) level: UrgencyLevel,
+    pub(crate) team: u64,
+    pub(crate) taken_at: Instant,
+}
+
+impl Drop for RunPermit {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        let held = now.saturating_duration_since(self.taken_at);
+        self.pool.queue.borrow_mut().release(self.level, self.team, held);
+        self.pool.wake_next(now);
+    }
+}
+
+impl EndpointPool {
+    /// Starts waiting requests while permits are free.
+    pub(crate) fn wake_next(&self, now: Instant) {
+        let mut expired = Vec::new();
+        loop {
+            let next = self.queue.borrow_mut().pop(now, &mut expired);
+            let Some(sender) = next else {
+                break;
+            };
+            if sender.send(()).is_err() {
+                self.queue.borrow_mut().release(0, 0, Duration::ZERO);
+            }
+        }
+    }
+
+    pub(crate) fn close(&self, connection: MemberConnection) {
+        drop(connection);
+        self.open.set(self.open.get().saturating_sub(1));
+        self.freed.notify_one();
+    }
+
+    pub(crate) fn note_reached(&self, now: Instant) {
+        self.heard_at.set(Some(now));
+        if self.failing_since.replace(None).is_some() {
+            log_event!(LogEvent::MemberFound, "endpoint={}", self.endpoint);
+        }
+    }
+
+    pub(crate) fn note_failed(&self, now: Instant, cause: &MemberError) {
+        if self.failing_since.get().is_none() {
+            self.failing_since.set(Some(now));
+            log_event!(LogEvent::MemberLost, "endpoint={} cause=\"{cause}\"", self.endpoint);
+        }
+    }
+
+    /// Tells whether the endpoint failed so recently that another attempt is not worth while.
+    pub(crate) fn is_shunned(&self, now: Instant) -> bool {
+        let recent = |at: Instant| now.saturating_duration_since(at) < RETRY_PAUSE;
+        self.failing_since.get().is_some() && self.tried_at.get().is_some_and(recent)
+    }
+}
+
+/// Why no connection could be had.
+pub(crate) enum TakeError {
+    Unreachable,
+    Full,
+}
+
+/// Takes the connection of a team that was used last.
+pub(crate) fn take_idle(pool: &EndpointPool, team: &str) -> Option<IdleConnection> {
+    let mut idle = pool.idle.borrow_mut();
+    loop {
+        let place = idle.iter().rposition(|idle| idle.team == team)?;
+        let found = idle.remove(place);
+        if !found.connection.is_spoilt() {
+            return Some(found);
+        }
+        pool.open.set(pool.open.get().saturating_sub(1));
+    }
+}
+
+/// Takes the connection that has been idle for longest.
+pub(crate) fn take_oldest_idle(pool: &EndpointPool) -> Option<IdleConnection> {
+    let mut idle = pool.idle.borrow_mut();
+    if idle.is_empty() { None } else { Some(idle.remove(0)) }
+}
--- /dev/null
+++ b/crates/soak/tests/verdicts.rs
@@ -0,0 +1,78 @@
+//! The checks of the soak find what they are there for, and faults come alike for a seed.
+
+use std::time::Duration;
+
+use soak::caller::{CallerHistory, ToldOutcome, TriedWrite};
+use soak::fault::plan;
+use soak::verdict::{CALLER_TEAM, judge};
+use standin::fleet::group::{LineGroupState, StatementRun};
+use standin::fleet::store::PromotionCall;
+
+fn write(data: &str, told: ToldOutcome) -> TriedWrite {
+    TriedWrite { item: "i1".to_owned(), data: data.to_owned(), told }
+}
+
+fn statement(id: &str, connection: u64, in_transaction: bool) -> StatementRun {
+    let (id, team) = (id.to_owned(), CALLER_TEAM.to_owned());
+    StatementRun { id, text: "READ a".to_owned(), team, connection, in_transaction }
+}
+
+/// Names a case: what is written, what was told, what members ran, and whether it is a breach.
+macro_rules! verdict_case {
+    ($name:ident, $committed:expr, $told:expr, $runs:expr, $broken:literal) => {
+        #[test]
+        fn $name() {
+            let group = LineGroupState::new("bookings", &["m-1"]);
+            let mut group = group.lock();
+            let committed: Vec<&str> = $committed;
+            for data in committed {
+                group.commit(vec![("i1".to_owned(), data.to_owned())]);
+            }
+            group.members[0].runs = $runs;
+            let history = CallerHistory { writes: $told, ..CallerHistory::default() };
+            assert_eq!(judge(&history, &group, &[]).len(), $broken);
+        }
+    };
+}
+
+verdict_case!(kept_as_told, vec!["w1"], vec![write("w1", ToldOutcome::Acknowledged)], vec![], 0);
+verdict_case!(lost, vec![], vec![write("w1", ToldOutcome::Acknowledged)], vec![], 1);
+verdict_case!(twice, vec!["w1", "w1"], vec![write("w1", ToldOutcome::Unknown)], vec![], 1);
+verdict_case!(kept_though_refused, vec!["w1"], vec![write("w1", ToldOutcome::NotKept)], vec![], 1);
+verdict_case!(unknown_either_way, vec![], vec![write("w1", ToldOutcome::Unknown)], vec![], 0);
+verdict_case!(outside, vec![], vec![], vec![statement("t1n1s0", 1, false)], 1);
+verdict_case!(
+    moved,
+    vec![],
+    vec![],
+    vec![statement("t1n1s2", 1, true), statement("t1n1c", 2, true)],
+    1
+);
+
+#[test]
+fn a_read_behind_an_own_write_is_a_breach() {
+    let group = LineGroupState::new("bookings", &["m-1"]);
+    let regressions = vec![("w1".to_owned(), "w2".to_owned())];
+    let history = CallerHistory { regressions, ..CallerHistory::default() };
+    assert_eq!(judge(&history, &group.lock(), &[]).len(), 1);
+}
+
+#[test]
+fn a_token_of_two_holders_is_a_breach() {
+    let group = LineGroupState::new("bookings", &["m-1"]);
+    let call = |holder: &str| PromotionCall {
+        service: "bookings".to_owned(),
+        endpoint: "m-1".to_owned(),
+        holder: holder.to_owned(),
+        token: 4,
+    };
+    let calls = [call("a"), call("b")];
+    assert_eq!(judge(&CallerHistory::default(), &group.lock(), &calls).len(), 1);
+}
+
+#[test]
+fn a_seed_gives_the_same_faults() {
+    let time = Duration::from_secs(30);
+    assert_eq!(plan(7, time, 3, 3), plan(7, time, 3, 3));
+    assert_ne!(plan(7, time, 3, 3), plan(8, time, 3, 3));
+}
