Count a statement's time from its own arrival

Cause: the time limits of a transaction's first statement were counted from its BEGIN, so a caller that paused after BEGIN got one try and no wait. Found while reading. Change: they are counted from the statement's arrival; ages of data still count from BEGIN.

--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -299,6 +299,7 @@
             dialogue: &self.dialogue,
             session: self.session,
             pending,
+            arrived_at: self.began_at,
         };
         let result = self.node.run_statement(&context, self.pinned.as_ref()).await;
         let class = if plan.read_only { "read" } else { "write" };
--- a/crates/engine/src/operation.rs
+++ b/crates/engine/src/operation.rs
@@ -61,6 +61,8 @@
     pub session: u64,
     /// Settings that the connection of the open transaction lacks.
     pub pending: Vec<String>,
+    /// Arrival of the statement; its transaction may have begun long before.
+    pub arrived_at: Instant,
 }
 
 /// Outcome of a statement.
@@ -127,9 +129,10 @@
         if let Err(wait) = self.admit(context.team, context.route.level, patience).await {
             return not_run("over the limit of the team", wait);
         }
-        let began_at = context.plan.began_at;
-        let soft = began_at + context.route.target_latency.mul_f64(START_PART);
-        let deadline = began_at + context.route.statement_timeout;
+        // The caller's pause after the opening of a transaction is not the statement's wait.
+        let arrived_at = context.arrived_at;
+        let soft = arrived_at + context.route.target_latency.mul_f64(START_PART);
+        let deadline = arrived_at + context.route.statement_timeout;
         let mut failed: Vec<String> = Vec::new();
         let mut last = (RefusalCode::Busy, "no endpoint", LEAST_RETRY);
         for attempt in 0..TRIED_PLACES {
@@ -332,7 +335,7 @@
         attempt: usize,
     ) {
         counter!(meter::RETRIES, "reason" => cause).increment(1);
-        let waited = self.now().saturating_duration_since(context.plan.began_at);
+        let waited = self.now().saturating_duration_since(context.arrived_at);
         log_event!(
             LogEvent::RequestRetried,
             "request={} team={} service={} endpoint={endpoint} cause={cause} attempt={attempt} \
