Let one bucket operation serve both ways of taking; drop a function nothing calls

Cause: reading the change again. TokenBucket::take repeated reserve without floor and patience; MemberConnection::peer_address was left over from before connections knew their pool. Change: take calls reserve; the dead function goes; a map of takeover machines is named for what it holds. Behaviour is the same: tests of buckets, limits, queues, sessions and the platform pass, clippy is clean.

--- a/crates/engine/src/member.rs
+++ b/crates/engine/src/member.rs
@@ -91,11 +91,6 @@
         )
     }
 
-    /// Returns the address of the endpoint.
-    pub fn peer_address(&self) -> Option<SocketAddr> {
-        self.stream.peer_addr().ok()
-    }
-
     /// Sends bytes.
     pub async fn send(&mut self, bytes: &[u8]) -> Result<(), MemberError> {
         self.stream.write_all(bytes).await.map_err(|source| MemberError::Io { source })
--- a/crates/engine/src/steward.rs
+++ b/crates/engine/src/steward.rs
@@ -56,7 +56,7 @@
     pub async fn serve_duty(self: Rc<Self>) {
         let held = Rc::new(RefCell::new(HeldLease::default()));
         let mut vacant_since = None;
-        let mut busy: HashMap<String, Rc<RefCell<TakeoverMachine>>> = HashMap::new();
+        let mut machines: HashMap<String, Rc<RefCell<TakeoverMachine>>> = HashMap::new();
         loop {
             sleep(TICK).await;
             if self.is_leaving() {
@@ -73,7 +73,8 @@
             let services: Vec<String> =
                 self.directory.borrow().document().service_names().map(str::to_owned).collect();
             for service in services {
-                let machine = busy.entry(service.clone()).or_default().clone();
+                let machine = machines.entry(service.clone()).or_default().clone();
+                // A third owner is the task that weighs this service already.
                 if Rc::strong_count(&machine) > 2 || !self.is_suspect(&service, &machine) {
                     continue;
                 }
--- a/crates/state/src/bucket.rs
+++ b/crates/state/src/bucket.rs
@@ -26,12 +26,7 @@
 
     /// Takes `cost` tokens, or tells how long earning them takes.
     pub fn take(&mut self, cost: f64, now: Instant) -> Result<(), BucketDelay> {
-        self.fill(now);
-        if self.tokens >= cost {
-            self.tokens -= cost;
-            return Ok(());
-        }
-        Err(BucketDelay { retry_after: self.delay(cost) })
+        self.reserve(cost, 0.0, Duration::ZERO, now).map(|_| ())
     }
 
     /// Takes `cost` tokens that are earned within `patience` beyond those kept as `floor`, and
