Repeat a read whose member was replaced or fell silent

Cause: keeps_acknowledged_writes_when_the_primary_is_paused_for_good failed now and then on a busy machine ("writer had 14 to 20 answers", more than 20 wanted). A log line for each write showed writers that stopped at the moment of the pause and got no further answer until the statement deadline of 5 s: their session read was under way on the paused primary. An exchange watched for a new primary only if it carried a barrier, a confirmation or a transaction; a read with a token carries none of them. Whether a writer stood in its read or in its write at the pause was chance, and a busy machine left it under 21 answers before the pause.

Ruled out: the failover (0.8 s in each run), connection set-up, the load itself (other writers of the same run had 250 to 290 answers).

Change: every exchange on a primary ends when another one takes its place, every one on a replica when the replica no longer answers, and the read is repeated. A plain read that the caller has in part goes on, as only the same member has the rest.

--- a/crates/lab/tests/failures.rs
+++ b/crates/lab/tests/failures.rs
@@ -15,6 +15,10 @@
 use tokio::time::{Instant, sleep};
 use tokio_postgres::Config;
 
+/// Longest time that a paused member may hold up a read: three fifths of the statement deadline of
+/// 5 s, so that the repeated read has time to run.
+const MAX_REPLACEMENT: Duration = Duration::from_secs(3);
+
 lab_cases! {
     keeps_acknowledged_writes_when_the_primary_is_cut(3);
     keeps_acknowledged_writes_when_the_primary_stops(3);
@@ -24,6 +28,8 @@
     fails_over_twice_and_takes_the_old_primary_back(3);
     settles_a_write_whose_answer_was_lost(2);
     goes_on_when_connections_go_silent(2);
+    repeats_a_session_read_after_its_primary_was_replaced(3);
+    repeats_a_read_of_a_stated_age_on_another_member(3);
     loses_a_transaction_with_its_primary(2);
     finishes_transactions_while_it_drains(2);
 }
@@ -236,6 +242,53 @@
     assert_eq!(caller.values("SELECT count(*) FROM visits").await.expect("read"), ["4"]);
 }
 
+/// Lets a member answer late, so that a statement is still under way when it is paused.
+fn slow() -> FaultChange {
+    FaultChange { slow_ms: Some(400), ..FaultChange::default() }
+}
+
+/// Pauses a member for good.
+fn pause() -> FaultChange {
+    FaultChange { paused: Some(true), ..FaultChange::default() }
+}
+
+async fn repeats_a_session_read_after_its_primary_was_replaced(environment: LabEnvironment) {
+    let caller = connect(&environment, 0).await;
+    caller.client.batch_execute("CREATE TABLE visits (id int)").await.expect("create");
+    caller.client.simple_query("INSERT INTO visits VALUES (1)").await.expect("write");
+    fault(&environment, "gent", slow());
+    let read = tokio::spawn(async move {
+        let begin = Instant::now();
+        (caller.values("SELECT count(*) FROM visits").await, begin.elapsed())
+    });
+    sleep(Duration::from_millis(100)).await;
+    fault(&environment, "gent", pause());
+    let (rows, took) = read.await.expect("the caller ends");
+    assert_eq!(rows.expect("the read is repeated"), ["1"]);
+    assert!(took < MAX_REPLACEMENT, "the read took {took:?}");
+}
+
+async fn repeats_a_read_of_a_stated_age_on_another_member(environment: LabEnvironment) {
+    let caller = connect(&environment, 0).await;
+    caller.client.batch_execute("CREATE TABLE seats (id int)").await.expect("create");
+    caller.client.simple_query("INSERT INTO seats VALUES (1)").await.expect("write");
+    sleep(Duration::from_millis(300)).await;
+    for member in ["leuven", "brugge"] {
+        fault(&environment, member, slow());
+    }
+    let read = tokio::spawn(async move {
+        let begin = Instant::now();
+        (caller.values("SELECT count(*) FROM seats").await, begin.elapsed())
+    });
+    sleep(Duration::from_millis(100)).await;
+    for member in ["leuven", "brugge"] {
+        fault(&environment, member, pause());
+    }
+    let (rows, took) = read.await.expect("the caller ends");
+    assert_eq!(rows.expect("the read is repeated"), ["1"]);
+    assert!(took < MAX_REPLACEMENT, "the read took {took:?}");
+}
+
 async fn loses_a_transaction_with_its_primary(environment: LabEnvironment) {
     let mut caller = connect(&environment, 0).await;
     caller.client.batch_execute("CREATE TABLE visits (id int)").await.expect("create");
--- a/crates/proxy/src/database.rs
+++ b/crates/proxy/src/database.rs
@@ -133,10 +133,20 @@
 
     /// Waits until another member is the primary, or the same one in another term.
     pub async fn replaced(&self, primary: usize, term: u64) {
+        let replaced = || self.primary().is_some_and(|current| current != (primary, term));
+        self.wait_until(replaced).await;
+    }
+
+    /// Waits until a member no longer answers this instance.
+    pub async fn lost(&self, index: usize) {
+        self.wait_until(|| !self.members[index].record().reachable).await;
+    }
+
+    async fn wait_until(&self, holds: impl Fn() -> bool) {
         let mut changes = self.subscribe();
         loop {
             changes.borrow_and_update();
-            if self.primary().is_some_and(|current| current != (primary, term)) {
+            if holds() {
                 return;
             }
             if changes.changed().await.is_err() {
--- a/crates/proxy/src/session/exchange.rs
+++ b/crates/proxy/src/session/exchange.rs
@@ -1,6 +1,7 @@
 //! One exchange with a member: what is sent, and how its replies reach the caller.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
@@ -35,10 +36,19 @@
     pub(super) confirm: bool,
     /// Position that the answering member must cover.
     pub(super) floor: Option<LogPosition>,
+    /// Tells that the request runs on a replica.
+    pub(super) on_replica: bool,
     /// Tells that the request runs inside a transaction.
     pub(super) in_transaction: bool,
 }
 
+impl ExchangePlan {
+    /// Tells whether the answer stands by itself, without a proof by the primary.
+    pub(super) fn is_plain_read(&self) -> bool {
+        !self.confirm && !self.barrier && !self.in_transaction
+    }
+}
+
 /// How an exchange ended.
 #[derive(Debug)]
 pub(super) enum ExchangeEnd {
@@ -62,16 +72,21 @@
     pub(super) buffer: &'a mut BytesMut,
     /// Length of the buffer before the exchange.
     pub(super) mark: usize,
-    /// Tells that part of the answer has been sent.
-    pub(super) sent: bool,
+    /// Tells that part of the answer has been sent; read while the exchange runs.
+    pub(super) sent: &'a AtomicBool,
     /// Tells that the whole answer came, though perhaps not its confirmation.
     pub(super) answered: bool,
 }
 
 impl CallerOutput<'_> {
+    /// Tells whether the caller has seen part of the answer.
+    pub(super) fn is_sent(&self) -> bool {
+        self.sent.load(Ordering::Relaxed)
+    }
+
     /// Drops what the exchange wrote, unless the caller has already seen part of it.
     pub(super) fn rewind(&mut self) {
-        if !self.sent {
+        if !self.is_sent() {
             self.buffer.truncate(self.mark);
         }
     }
@@ -80,7 +95,7 @@
         if self.buffer.len() < limit {
             return Ok(());
         }
-        self.sent = true;
+        self.sent.store(true, Ordering::Relaxed);
         self.socket.write(self.buffer).await?;
         self.buffer.clear();
         Ok(())
--- a/crates/proxy/src/session/serve.rs
+++ b/crates/proxy/src/session/serve.rs
@@ -1,5 +1,6 @@
 //! Runs requests on members, with retries where they are safe.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use coord::routing::{ReadNeeds, RouteTarget};
@@ -28,6 +29,9 @@
 /// Longest pause before a retry.
 const MAX_BACKOFF: Duration = Duration::from_millis(100);
 
+/// What an exchange lacked that was given up because its member was replaced or silent.
+const GIVEN_UP: &str = "the current primary or a replica that answers";
+
 /// What became of one attempt.
 enum AttemptEnd {
     /// The answer is in the caller's output.
@@ -289,6 +293,7 @@
             label: commits.then(|| self.instance.next_label()),
             confirm: commits && request.synced,
             floor: target.floor,
+            on_replica: target.term.is_none(),
             in_transaction: false,
         };
         let run = self.exchange(&mut connection, request, &plan, target.member, terms).await;
@@ -393,7 +398,8 @@
         }
     }
 
-    /// Runs an exchange until it ends or another primary takes the member's place.
+    /// Runs an exchange until it ends, another primary takes the member's place, or a replica no
+    /// longer answers.
     async fn exchange(
         &mut self,
         connection: &mut PooledConnection,
@@ -406,30 +412,36 @@
         self.registration.slot().set_running(connection.cancel_handle());
         let term = connection.position().map(|position| position.term);
         let mark = self.output.len();
+        let sent = AtomicBool::new(false);
         let mut output = CallerOutput {
             socket: &mut self.socket,
             buffer: &mut self.output,
             mark,
-            sent: false,
+            sent: &sent,
             answered: false,
         };
         let database = self.database.clone();
-        let replaced = async {
+        let given_up = async {
             match term {
+                _ if plan.on_replica => database.lost(member).await,
                 Some(term) => database.replaced(member, term).await,
                 None => std::future::pending().await,
             }
         };
-        let watch_primary = plan.confirm || plan.barrier || plan.in_transaction;
-        let run = exchange::run(connection, request, plan, &mut output, terms.deadline);
-        let end = tokio::select! {
-            biased;
-            end = run => end,
-            () = replaced, if watch_primary => {
-                ExchangeEnd::Lost(MemberError::Protocol { what: "the current primary" })
+        let end = {
+            let run = exchange::run(connection, request, plan, &mut output, terms.deadline);
+            tokio::pin!(run);
+            tokio::select! {
+                biased;
+                end = &mut run => end,
+                // Of a plain read that the caller has in part only this member has the rest.
+                () = given_up => match plan.is_plain_read() && sent.load(Ordering::Relaxed) {
+                    true => run.await,
+                    false => ExchangeEnd::Lost(MemberError::Protocol { what: GIVEN_UP }),
+                },
             }
         };
-        let (sent, answered) = (output.sent, output.answered);
+        let (sent, answered) = (output.is_sent(), output.answered);
         if !matches!(end, ExchangeEnd::Complete) && !answered {
             output.rewind();
         }
