Close connections that a team no longer needs after one second

A team that had needed several for a moment kept all of them for 4 s, and the oldest were used in turn by nobody.

Ruled out: a limit for all idle connections of an endpoint.

Change: coord::placement decides how long a connection rests: 4 s if it is the last of its team, 1 s if the team has used another one since, 1.5 s if the endpoint is held elsewhere now.

--- a/crates/coord/src/placement.rs
+++ b/crates/coord/src/placement.rs
@@ -138,3 +138,37 @@
     let usable = connections - connections / SPARE_CONNECTIONS;
     ((usable as f64 * reach) as usize).max(1)
 }
+
+/// Standing of a connection without work.
+///
+/// Load pattern: all instances lose power at once. The endpoint counts their connections until it
+/// notices, for seconds, and whoever takes over works with what was left free. A team that needed
+/// several connections for a moment soon keeps one only.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RestingConnection {
+    /// The only one of its team, or the one that it used last.
+    Last,
+    /// Its team has used another one since.
+    Spare,
+    /// Another instance now holds the connections of the endpoint.
+    Foreign,
+}
+
+/// Rest of a team's last connection: opening one takes a slot for as long as two statements do.
+const LAST_REST: Duration = Duration::from_secs(4);
+/// Rest of a connection that its team did not need for so long.
+const SPARE_REST: Duration = Duration::from_secs(1);
+/// Rest of a connection whose endpoint moved: its new holder needs the place, but may be gone
+/// again in a moment.
+const FOREIGN_REST: Duration = Duration::from_millis(1_500);
+
+impl RestingConnection {
+    /// Returns the time without work after which the connection is closed.
+    pub fn longest_rest(self) -> Duration {
+        match self {
+            Self::Last => LAST_REST,
+            Self::Spare => SPARE_REST,
+            Self::Foreign => FOREIGN_REST,
+        }
+    }
+}
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -11,7 +11,7 @@
 
 use coord::dialogue::BlockState;
 use coord::marks::ProvedMark;
-use coord::placement::connection_limit;
+use coord::placement::{RestingConnection, connection_limit};
 use coord::rendezvous;
 use coord::takeover::MemberReport;
 use coord::urgency::{UrgencyLevel, UrgencyQueue};
@@ -45,9 +45,6 @@
 const CLEANUP_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle time after which a connection must prove itself before it carries a write.
 const PROOF_AGE: Duration = Duration::from_millis(1_500);
-/// Idle time after which a connection is closed. Connections of instances that lost power count at
-/// the endpoint for three seconds more; whoever takes over finds only what was left free.
-const IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Setup of a connection whose values are not known.
 const UNKNOWN_SETUP: u64 = u64::MAX;
 
@@ -180,10 +177,16 @@
                 self.directory.borrow().endpoint(&pool.endpoint).map(|entry| entry.record.born_ms);
             let held_here = entry_born.is_some()
                 && self.holders_of(&pool.endpoint).first().is_some_and(|name| name == self.name());
-            let limit = if held_here { IDLE_LIMIT } else { PROOF_AGE };
+            let newest = newest_of_teams(&pool);
             let mut closed = Vec::new();
             pool.idle.borrow_mut().retain_mut(|idle| {
-                let old = now.saturating_duration_since(idle.idle_since) > limit;
+                let resting = match newest.get(&idle.team) {
+                    _ if !held_here => RestingConnection::Foreign,
+                    Some(newest) if *newest > idle.idle_since => RestingConnection::Spare,
+                    _ => RestingConnection::Last,
+                };
+                let rested = now.saturating_duration_since(idle.idle_since);
+                let old = rested > resting.longest_rest();
                 if old || idle.connection.is_spoilt() {
                     closed.push(());
                     return false;
@@ -618,6 +621,13 @@
     }
 }
 
+/// Returns when each team last gave back a connection of a pool.
+fn newest_of_teams(pool: &EndpointPool) -> HashMap<String, Instant> {
+    // Connections stand in the order in which they were given back, so the last one wins.
+    let idle = pool.idle.borrow();
+    idle.iter().map(|idle| (idle.team.clone(), idle.idle_since)).collect()
+}
+
 /// Name under which members are asked about themselves; no caller has a part in it.
 const PROBE_TEAM: &str = "-";
 
