Stop withdrawn keys on instances that are cut off, where they must

The setting was not read; an instance acted on its last document for good.

Ruled out: reading the store on every instance instead of one a zone (a call each 1.2 s from each of 89 instances); pushing proofs one way (a message that was held back would look younger than it is).

Change: where the setting asks for it, an instance accepts keys only while its document is proved, by coord::confirmation as the PostgreSQL path has it: by an answer of the store, or by another instance's proof that comes with the answer to a ping and is aged from before that ping. Limit: the bound less 800 ms for what was admitted last. Without a proof keyed requests are refused as not run, and the instance is not ready. A reader that takes over asks the store without a wait. Nothing is sent or refused where the setting is false.

--- a/crates/coord/src/confirmation.rs
+++ b/crates/coord/src/confirmation.rs
@@ -10,9 +10,21 @@
 
 /// Time after the last proof for which a version may be acted on.
 pub const CONFIRMATION_LIMIT: Duration = Duration::from_millis(2_500);
+/// Part of the time for which a withdrawn key may still work that a request admitted last needs: it
+/// waits for its token, its connection and its turn.
+const ADMITTED_RESERVE: Duration = Duration::from_millis(800);
 /// Failed time after which the table service counts as down for an instance.
 const OUTAGE_AFTER: Duration = Duration::from_millis(300);
 
+/// Returns the time after the last proof for which keys of a version may be accepted, if a withdrawn
+/// key must stop working within `bound` on every instance, also on those cut off.
+///
+/// An instance that is cut off cannot be told apart from one that missed nothing, so it stops in
+/// time. `bound` less the reserve, and at least half of it.
+pub fn withdrawal_limit(bound: Duration) -> Duration {
+    bound.saturating_sub(ADMITTED_RESERVE).max(bound / 2)
+}
+
 /// Answer of a peer in a round of heartbeats.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PeerWord {
--- a/crates/coord/tests/decisions.rs
+++ b/crates/coord/tests/decisions.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use common::{Choices, check_cases};
-use coord::confirmation::{CONFIRMATION_LIMIT, ConfirmationMachine, PeerWord};
+use coord::confirmation::{CONFIRMATION_LIMIT, ConfirmationMachine, PeerWord, withdrawal_limit};
 use coord::failover::{FailoverEffect, FailoverEvent, FailoverMachine, SILENCE_LIMIT};
 use coord::freshness::FreshnessTracker;
 use coord::ledger::{self, ShareLedger, WHOLE};
@@ -80,6 +80,33 @@
     assert_eq!(tracker.complete_at(0), None);
 }
 
+#[test]
+fn keys_stop_before_their_withdrawal_must_be_in_force() {
+    for millis in [200, 1_000, 2_000, 5_000, 60_000] {
+        let bound = Duration::from_millis(millis);
+        let limit = withdrawal_limit(bound);
+        assert!(limit < bound, "an admitted request still takes its time");
+        assert!(limit * 2 >= bound, "there is time for a proof, {limit:?} of {bound:?}");
+    }
+}
+
+#[test]
+fn a_proof_of_another_instance_ages_from_before_the_question() {
+    let begin = Instant::now();
+    let at = |millis| begin + Duration::from_millis(millis);
+    let word = |version| PeerWord::Answered {
+        version,
+        proof_age: Some(Duration::from_millis(300)),
+        store_down: false,
+    };
+    let mut machine = ConfirmationMachine::default();
+    machine.adopt(4);
+    machine.record_peer(1, at(1_000), word(3));
+    assert_eq!(machine.proof_age(at(1_100)), None, "it proves another document");
+    machine.record_peer(1, at(1_000), word(4));
+    assert_eq!(machine.proof_age(at(1_100)), Some(Duration::from_millis(400)));
+}
+
 /// Runs a queue in which some teams always wait, and returns the time each was served.
 fn serve(capacity: usize, holds: &[u64], rounds: usize) -> Vec<Duration> {
     let begin = Instant::now();
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -336,6 +336,9 @@
         };
         let team = self.key.as_deref().and_then(|key| document.team_of(key));
         match team {
+            Some(_) if !self.node.is_document_confirmed() => {
+                Err((RefusalCode::Busy, "not run: whether the key is still valid cannot be told"))
+            }
             Some(team) => Ok((route, team)),
             None if route.open_to_all => Ok((route, OPEN_TEAM.into())),
             None => Err((RefusalCode::UnknownKey, "the key is not known")),
--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -15,8 +15,8 @@
 
 use crate::link::WatchedTable;
 use crate::message::{
-    CountAnswer, ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason, InstanceStatus, PeerReply,
-    PeerRequest, encode,
+    CountAnswer, DocumentProof, ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason,
+    InstanceStatus, PeerReply, PeerRequest, encode,
 };
 use crate::record::InstanceRecord;
 use crate::tables::StoredRow;
@@ -88,11 +88,17 @@
         changed
     }
 
-    /// Sends a sign of life, with the status if the other side does not have it.
-    pub(crate) fn tell(&self, output: &OutputQueue, known: u32) {
+    /// Answers a ping, or tells the status without one; with the status if the other side lacks it.
+    pub(crate) fn tell(
+        &self,
+        output: &OutputQueue,
+        number: u32,
+        known: u32,
+        proof: Option<DocumentProof>,
+    ) {
         let version = self.version.get();
         let status = (known != version).then(|| Box::new(self.told.borrow().clone()));
-        output.push(&PeerReply::Pong { version, status });
+        output.push(&PeerReply::Pong { number, proof, version, status });
     }
 }
 
@@ -118,6 +124,8 @@
     pub(crate) heard_at: Cell<Option<Instant>>,
     /// Time of the first ping that was not answered.
     pub(crate) asked_at: Cell<Option<Instant>>,
+    /// Number and time of the ping whose answer may carry a proof.
+    pub(crate) proof_ping: Cell<Option<(u32, Instant)>>,
     pub(crate) lost_at: Cell<Option<Instant>>,
     pub(crate) status_version: Cell<u32>,
     pub(crate) status: RefCell<InstanceStatus>,
@@ -134,6 +142,7 @@
             connection: RefCell::default(),
             heard_at: Cell::new(None),
             asked_at: Cell::new(None),
+            proof_ping: Cell::new(None),
             lost_at: Cell::new(Some(now)),
             status_version: Cell::new(0),
             status: RefCell::default(),
@@ -156,7 +165,7 @@
         !pending.execute.is_empty() || !pending.count.is_empty()
     }
 
-    fn call_number(&self) -> u32 {
+    pub(crate) fn call_number(&self) -> u32 {
         let call = self.next_call.get();
         self.next_call.set(call.wrapping_add(1));
         call
@@ -244,7 +253,7 @@
         let mut pending = self.pending.borrow_mut();
         // A caller that no longer waits has dropped its receiver; the answer is of no use then.
         match reply {
-            PeerReply::Pong { version, status } => {
+            PeerReply::Pong { version, status, .. } => {
                 if let Some(status) = status {
                     self.status_version.set(version);
                     *self.status.borrow_mut() = *status;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -178,6 +178,15 @@
     pub leaders: Vec<(String, String, u64)>,
 }
 
+/// Proof that a document is the newest.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DocumentProof {
+    /// Version of the copy of the document's table.
+    pub version: u64,
+    /// Time since the store was asked, in milliseconds, rounded up.
+    pub age_ms: u32,
+}
+
 /// Message of the side that opened a connection.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum PeerRequest {
@@ -185,6 +194,8 @@
     Hello(InstanceRecord),
     /// Asks for a sign of life; carries the version of the status known so far.
     Ping {
+        /// Number for the answer.
+        number: u32,
         /// Version of the status that the sender has.
         known: u32,
     },
@@ -239,6 +250,10 @@
 pub enum PeerReply {
     /// Sign of life, with the status if it has changed.
     Pong {
+        /// Number of the ping; zero if the status is told without one.
+        number: u32,
+        /// What proves the sender's document, if withdrawn keys must stop everywhere.
+        proof: Option<DocumentProof>,
         /// Version of the status.
         version: u32,
         /// The status, if the asking side does not have this version.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use clock::SharedClock;
+use coord::confirmation::{ConfirmationMachine, withdrawal_limit};
 use coord::quota::{LimitWindow, TeamCounters};
 use telemetry::event::LogEvent;
 use telemetry::log_event;
@@ -42,6 +43,9 @@
     pub drain_limit: Duration,
     /// Time within which a new document must be in force.
     pub document_bound: Duration,
+    /// Time within which a withdrawn key must stop working on every instance, also on those cut off;
+    /// none if only instances that reach the store are held to it.
+    pub withdrawal_bound: Option<Duration>,
     /// Span in which the limits of teams hold.
     pub limit_window: LimitWindow,
 }
@@ -61,6 +65,8 @@
     pub directory: RefCell<FleetDirectory>,
     /// Copies of the platform's tables.
     pub tables: RefCell<TableCopies>,
+    /// Proofs that the document in force is the newest.
+    pub confirmation: RefCell<ConfirmationMachine>,
     /// Other instances.
     pub peers: PeerTable,
     /// Connections to endpoints.
@@ -76,6 +82,7 @@
     leaving_since: Cell<Option<Instant>>,
     leave_signal: Notify,
     store_reached: Cell<bool>,
+    confirmed: Cell<bool>,
     duty: Cell<Option<u64>>,
     next_channel: Cell<u32>,
     next_session: Cell<u32>,
@@ -96,6 +103,8 @@
             platform,
             holder: ConnectionHolder::default(),
             tables: RefCell::default(),
+            confirmation: RefCell::default(),
+            confirmed: Cell::new(true),
             announced: Notify::new(),
             started_at,
             callers: Cell::new(0),
@@ -131,7 +140,43 @@
 
     /// Tells whether the instance can serve callers and is not about to stop.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.directory.borrow().is_complete()
+        !self.is_leaving() && self.directory.borrow().is_complete() && self.is_document_confirmed()
+    }
+
+    /// Tells whether keys may be accepted: no withdrawal can have been missed for too long.
+    pub fn is_document_confirmed(&self) -> bool {
+        let limit = self.settings.withdrawal_bound.map(withdrawal_limit);
+        !limit.is_some_and(|limit| self.proof_is_older(limit))
+    }
+
+    /// Tells whether withdrawn keys must stop everywhere and the document was not proved for longer
+    /// than `age`.
+    pub fn proof_is_older(&self, age: Duration) -> bool {
+        let proof_age = self.confirmation.borrow().proof_age(self.now());
+        self.settings.withdrawal_bound.is_some() && proof_age.is_none_or(|proof| proof > age)
+    }
+
+    /// Records that the store, asked at `asked_at`, had no document newer than the copy here.
+    pub fn confirm_document(&self, asked_at: Instant) {
+        let [version, _] = self.tables.borrow().versions();
+        let mut confirmation = self.confirmation.borrow_mut();
+        confirmation.adopt(version);
+        confirmation.record_store(asked_at, version);
+    }
+
+    /// Logs when the document stops or starts to be confirmed.
+    pub fn watch_confirmation(&self) {
+        let confirmed = self.is_document_confirmed();
+        if self.confirmed.replace(confirmed) == confirmed {
+            return;
+        }
+        let version = self.directory.borrow().document().version;
+        let age = self.confirmation.borrow().proof_age(self.now());
+        if confirmed {
+            log_event!(LogEvent::DocumentConfirmed, "version={version} proof_age={age:?}");
+        } else {
+            log_event!(LogEvent::DocumentUnconfirmed, "version={version} proof_age={age:?}");
+        }
     }
 
     /// Tells whether the instance is about to stop.
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use coord::confirmation::{PeerWord, withdrawal_limit};
 use coord::placement::{HolderCandidate, order_holders};
 use telemetry::event::LogEvent;
 use telemetry::log_event;
@@ -15,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::channel::{OutputQueue, PeerLink, SILENCE_LIMIT, StatusTeller, close_link};
-use crate::message::{InstanceStatus, PeerReply, PeerRequest, decode};
+use crate::message::{DocumentProof, InstanceStatus, PeerReply, PeerRequest, decode, millis};
 use crate::node::{EngineEdge, GatewayNode};
 use crate::record::InstanceRecord;
 
@@ -175,6 +176,8 @@
         loop {
             sleep(PING_TICK).await;
             let now = self.now();
+            let limit = self.settings.withdrawal_bound.map(withdrawal_limit);
+            let needs_proof = limit.is_some_and(|limit| self.proof_is_older(limit / 2));
             let links: Vec<Rc<PeerLink>> = self.peers.links.borrow().values().cloned().collect();
             for link in links {
                 let Some(output) = link.connection.borrow().clone() else {
@@ -189,8 +192,12 @@
                 }
                 let quiet =
                     link.heard_at.get().is_none() || older(link.heard_at.get(), IDLE_PERIOD);
-                if quiet || link.has_calls() {
-                    output.push(&PeerRequest::Ping { known: link.status_version.get() });
+                if quiet || needs_proof || link.has_calls() {
+                    let number = link.call_number();
+                    output.push(&PeerRequest::Ping { number, known: link.status_version.get() });
+                    if link.proof_ping.get().is_none_or(|(_, at)| older(Some(at), IDLE_PERIOD)) {
+                        link.proof_ping.set(Some((number, now)));
+                    }
                     link.asked_at.set(link.asked_at.get().or(Some(now)));
                 }
             }
@@ -214,6 +221,9 @@
                 match decode::<PeerReply>(&mut input) {
                     Ok(Some(reply)) => {
                         self.hear(link, output);
+                        if let PeerReply::Pong { number, proof: Some(proof), .. } = &reply {
+                            self.hear_proof(link, *number, *proof);
+                        }
                         link.take_reply(reply);
                     }
                     Ok(None) => break,
@@ -238,6 +248,32 @@
         }
     }
 
+    /// Takes another instance's proof of its document, counted from before it was asked.
+    fn hear_proof(&self, link: &PeerLink, number: u32, proof: DocumentProof) {
+        let Some((_, asked_at)) = link.proof_ping.get().filter(|(asked, _)| *asked == number)
+        else {
+            return;
+        };
+        link.proof_ping.set(None);
+        let [version, _] = self.tables.borrow().versions();
+        let mut confirmation = self.confirmation.borrow_mut();
+        confirmation.adopt(version);
+        let word = PeerWord::Answered {
+            version: proof.version,
+            proof_age: Some(Duration::from_millis(proof.age_ms.into())),
+            store_down: false,
+        };
+        confirmation.record_peer(number.into(), asked_at, word);
+    }
+
+    /// Returns the proof of the own document for other instances.
+    fn document_proof(&self) -> Option<DocumentProof> {
+        self.settings.withdrawal_bound?;
+        let confirmation = self.confirmation.borrow();
+        let age = confirmation.proof_age(self.now())?;
+        Some(DocumentProof { version: confirmation.version(), age_ms: millis(age) + 1 })
+    }
+
     fn hear_status(&self, status: &InstanceStatus) {
         let mut directory = self.directory.borrow_mut();
         for (service, endpoint, term) in &status.leaders {
@@ -306,9 +342,9 @@
                     }
                 };
                 match request {
-                    PeerRequest::Ping { known } => {
+                    PeerRequest::Ping { number, known } => {
                         teller.refresh(self.status());
-                        teller.tell(output, known);
+                        teller.tell(output, number, known, self.document_proof());
                     }
                     other => self.take_request(origin, output, other),
                 }
@@ -322,7 +358,7 @@
             self.announced.notified().await;
             let known = teller.version.get();
             if teller.refresh(self.status()) {
-                teller.tell(output, known);
+                teller.tell(output, 0, known, None);
             }
         }
     }
--- a/crates/engine/src/run.rs
+++ b/crates/engine/src/run.rs
@@ -53,6 +53,7 @@
             loop {
                 sleep(TIDY_PERIOD).await;
                 node.tidy_connections();
+                node.watch_confirmation();
                 gauge!(meter::CALLERS).set(node.callers.get() as f64);
                 gauge!(meter::ENDPOINT_WORK).set(node.holder.work() as f64);
             }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's tables, in the store or through another instance, and registers there.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coord::rendezvous;
 use tokio::time::sleep;
@@ -16,6 +16,11 @@
 /// It bounds how long a reader that is cut off goes unnoticed while others rely on it, and costs a
 /// call each time: 8 s left all instances without three documents for 6 s.
 const WAIT_PART: f64 = 0.4;
+/// Part of the time within which a withdrawn key must stop everywhere for which the store is asked
+/// to wait: the next answer must come well before the proof of this one is too old.
+const PROOF_PART: f64 = 0.25;
+/// Age of a proof, as a multiple of the wait, beyond which the store is asked without a wait.
+const OLD_PROOF: f64 = 1.5;
 /// Time beyond the wait in which the store must answer; it may be slow.
 const ANSWER_RESERVE: Duration = Duration::from_millis(600);
 /// Pause after a call that failed.
@@ -37,10 +42,12 @@
     /// Follows a table for good.
     pub async fn watch_table(self: Rc<Self>, table: WatchedTable) {
         loop {
+            let asked_at = self.now();
             let version = match self.platform.read_table(table).await {
                 Ok(read) => {
                     self.note_store(true, "");
                     self.take_table(table, read.rows, read.version);
+                    self.note_current(table, asked_at);
                     read.version
                 }
                 Err(error) => {
@@ -59,17 +66,25 @@
             WatchedTable::Document => self.settings.document_bound,
             WatchedTable::Endpoints => self.settings.drain_limit,
         };
-        let wait = bound.mul_f64(WAIT_PART);
+        let mut wait = bound.mul_f64(WAIT_PART);
+        if let (WatchedTable::Document, Some(bound)) = (table, self.settings.withdrawal_bound) {
+            wait = wait.min(bound.mul_f64(PROOF_PART));
+        }
         loop {
             while self.is_read_for() {
                 sleep(DELEGATE_PERIOD).await;
             }
+            let asked_at = self.now();
+            // Whoever takes over from a reader that was cut off needs a proof at once.
+            let wait =
+                if self.proof_is_older(wait.mul_f64(OLD_PROOF)) { Duration::ZERO } else { wait };
             match self.platform.follow_table(table, version, wait, wait + ANSWER_RESERVE).await {
                 Ok(read) => {
                     self.note_store(true, "");
                     version = read.version.max(version);
                     self.pass_on(table, &read.rows);
                     self.take_rows(table, read.rows);
+                    self.note_current(table, asked_at);
                 }
                 Err(LinkError::HistoryGone) => return,
                 Err(error) => {
@@ -80,6 +95,14 @@
         }
     }
 
+    /// Records that the store had nothing newer than the copy of a table when it was asked.
+    fn note_current(&self, table: WatchedTable, asked_at: Instant) {
+        match table {
+            WatchedTable::Document => self.confirm_document(asked_at),
+            WatchedTable::Endpoints => {}
+        }
+    }
+
     /// Tells whether another instance of this availability zone reads the store for this one.
     fn is_read_for(&self) -> bool {
         let zone = &self.settings.record.zone;
