Refuse by the turn of the team, not by the length of the whole queue

The queue serves teams in turns, but decided about refusals by all requests that wait, so a flood of one team had the others refused whose turn came next.

Ruled out: the permits themselves (the other team's turn came within one statement once it was let in), connections (12 for 2 teams).

Change: UrgencyQueue refuses, and states when to come back, by the turns before a request of its team: its own waiting requests, and of each other team as many as there are turns until then. The expected wait that instances tell each other for placement is still that of the whole queue.

--- a/crates/coord/src/queue.rs
+++ b/crates/coord/src/queue.rs
@@ -165,6 +165,14 @@
         Duration::from_secs_f64((share * self.hold).clamp(0.0, 3_600.0))
     }
 
+    /// Returns the requests that run before one of `team` that comes now, if teams take turns: those
+    /// of the team, and of each other team as many as there are turns until then.
+    pub fn turns_before(&self, team: T) -> usize {
+        let own = self.teams.get(&team).map_or(0, |queue| queue.waiting.len());
+        let rivals = self.teams.iter().filter(|(rival, _)| **rival != team);
+        own + rivals.map(|(_, queue)| queue.waiting.len().min(own + 1)).sum::<usize>()
+    }
+
     /// Moves requests past their deadline to `expired`.
     pub fn expire(&mut self, now: Instant, expired: &mut Vec<R>) {
         self.drop_expired(now, expired);
--- a/crates/coord/src/urgency.rs
+++ b/crates/coord/src/urgency.rs
@@ -48,9 +48,21 @@
         self.levels.range(..=level).map(|(_, queue)| queue.waiting()).sum()
     }
 
-    /// Returns the time after which a request of `level` that comes now is expected to start.
+    /// Returns the time after which a request of `level` that comes now is expected to start, whatever
+    /// its team.
     pub fn expected_wait(&self, level: UrgencyLevel) -> Duration {
-        let ahead = self.waiting_before(level);
+        self.wait_behind(self.waiting_before(level))
+    }
+
+    /// Returns the time after which a request of `team` is expected to start: a team that floods the
+    /// queue takes one turn for each of the others.
+    pub fn expected_turn(&self, level: UrgencyLevel, team: T) -> Duration {
+        let urgent: usize = self.levels.range(..level).map(|(_, queue)| queue.waiting()).sum();
+        let turns = self.levels.get(&level).map_or(0, |queue| queue.turns_before(team));
+        self.wait_behind(urgent + turns)
+    }
+
+    fn wait_behind(&self, ahead: usize) -> Duration {
         if self.in_use < self.capacity && ahead == 0 {
             return Duration::ZERO;
         }
@@ -81,7 +93,7 @@
         latest_start: Instant,
         now: Instant,
     ) -> Result<(), QueueRefusal> {
-        let expected = self.expected_wait(level);
+        let expected = self.expected_turn(level, team);
         if now + expected > latest_start {
             return Err(QueueRefusal::Late { expected });
         }
--- a/crates/coord/tests/worst_load.rs
+++ b/crates/coord/tests/worst_load.rs
@@ -74,6 +74,28 @@
     assert!(place <= 3, "the urgent request started as number {place} of {started:?}");
 });
 
+// A team of slow statements fills the queue; a request of another team was refused although its turn
+// comes next.
+load_case!(a_flooding_team_gets_no_other_refused, start => {
+    let mut queue = UrgencyQueue::new(4);
+    for _ in 0..200 {
+        queue.try_take(1);
+        queue.release(1, 1, millis(100));
+    }
+    assert_eq!((0..4).filter(|_| queue.try_take(1)).count(), 4);
+    let latest = start + millis(300);
+    let flood = (0..40).filter(|index| queue.push(1, 1, *index, latest, start).is_ok()).count();
+    assert!((8..=12).contains(&flood), "only what starts in time waits, {flood}");
+    assert!(queue.push(1, 2, 40, latest, start).is_ok(), "the turn of the other comes next");
+    let mut expired = Vec::new();
+    let mut order = Vec::new();
+    for _ in 0..3 {
+        queue.release(1, 1, millis(100));
+        order.extend(queue.pop(start, &mut expired));
+    }
+    assert!(order.contains(&40), "{order:?}");
+});
+
 load_case!(a_flooding_team_does_not_delay_another_of_the_same_urgency, start => {
     let mut arrivals = vec![(1, 1); 30];
     arrivals.push((1, 2));
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -286,7 +286,8 @@
                     return not_sent(HoldReason::Unreachable, RETRY_PAUSE);
                 }
                 Err(TakeError::Full) => {
-                    let retry = pool.queue.borrow().expected_wait(call.level);
+                    let team = rendezvous::weight(&call.team, "");
+                    let retry = pool.queue.borrow().expected_turn(call.level, team);
                     return not_sent(HoldReason::Connections, retry);
                 }
             }
@@ -330,7 +331,7 @@
         let (sender, mut receiver) = oneshot::channel();
         let team = rendezvous::weight(&call.team, "");
         let pushed = pool.queue.borrow_mut().push(call.level, team, sender, now + wait, now);
-        let expected = |pool: &EndpointPool| pool.queue.borrow().expected_wait(call.level);
+        let expected = |pool: &EndpointPool| pool.queue.borrow().expected_turn(call.level, team);
         if pushed.is_err() {
             return Err(expected(pool));
         }
--- a/crates/standin/src/fleet/group.rs
+++ b/crates/standin/src/fleet/group.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 
@@ -31,6 +32,8 @@
     pub loses_commits: bool,
     /// Fails reads though it is healthy.
     pub fails_reads: bool,
+    /// Team whose statements take long, with the time that each takes.
+    pub slow_team: Option<(String, Duration)>,
 }
 
 /// One member.
--- a/crates/standin/src/fleet/member.rs
+++ b/crates/standin/src/fleet/member.rs
@@ -182,7 +182,9 @@
         if changes && !leads {
             return Some(Err("READONLY"));
         }
-        tokio::time::sleep(WORK_TIME).await;
+        let slow = self.group.lock().members[self.member].faults.slow_team.clone();
+        let work = slow.filter(|(team, _)| *team == self.team).map_or(WORK_TIME, |(_, work)| work);
+        tokio::time::sleep(work).await;
         let mut state = self.group.lock();
         let faults = state.members[self.member].faults.clone();
         state.members[self.member].runs.push(StatementRun {
