Ask only the document's table without a wait when its proof is old

Cause: found by reading. Where withdrawn keys must stop everywhere, both followed tables were asked without a wait while the document's proof was old. If only the document could not be read, the endpoints' table would have been asked in a loop without a pause, at a price for each call.

Change: the wait falls away for the document's table only, whose next answer renews the proof.

--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -76,8 +76,12 @@
             }
             let asked_at = self.now();
             // Whoever takes over from a reader that was cut off needs a proof at once.
-            let wait =
-                if self.proof_is_older(wait.mul_f64(OLD_PROOF)) { Duration::ZERO } else { wait };
+            let wait = match table {
+                WatchedTable::Document if self.proof_is_older(wait.mul_f64(OLD_PROOF)) => {
+                    Duration::ZERO
+                }
+                WatchedTable::Document | WatchedTable::Endpoints => wait,
+            };
             match self.platform.follow_table(table, version, wait, wait + ANSWER_RESERVE).await {
                 Ok(read) => {
                     self.note_store(true, "");
