--- a/crates/engine/src/channel.rs
+++ b/crates/engine/src/channel.rs
@@ -16,7 +16,7 @@
 use crate::link::WatchedTable;
 use crate::message::{
     CountAnswer, DocumentProof, ExecuteCall, ExecuteOutcome, ExecuteReply, HoldReason,
-    InstanceStatus, PeerReply, PeerRequest, encode,
+    InstanceStatus, PeerReply, PeerRequest, encode, millis,
 };
 use crate::record::InstanceRecord;
 use crate::tables::StoredRow;
@@ -102,13 +102,16 @@
     }
 }
 
+/// Who waits for the answers to calls of one kind, by the number of the call.
+type CallWaiters<T> = HashMap<u32, oneshot::Sender<T>>;
+
 /// Calls that wait for an answer.
 #[derive(Debug, Default)]
 pub(crate) struct PendingCalls {
-    pub(crate) execute: HashMap<u32, oneshot::Sender<ExecuteReply>>,
-    pub(crate) count: HashMap<u32, oneshot::Sender<CountAnswer>>,
-    pub(crate) probe: HashMap<u32, oneshot::Sender<bool>>,
-    pub(crate) table: HashMap<u32, oneshot::Sender<(Vec<StoredRow>, u64)>>,
+    pub(crate) execute: CallWaiters<ExecuteReply>,
+    pub(crate) count: CallWaiters<CountAnswer>,
+    pub(crate) probe: CallWaiters<bool>,
+    pub(crate) table: CallWaiters<(Vec<StoredRow>, u64)>,
 }
 
 /// Connection that this instance opened to another one.
@@ -173,29 +176,19 @@
 
     /// Runs statements at the other instance.
     pub async fn execute(&self, body: ExecuteCall) -> ExecuteReply {
-        let Some(output) = self.output.borrow().clone() else {
+        if self.output.borrow().is_none() {
             return not_held();
-        };
-        let limit = Duration::from_millis(u64::from(body.answer_within_ms)) + SILENCE_LIMIT;
-        let call = self.call_number();
-        let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().execute.insert(call, sender);
-        output.push(&PeerRequest::Execute { call, body: Box::new(body) });
-        let reply = timeout(limit, receiver).await;
-        self.pending.borrow_mut().execute.remove(&call);
-        match reply {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(_)) | Err(_) => {
-                ExecuteReply { outcome: ExecuteOutcome::Lost, queue_ms: 0, mark: None }
-            }
         }
+        let limit = Duration::from_millis(u64::from(body.answer_within_ms)) + SILENCE_LIMIT;
+        let request = |call| PeerRequest::Execute { call, body: Box::new(body) };
+        let reply = self.ask(|pending| &mut pending.execute, limit, request).await;
+        let lost = ExecuteReply { outcome: ExecuteOutcome::Lost, queue_ms: 0, mark: None };
+        reply.unwrap_or(lost)
     }
 
     /// Ends a transaction whose connection the other instance holds.
     pub fn release(&self, channel: u32) {
-        if let Some(output) = &*self.output.borrow() {
-            output.push(&PeerRequest::Release { channel });
-        }
+        self.send(&PeerRequest::Release { channel });
     }
 
     /// Asks whether an operation of a team may start; none without an answer in time.
@@ -206,25 +199,15 @@
         patience: Duration,
         limit: Duration,
     ) -> Option<CountAnswer> {
-        let patience_ms = u32::try_from(patience.as_millis()).unwrap_or(u32::MAX);
-        let call = self.call_number();
-        let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().count.insert(call, sender);
-        self.send(&PeerRequest::Count { call, team: team.to_owned(), level, patience_ms });
-        let answer = timeout(limit, receiver).await;
-        self.pending.borrow_mut().count.remove(&call);
-        answer.ok()?.ok()
+        let (team, patience_ms) = (team.to_owned(), millis(patience));
+        let request = |call| PeerRequest::Count { call, team, level, patience_ms };
+        self.ask(|pending| &mut pending.count, limit, request).await
     }
 
     /// Asks whether the other instance reaches an endpoint; none without an answer in time.
     pub async fn probe(&self, endpoint: &str, limit: Duration) -> Option<bool> {
-        let call = self.call_number();
-        let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().probe.insert(call, sender);
-        self.send(&PeerRequest::Probe { call, endpoint: endpoint.to_owned() });
-        let reached = timeout(limit, receiver).await;
-        self.pending.borrow_mut().probe.remove(&call);
-        reached.ok()?.ok()
+        let request = |call| PeerRequest::Probe { call, endpoint: endpoint.to_owned() };
+        self.ask(|pending| &mut pending.probe, limit, request).await
     }
 
     /// Fetches the other instance's copy of a table; none without an answer in time.
@@ -233,12 +216,23 @@
         table: WatchedTable,
         limit: Duration,
     ) -> Option<(Vec<StoredRow>, u64)> {
+        let request = |call| PeerRequest::Table { call, table };
+        self.ask(|pending| &mut pending.table, limit, request).await
+    }
+
+    /// Sends a request under a new number and waits for its answer; none without one in time.
+    async fn ask<T>(
+        &self,
+        waiters: fn(&mut PendingCalls) -> &mut CallWaiters<T>,
+        limit: Duration,
+        request: impl FnOnce(u32) -> PeerRequest,
+    ) -> Option<T> {
         let call = self.call_number();
         let (sender, receiver) = oneshot::channel();
-        self.pending.borrow_mut().table.insert(call, sender);
-        self.send(&PeerRequest::Table { call, table });
+        waiters(&mut self.pending.borrow_mut()).insert(call, sender);
+        self.send(&request(call));
         let answer = timeout(limit, receiver).await;
-        self.pending.borrow_mut().table.remove(&call);
+        waiters(&mut self.pending.borrow_mut()).remove(&call);
         answer.ok()?.ok()
     }
 
@@ -251,7 +245,6 @@
 
     pub(crate) fn take_reply(&self, reply: PeerReply) {
         let mut pending = self.pending.borrow_mut();
-        // A caller that no longer waits has dropped its receiver; the answer is of no use then.
         match reply {
             PeerReply::Pong { version, status, .. } => {
                 if let Some(status) = status {
@@ -260,21 +253,29 @@
                 }
             }
             PeerReply::Execute { call, body } => {
-                pending.execute.remove(&call).map(|sender| sender.send(*body).ok());
+                answer(&mut pending.execute, call, *body);
             }
-            PeerReply::Count { call, answer } => {
-                pending.count.remove(&call).map(|sender| sender.send(answer).ok());
+            PeerReply::Count { call, answer: counted } => {
+                answer(&mut pending.count, call, counted);
             }
             PeerReply::Probe { call, reached } => {
-                pending.probe.remove(&call).map(|sender| sender.send(reached).ok());
+                answer(&mut pending.probe, call, reached);
             }
             PeerReply::Table { call, rows, version } => {
-                pending.table.remove(&call).map(|sender| sender.send((rows, version)).ok());
+                answer(&mut pending.table, call, (rows, version));
             }
         }
     }
 }
 
+/// Hands an answer to whoever waits for it.
+fn answer<T>(waiters: &mut CallWaiters<T>, call: u32, content: T) {
+    if let Some(sender) = waiters.remove(&call) {
+        // A caller that no longer waits has dropped its receiver; the answer is of no use then.
+        let _ = sender.send(content);
+    }
+}
+
 fn not_held() -> ExecuteReply {
     let outcome = ExecuteOutcome::NotSent { reason: HoldReason::NoHolder, retry_ms: 0 };
     ExecuteReply { outcome, queue_ms: 0, mark: None }
--- a/crates/engine/src/holder.rs
+++ b/crates/engine/src/holder.rs
@@ -262,7 +262,7 @@
         let deadline = begun_at + Duration::from_millis(call.answer_within_ms.into());
         let permit = if call.pinned {
             pool.queue.borrow_mut().take_pinned();
-            self.permit(pool, call)
+            self.permit(pool, call.level, team_number(&call.team))
         } else {
             if pool.is_shunned(begun_at) {
                 return not_sent(HoldReason::Unreachable, RETRY_PAUSE);
@@ -286,8 +286,7 @@
                     return not_sent(HoldReason::Unreachable, RETRY_PAUSE);
                 }
                 Err(TakeError::Full) => {
-                    let team = rendezvous::weight(&call.team, "");
-                    let retry = pool.queue.borrow().expected_turn(call.level, team);
+                    let retry = pool.queue.borrow().expected_turn(permit.level, permit.team);
                     return not_sent(HoldReason::Connections, retry);
                 }
             }
@@ -308,14 +307,9 @@
         ExecuteOutcome::Answered(answers)
     }
 
-    fn permit(&self, pool: &Rc<EndpointPool>, call: &ExecuteCall) -> RunPermit {
-        RunPermit {
-            pool: pool.clone(),
-            clock: self.clock.clone(),
-            level: call.level,
-            team: rendezvous::weight(&call.team, ""),
-            taken_at: self.now(),
-        }
+    fn permit(&self, pool: &Rc<EndpointPool>, level: UrgencyLevel, team: u64) -> RunPermit {
+        let (clock, taken_at) = (self.clock.clone(), self.now());
+        RunPermit { pool: pool.clone(), clock, level, team, taken_at }
     }
 
     async fn wait_for_permit(
@@ -324,24 +318,24 @@
         call: &ExecuteCall,
         now: Instant,
     ) -> Result<RunPermit, Duration> {
-        if pool.queue.borrow_mut().try_take(call.level) {
-            return Ok(self.permit(pool, call));
+        let (level, team) = (call.level, team_number(&call.team));
+        if pool.queue.borrow_mut().try_take(level) {
+            return Ok(self.permit(pool, level, team));
         }
         let wait = Duration::from_millis(call.start_within_ms.into());
         let (sender, mut receiver) = oneshot::channel();
-        let team = rendezvous::weight(&call.team, "");
-        let pushed = pool.queue.borrow_mut().push(call.level, team, sender, now + wait, now);
-        let expected = |pool: &EndpointPool| pool.queue.borrow().expected_turn(call.level, team);
+        let pushed = pool.queue.borrow_mut().push(level, team, sender, now + wait, now);
+        let expected = |pool: &EndpointPool| pool.queue.borrow().expected_turn(level, team);
         if pushed.is_err() {
             return Err(expected(pool));
         }
         match timeout(wait, &mut receiver).await {
-            Ok(Ok(())) => Ok(self.permit(pool, call)),
+            Ok(Ok(())) => Ok(self.permit(pool, level, team)),
             Ok(Err(_)) => Err(expected(pool)),
             Err(_) => {
                 receiver.close();
                 match receiver.try_recv() {
-                    Ok(()) => Ok(self.permit(pool, call)),
+                    Ok(()) => Ok(self.permit(pool, level, team)),
                     Err(_) => Err(expected(pool)),
                 }
             }
@@ -632,6 +626,11 @@
 /// Name under which members are asked about themselves; no caller has a part in it.
 const PROBE_TEAM: &str = "-";
 
+/// Returns the number of a team in queues.
+fn team_number(team: &str) -> u64 {
+    rendezvous::weight(team, "")
+}
+
 fn refused(reason: HoldReason, queue_ms: u32) -> ExecuteReply {
     ExecuteReply { outcome: not_sent(reason, Duration::ZERO), queue_ms, mark: None }
 }
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -145,8 +145,12 @@
 
     /// Tells whether keys may be accepted: no withdrawal can have been missed for too long.
     pub fn is_document_confirmed(&self) -> bool {
-        let limit = self.settings.withdrawal_bound.map(withdrawal_limit);
-        !limit.is_some_and(|limit| self.proof_is_older(limit))
+        !self.withdrawal_limit().is_some_and(|limit| self.proof_is_older(limit))
+    }
+
+    /// Returns the age of a proof up to which keys may be accepted; none if keys need no proof.
+    pub fn withdrawal_limit(&self) -> Option<Duration> {
+        self.settings.withdrawal_bound.map(withdrawal_limit)
     }
 
     /// Tells whether withdrawn keys must stop everywhere and the document was not proved for longer
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use coord::confirmation::{PeerWord, withdrawal_limit};
+use coord::confirmation::PeerWord;
 use coord::placement::{HolderCandidate, order_holders};
 use telemetry::event::LogEvent;
 use telemetry::log_event;
@@ -176,8 +176,8 @@
         loop {
             sleep(PING_TICK).await;
             let now = self.now();
-            let limit = self.settings.withdrawal_bound.map(withdrawal_limit);
-            let needs_proof = limit.is_some_and(|limit| self.proof_is_older(limit / 2));
+            let needs_proof =
+                self.withdrawal_limit().is_some_and(|limit| self.proof_is_older(limit / 2));
             let links: Vec<Rc<PeerLink>> = self.peers.links.borrow().values().cloned().collect();
             for link in links {
                 let Some(output) = link.connection.borrow().clone() else {
--- a/crates/lab/tests/failures.rs
+++ b/crates/lab/tests/failures.rs
@@ -131,6 +131,11 @@
     }
 }
 
+/// Pauses a member for good.
+fn pause() -> FaultChange {
+    FaultChange { paused: Some(true), ..FaultChange::default() }
+}
+
 fn cut() -> FaultChange {
     FaultChange { cut: Some(true), ..FaultChange::default() }
 }
@@ -158,8 +163,7 @@
     environment: LabEnvironment,
 ) {
     check_history(&environment, || async {
-        let paused = FaultChange { paused: Some(true), ..FaultChange::default() };
-        fault(&environment, "gent", paused);
+        fault(&environment, "gent", pause());
         wait_for("a new primary", || primary(&environment, 2).is_some_and(|name| name != "gent"))
             .await;
     })
@@ -247,11 +251,6 @@
     FaultChange { slow_ms: Some(400), ..FaultChange::default() }
 }
 
-/// Pauses a member for good.
-fn pause() -> FaultChange {
-    FaultChange { paused: Some(true), ..FaultChange::default() }
-}
-
 async fn repeats_a_session_read_after_its_primary_was_replaced(environment: LabEnvironment) {
     let caller = connect(&environment, 0).await;
     caller.client.batch_execute("CREATE TABLE visits (id int)").await.expect("create");
