Hand bound listeners over to the instances of tests

Cause: the tests of platform/ picked a port, released it and bound it again, so another socket could take it in between, or two picks were the same port.

Ruled out: a fault of the program, whose addresses come from the settings and are bound once.

Change: InstanceListeners holds the bound listeners of an instance. The program binds its settings' addresses, a test binds ports of the system's choice and passes the listeners on.

--- a/crates/engine/src/lifecycle.rs
+++ b/crates/engine/src/lifecycle.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use crate::instance::{EngineTypes, GatewayInstance};
+use crate::instance::{EngineSettings, EngineTypes, GatewayInstance};
 use crate::interface::{PlatformApi, WatchedTable};
 
 /// Fraction of the grace period after which the instance stops waiting for open sessions.
@@ -32,15 +32,31 @@
     source: std::io::Error,
 }
 
-impl<E: EngineTypes> GatewayInstance<E> {
-    /// Binds the listeners and starts the tasks of the instance on the current local set.
-    pub async fn start(self: &Rc<Self>) -> Result<(), ListenError> {
-        let address = self.settings.record.address;
+/// Bound listeners of an instance.
+#[derive(Debug)]
+pub struct InstanceListeners {
+    /// Accepts connections from other instances.
+    pub peers: TcpListener,
+    /// Accepts callers.
+    pub callers: TcpListener,
+}
+
+impl InstanceListeners {
+    /// Binds the addresses of an instance.
+    pub async fn bind(settings: &EngineSettings) -> Result<Self, ListenError> {
+        let address = settings.record.address;
         let peers = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-        let address = self.settings.caller_address;
+        let address = settings.caller_address;
         let callers = TcpListener::bind(address).await.context(ListenSnafu { address })?;
-        tokio::task::spawn_local(self.clone().accept_peers(peers));
-        tokio::task::spawn_local(self.clone().accept_callers(callers));
+        Ok(Self { peers, callers })
+    }
+}
+
+impl<E: EngineTypes> GatewayInstance<E> {
+    /// Starts the tasks of the instance on the current local set.
+    pub fn start(self: &Rc<Self>, listeners: InstanceListeners) {
+        tokio::task::spawn_local(self.clone().accept_peers(listeners.peers));
+        tokio::task::spawn_local(self.clone().accept_callers(listeners.callers));
         tokio::task::spawn_local(self.clone().watch_table(WatchedTable::Document));
         tokio::task::spawn_local(self.clone().watch_table(WatchedTable::Endpoints));
         tokio::task::spawn_local(self.clone().register_and_discover());
@@ -58,7 +74,6 @@
                 gauge!(meter::ENDPOINT_WORK).set(instance.pools.outstanding_requests() as f64);
             }
         });
-        Ok(())
     }
 
     /// Announces that the instance is leaving, unregisters it and waits until open sessions and
