--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -6,12 +6,13 @@
 //! The crates `proxy` and `engine` solve the same problems with different modules and share only
 //! [`rendezvous`] and [`validation`]. The proxy uses [`failover`], [`freshness`], [`ledger`],
 //! [`routing`] and, in its connection pools, [`queue`]; these modules speak of a database group and
-//! its primary. The engine uses [`placement`], [`priority`] (built on [`queue`]), [`promotion`],
+//! its primary. The engine uses [`membership`], [`placement`], [`priority`] (built on [`queue`]), [`promotion`],
 //! [`quota`], [`session`] and [`watermark`]; these modules speak of a service and its leader.
 
 pub mod failover;
 pub mod freshness;
 pub mod ledger;
+pub mod membership;
 pub mod placement;
 pub mod priority;
 pub mod promotion;
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -79,19 +79,48 @@
     }
 }
 
+/// Part of a team's limit that an instance may admit.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum LimitShare {
+    /// The part of all instances on this side of a partition, as their quota owner.
+    Reachable,
+    /// The part of a single instance, while it reaches no quota owner.
+    OneInstance,
+}
+
+/// Request for a token.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenRequest {
+    /// Number of priorities in use above that of the operation.
+    pub priority_rank: usize,
+    /// Longest wait for the token.
+    pub max_wait: Duration,
+    /// A new bucket is full, for use when nothing can have been admitted before.
+    pub starts_full: bool,
+    /// Part of the limit to take the token from.
+    pub share: LimitShare,
+}
+
 /// Token buckets of the teams whose quota owner is this instance.
 #[derive(Debug)]
 pub struct TeamQuotas {
     window: LimitWindow,
-    buckets: HashMap<String, TokenBucket>,
+    buckets: HashMap<LimitShare, HashMap<String, TokenBucket>>,
     reachable_fraction: f64,
+    instance_fraction: f64,
     recorded_at: Option<Instant>,
 }
 
 impl TeamQuotas {
     /// Creates an empty set of buckets for limits that hold in every `window`.
     pub fn new(window: LimitWindow) -> Self {
-        Self { window, buckets: HashMap::new(), reachable_fraction: 0.0, recorded_at: None }
+        Self {
+            window,
+            buckets: HashMap::new(),
+            reachable_fraction: 0.0,
+            instance_fraction: 0.0,
+            recorded_at: None,
+        }
     }
 
     /// Records how many of the registered instances this one reaches, itself included.
@@ -104,7 +133,8 @@
             self.buckets.clear();
         }
         self.recorded_at = Some(now);
-        self.reachable_fraction = reached.min(registered) as f64 / registered.max(1) as f64;
+        self.instance_fraction = 1.0 / registered.max(1) as f64;
+        self.reachable_fraction = reached.min(registered) as f64 * self.instance_fraction;
     }
 
     /// Returns the fraction of registered instances that this one reaches, itself included.
@@ -114,38 +144,33 @@
 
     /// Takes a token for one operation of a team and returns the delay after which it may start.
     ///
-    /// Returns the time after which a retry would succeed if the delay exceeds `max_wait`.
-    /// `priority_rank` is the number of priorities in use above that of the operation.
-    /// `starts_full` fills a new bucket, for use when nothing can have been admitted before.
+    /// Returns the time after which a retry would succeed if the delay exceeds the longest wait.
     pub fn take(
         &mut self,
         team: &str,
         limit: TeamLimit,
-        priority_rank: usize,
-        max_wait: Duration,
-        starts_full: bool,
+        request: TokenRequest,
         now: Instant,
     ) -> Result<Duration, InsufficientTokens> {
-        let initial_tokens = limit.initial_tokens(self.window) * self.reachable_fraction;
+        let fraction = match request.share {
+            LimitShare::Reachable => self.reachable_fraction,
+            LimitShare::OneInstance => self.instance_fraction.min(self.reachable_fraction),
+        };
+        let initial_tokens = limit.initial_tokens(self.window) * fraction;
         let (rate, burst) = limit.bucket_parameters(self.window);
-        let (rate, burst) =
-            (rate * self.reachable_fraction, (burst * self.reachable_fraction).max(1.0));
-        let bucket = match self.buckets.get_mut(team) {
+        let (rate, burst) = (rate * fraction, (burst * fraction).max(1.0));
+        let buckets = self.buckets.entry(request.share).or_default();
+        let bucket = match buckets.get_mut(team) {
             Some(bucket) => bucket,
             None => {
                 let mut bucket = TokenBucket::empty(rate, burst, now);
-                bucket.add_tokens(if starts_full { burst } else { initial_tokens }, now);
-                self.buckets.entry(team.to_owned()).or_insert(bucket)
+                bucket.add_tokens(if request.starts_full { burst } else { initial_tokens }, now);
+                buckets.entry(team.to_owned()).or_insert(bucket)
             }
         };
         bucket.resize(rate, burst, now);
-        let reserved_tokens =
-            burst * PRIORITY_RESERVE_FRACTION * priority_rank.min(MAX_RESERVED_LEVELS) as f64;
-        bucket.reserve(1.0, reserved_tokens, max_wait, now)
-    }
-
-    /// Drops the buckets of teams for which this instance is no longer the quota owner.
-    pub fn retain(&mut self, is_owned: impl Fn(&str) -> bool) {
-        self.buckets.retain(|team, _| is_owned(team));
+        let reserved_levels = request.priority_rank.min(MAX_RESERVED_LEVELS) as f64;
+        let reserved_tokens = burst * PRIORITY_RESERVE_FRACTION * reserved_levels;
+        bucket.reserve(1.0, reserved_tokens, request.max_wait, now)
     }
 }
--- a/crates/coord/tests/load_patterns.rs
+++ b/crates/coord/tests/load_patterns.rs
@@ -12,7 +12,7 @@
 };
 use coord::priority::PriorityQueue;
 use coord::queue::QueueRefusal;
-use coord::quota::{LimitWindow, TOKEN_TIMEOUT, TeamLimit, TeamQuotas};
+use coord::quota::{LimitShare, LimitWindow, TOKEN_TIMEOUT, TeamLimit, TeamQuotas, TokenRequest};
 use state::position::LogPosition;
 
 /// Defines a test with the start time of its load.
@@ -34,6 +34,11 @@
     Duration::from_millis(count)
 }
 
+/// Returns a request for a token of the quota owner.
+fn token_request(priority_rank: usize, max_wait: Duration, starts_full: bool) -> TokenRequest {
+    TokenRequest { priority_rank, max_wait, starts_full, share: LimitShare::Reachable }
+}
+
 /// Simulates a queue with one permit, which each request holds for 10 ms, under `arrivals`
 /// (priority, team) 1 ms apart. Returns their indices in start order, without refused ones.
 fn simulate_queue(arrivals: &[(u8, u32)], max_wait: Duration, start: Instant) -> Vec<usize> {
@@ -143,9 +148,12 @@
             quotas.record_reachable(1, 1, start + now);
             for _ in 0..choices.below(12) {
                 let higher_priorities = choices.below(3);
-                if let Ok(delay) =
-                    quotas.take("team", limit, higher_priorities, TOKEN_TIMEOUT, true, start + now)
-                {
+                if let Ok(delay) = quotas.take(
+                    "team",
+                    limit,
+                    token_request(higher_priorities, TOKEN_TIMEOUT, true),
+                    start + now,
+                ) {
                     starts.push(now + delay);
                 }
             }
@@ -169,7 +177,7 @@
             let now = start + millis(10 * tick);
             quotas.record_reachable(reachable, registered, now);
             for _ in 0..5 {
-                admitted += usize::from(quotas.take("team", limit, 0, Duration::ZERO, false, now).is_ok());
+                admitted += usize::from(quotas.take("team", limit, token_request(0, Duration::ZERO, false), now).is_ok());
             }
         }
     }
@@ -177,6 +185,25 @@
     assert!(admitted as f64 <= allowed, "{admitted} of {allowed}");
 });
 
+// Guards against admitting the whole limit on every instance: 100 of 300 instances are cut off from
+// the quota owner and do not know it yet.
+load_case!(instances_without_a_quota_owner_admit_their_own_share, start => {
+    let limit = TeamLimit { rate: 100.0, burst: 100.0 };
+    let request =
+        TokenRequest { share: LimitShare::OneInstance, ..token_request(0, Duration::ZERO, false) };
+    let mut admitted = 0;
+    for _ in 0..100 {
+        let mut quotas = TeamQuotas::new(WINDOW);
+        for tick in 0..250 {
+            let now = start + millis(10 * tick);
+            quotas.record_reachable(300, 300, now);
+            admitted += usize::from(quotas.take("team", limit, request, now).is_ok());
+        }
+    }
+    let allowed = ((limit.rate * 2.5 + limit.burst) * 1.1 + 20.0) / 3.0;
+    assert!(admitted as f64 <= allowed, "{admitted} of {allowed}");
+});
+
 // Guards against admitting a full burst at every change of a team's quota owner: all instances
 // restart, and the team's quota owner changes and changes back within one window.
 load_case!(new_quota_owners_stay_within_the_overage, start => {
@@ -188,7 +215,7 @@
             let now = start + millis(10 * tick);
             quotas.record_reachable(1, 1, now);
             for _ in 0..5 {
-                admitted += usize::from(quotas.take("team", limit, 0, Duration::ZERO, full_start, now).is_ok());
+                admitted += usize::from(quotas.take("team", limit, token_request(0, Duration::ZERO, full_start), now).is_ok());
             }
         }
     }
@@ -205,7 +232,7 @@
     quotas.record_reachable(1, 1, start);
     let mut count_admitted = |now, full_start| {
         quotas.record_reachable(1, 1, now);
-        (0..1_000).filter(|_| quotas.take("team", limit, 0, Duration::ZERO, full_start, now).is_ok()).count()
+        (0..1_000).filter(|_| quotas.take("team", limit, token_request(0, Duration::ZERO, full_start), now).is_ok()).count()
     };
     assert!(count_admitted(start, true) >= 200, "the first bucket starts full");
     let admitted = count_admitted(start + millis(4_000), false);
@@ -221,10 +248,10 @@
         quotas.record_reachable(1, 1, now);
         // 50 low-priority and 5 high-priority operations per second for 20 tokens per second.
         if tick % 2 == 0 {
-            low += usize::from(quotas.take("team", limit, 1, Duration::ZERO, true, now).is_ok());
+            low += usize::from(quotas.take("team", limit, token_request(1, Duration::ZERO, true), now).is_ok());
         }
         if tick % 20 == 0 {
-            high += usize::from(quotas.take("team", limit, 0, Duration::ZERO, true, now).is_ok());
+            high += usize::from(quotas.take("team", limit, token_request(0, Duration::ZERO, true), now).is_ok());
         }
     }
     assert_eq!(high, 50, "every high-priority operation is admitted");
@@ -244,7 +271,7 @@
     let (mut in_time, mut late) = (0, 0);
     while let Some(Reverse((at, first_at, retries))) = arrivals.pop() {
         quotas.record_reachable(1, 1, start + at);
-        match quotas.take("team", limit, 0, TOKEN_TIMEOUT, true, start + at) {
+        match quotas.take("team", limit, token_request(0, TOKEN_TIMEOUT, true), start + at) {
             Ok(delay) if at + delay - first_at > max_start_delay => late += 1,
             Ok(_) => in_time += 1,
             Err(error) if retries < 2 => {
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use coord::priority::PriorityLevel;
-use coord::quota::TOKEN_TIMEOUT;
-use coord::rendezvous;
+use coord::quota::{LimitShare, TOKEN_TIMEOUT, TokenRequest};
 use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
@@ -13,8 +12,6 @@
 
 /// Bounds the wait for the answer of a quota owner.
 const ADMISSION_TIMEOUT: Duration = Duration::from_millis(150);
-/// Maximum candidates for the quota owner that are asked before the instance decides locally.
-const MAX_QUOTA_OWNERS: usize = 2;
 /// Shortest retry delay stated in a refusal.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which the reachable fraction of instances is updated.
@@ -50,20 +47,40 @@
         team: &str,
         priority: PriorityLevel,
         max_wait: Duration,
+    ) -> AdmissionDecision {
+        self.take_token(team, priority, max_wait, LimitShare::Reachable)
+    }
+
+    /// Decides about an operation while no candidate for the quota owner answers.
+    ///
+    /// Other instances may be in the same situation, so each admits only its own share.
+    fn admit_own_share(
+        &self,
+        team: &str,
+        priority: PriorityLevel,
+        max_wait: Duration,
+    ) -> AdmissionDecision {
+        self.take_token(team, priority, max_wait, LimitShare::OneInstance)
+    }
+
+    fn take_token(
+        &self,
+        team: &str,
+        priority: PriorityLevel,
+        max_wait: Duration,
+        share: LimitShare,
     ) -> AdmissionDecision {
         let document = self.directory.borrow().document();
         let Some(limit) = document.team_limit(team) else {
             return AdmissionDecision::Admitted { delay: Duration::ZERO };
         };
-        let (first_start, now) = (self.is_first_start(), self.now());
-        match self.quotas.borrow_mut().take(
-            team,
-            limit,
-            document.priority_rank(priority),
+        let request = TokenRequest {
+            priority_rank: document.priority_rank(priority),
             max_wait,
-            first_start,
-            now,
-        ) {
+            starts_full: self.is_first_start(),
+            share,
+        };
+        match self.quotas.borrow_mut().take(team, limit, request, self.now()) {
             Ok(delay) => AdmissionDecision::Admitted { delay },
             Err(insufficient) => {
                 AdmissionDecision::Refused { retry_after: insufficient.retry_after }
@@ -74,8 +91,7 @@
     /// Updates the reachable fraction of instances that the quotas are scaled by.
     pub async fn track_reachability(self: Rc<Self>) {
         loop {
-            let reached = self.peers.live().len() + 1;
-            let known = self.peers.known_count();
+            let (reached, known) = self.peers.counts();
             self.quotas.borrow_mut().record_reachable(reached, known, self.now());
             sleep(REACHABILITY_INTERVAL).await;
         }
@@ -90,14 +106,15 @@
         priority: PriorityLevel,
         max_wait: Duration,
     ) -> AdmissionDecision {
-        let names = self.peers.active_names(self.is_leaving());
-        let order =
-            rendezvous::top_ranked(team, names.iter().map(String::as_str), MAX_QUOTA_OWNERS);
-        for name in order {
+        let owners = self.quota_owners(team);
+        if owners.first().is_some_and(|name| name == self.name()) {
+            return self.admit_locally(team, priority, max_wait);
+        }
+        for name in owners.iter() {
             if name == self.name() {
-                break;
+                return self.admit_locally(team, priority, max_wait);
             }
-            let Some(link) = self.peers.link(name) else {
+            let Some(link) = self.open_link(name) else {
                 continue;
             };
             if let Some(answer) =
@@ -106,6 +123,6 @@
                 return answer;
             }
         }
-        self.admit_locally(team, priority, max_wait)
+        self.admit_own_share(team, priority, max_wait)
     }
 }
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -102,6 +102,11 @@
         !self.pinned.borrow().is_empty()
     }
 
+    /// Returns whether a connection is pinned to an open transaction of this origin.
+    pub fn has_pinned_by(&self, origin: CallOrigin) -> bool {
+        self.pinned.borrow().keys().any(|key| key.0 == origin)
+    }
+
     /// Returns whether the calls come from this instance or from a peer connection that is open.
     fn is_live_origin(&self, origin: CallOrigin) -> bool {
         origin == 0 || self.live_origins.borrow().contains_key(&origin)
@@ -454,7 +459,7 @@
                 {
                     pool.record_failure(now, &error);
                 }
-                self.status_changed.notify_waiters();
+                self.refresh_status();
                 Err(AcquireError::Unreachable)
             }
         }
@@ -573,10 +578,10 @@
             let now = instance.now();
             if reached {
                 pool.record_response(now);
-                instance.status_changed.notify_waiters();
+                instance.refresh_status();
             } else {
                 pool.record_failure(now, &EndpointError::ConnectTimeout);
-                instance.status_changed.notify_waiters();
+                instance.refresh_status();
                 pool.last_attempt_at.set(Some(now));
             }
             pool.probe_in_flight.set(false);
@@ -605,7 +610,7 @@
             (None, Some(position)) => {
                 let watermark = Watermark { as_of: sent_at, position };
                 if directory.record_leader_watermark(&pool.endpoint, watermark) {
-                    self.status_changed.notify_waiters();
+                    self.peers.changed.notify_one();
                     log_event!(
                         LogEvent::PrimaryChanged,
                         "service={} endpoint={} term={}",
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -12,9 +12,7 @@
 use crate::message::{
     ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason, StatementAnswer, millis,
 };
-
-/// Connection owners tried for one call, as long as none has sent it to the endpoint.
-const MAX_OWNER_ATTEMPTS: usize = 3;
+use crate::peer_link::LinkLease;
 
 /// Reply to a call, with the instance that sent it.
 #[derive(Debug)]
@@ -23,6 +21,8 @@
     pub owner: String,
     /// Reply of that instance.
     pub reply: ExecuteReply,
+    /// Keeps the connection to that instance open; `None` if it is this instance.
+    pub link_lease: Option<LinkLease>,
 }
 
 impl<E: EngineTypes> GatewayInstance<E> {
@@ -37,14 +37,14 @@
         deadline: Instant,
     ) -> OwnerReply {
         let mut last = None;
-        for owner in self.connection_owners(&call.endpoint).into_iter().take(MAX_OWNER_ATTEMPTS) {
+        for owner in self.connection_owners(&call.endpoint).iter() {
             let now = self.now();
             if last.is_some() && now >= latest_start {
                 break;
             }
             call.start_timeout_ms = millis(latest_start.saturating_duration_since(now)).max(1);
             call.answer_timeout_ms = millis(deadline.saturating_duration_since(now)).max(1);
-            let reply = self.dispatch_to(&owner, call.clone()).await;
+            let reply = self.dispatch_to(owner, call.clone()).await;
             let try_next_owner = matches!(
                 reply.outcome,
                 ExecuteOutcome::NotSent {
@@ -54,7 +54,8 @@
                     ..
                 }
             );
-            let owner_reply = OwnerReply { owner, reply };
+            let link_lease = self.peers.link_by_name(owner).map(|link| link.lease());
+            let owner_reply = OwnerReply { owner: owner.clone(), reply, link_lease };
             if !try_next_owner {
                 return owner_reply;
             }
@@ -63,7 +64,7 @@
         last.unwrap_or_else(|| {
             let outcome = ExecuteOutcome::NotSent { reason: NotSentReason::NoOwner, retry_ms: 0 };
             let reply = ExecuteReply { outcome, queue_wait_ms: 0, watermark: None };
-            OwnerReply { owner: self.name().to_owned(), reply }
+            OwnerReply { owner: self.name().to_owned(), reply, link_lease: None }
         })
     }
 
@@ -75,10 +76,14 @@
             self.record_reply(&endpoint, &reply);
             return reply;
         }
-        let Some(link) = self.peers.link(owner) else {
+        let Some(link) = self.open_link(owner) else {
             let outcome = ExecuteOutcome::NotSent { reason: NotSentReason::NoOwner, retry_ms: 0 };
             return ExecuteReply { outcome, queue_wait_ms: 0, watermark: None };
         };
+        if !call.retryable && !self.confirm_link(&link).await {
+            let outcome = ExecuteOutcome::NotSent { reason: NotSentReason::NoOwner, retry_ms: 0 };
+            return ExecuteReply { outcome, queue_wait_ms: 0, watermark: None };
+        }
         let sent_at = self.now();
         let reply = link.execute(call).await;
         self.record_reply(&endpoint, &reply);
@@ -101,7 +106,7 @@
     pub fn dispatch_release(self: &Rc<Self>, owner: &str, transaction_id: u32) {
         if owner == self.name() {
             self.release_locally(0, transaction_id);
-        } else if let Some(link) = self.peers.link(owner) {
+        } else if let Some(link) = self.peers.link_by_name(owner) {
             link.release(transaction_id);
         }
     }
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use coord::membership::{InstanceRecord, MemberStatus};
 use coord::promotion::{
     LEADER_GRACE_PERIOD, MemberObservation, MemberReport, PromotionDecision, PromotionMachine,
 };
@@ -113,18 +114,12 @@
             }
             return;
         }
-        let peers = self.peers.live();
         let own_token = held.borrow().lease.token;
-        let held_by_peer = peers
-            .iter()
-            .any(|peer| peer.status().promotion_token.is_some_and(|token| token > own_token));
-        let names = self.peers.active_names(false);
-        let rank = rendezvous::rank(
-            COORDINATOR_ELECTION_KEY,
-            self.name(),
-            names.iter().map(String::as_str),
-        );
-        if held_by_peer || rank > 0 {
+        let is_held =
+            |status: &MemberStatus| status.promotion_token.is_some_and(|token| token > own_token);
+        let held_by_peer = self.peers.membership.borrow().any_live_peer(is_held);
+        let is_elected = self.is_elected_coordinator();
+        if held_by_peer || !is_elected {
             *vacant_since = None;
             return;
         }
@@ -134,6 +129,13 @@
         }
     }
 
+    /// Returns whether this instance is the one that acquires a vacant lease.
+    fn is_elected_coordinator(&self) -> bool {
+        let membership = self.peers.membership.borrow();
+        let elected = membership.fleet_owners(COORDINATOR_ELECTION_KEY, 1);
+        elected.first() == Some(&membership.own_key())
+    }
+
     async fn acquire_lease(&self, held: &RefCell<HeldLease>) {
         held.borrow_mut().attempted_at = Some(self.now());
         let snapshot = match self.platform.read_lease().await {
@@ -209,7 +211,8 @@
     /// Drops the lease if it expired and an instance that reaches the store may have acquired it.
     fn check_expiry(&self, held: &RefCell<HeldLease>) {
         let expired = held.borrow().valid_until.is_none_or(|until| self.now() > until);
-        let may_be_replaced = self.peers.live().iter().any(|peer| peer.status().store_reachable);
+        let may_be_replaced =
+            self.peers.membership.borrow().any_live_peer(|status| status.store_reachable);
         if expired && may_be_replaced {
             self.drop_lease(held, "the lease expired");
         }
@@ -254,11 +257,7 @@
                     |since: Instant| now.saturating_duration_since(since) >= LEADER_GRACE_PERIOD;
                 !active
                     || self.pools.unreachable_since(&leader).is_some_and(failing)
-                    || self
-                        .peers
-                        .live()
-                        .iter()
-                        .any(|peer| peer.status().unreachable_endpoints.contains(&leader))
+                    || self.peers.membership.borrow().is_endpoint_suspect(&leader)
             }
         };
         machine.borrow().needs_probe(suspected, now)
@@ -332,7 +331,7 @@
             let members = [endpoint.to_owned()];
             let reports = [self.probe_member(endpoint).await];
             if self.record_reports(&members, &reports).is_some() {
-                self.status_changed.notify_waiters();
+                self.refresh_status();
                 return;
             }
         }
@@ -380,12 +379,21 @@
     }
 
     /// Returns whether another instance reaches a member; asks other availability zones first.
-    async fn probe_indirectly(&self, endpoint: &str) -> bool {
-        let mut peers = self.peers.live();
+    async fn probe_indirectly(self: &Rc<Self>, endpoint: &str) -> bool {
+        let mut peers: Vec<InstanceRecord> = {
+            let membership = self.peers.membership.borrow();
+            let records = membership.live_peers().filter_map(|key| membership.record(key));
+            records.cloned().collect()
+        };
         let zone = &self.settings.record.zone;
-        peers.sort_by_key(|peer| (peer.record.zone == *zone, peer.record.name.clone()));
+        peers.sort_by_cached_key(|peer| {
+            (peer.zone == *zone, rendezvous::weight(endpoint, &peer.name))
+        });
         for peer in peers.into_iter().take(MAX_INDIRECT_PROBES) {
-            if peer.probe(endpoint, INDIRECT_PROBE_TIMEOUT).await == Some(true) {
+            let Some(link) = self.open_link(&peer.name) else {
+                continue;
+            };
+            if link.probe(endpoint, INDIRECT_PROBE_TIMEOUT).await == Some(true) {
                 return true;
             }
         }
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -15,7 +15,6 @@
 use crate::connection_owner::ConnectionPools;
 use crate::directory::FleetDirectory;
 use crate::interface::{PlatformApi, RowChange, WireCodec};
-use crate::message::InstanceStatus;
 use crate::peer::PeerTable;
 use crate::record::InstanceRecord;
 use crate::tables::TableCaches;
@@ -73,8 +72,6 @@
     pub pools: ConnectionPools,
     /// Token buckets of the teams whose quota owner this instance is.
     pub quotas: RefCell<TeamQuotas>,
-    /// Notified when the status changes in a way that peers must learn at once.
-    pub status_changed: Notify,
     /// Number of open caller sessions.
     pub caller_count: Cell<usize>,
     grace_period: Cell<Duration>,
@@ -94,7 +91,7 @@
         let started_at = clock.now();
         let directory = FleetDirectory::new(settings.drain_timeout);
         Rc::new(Self {
-            peers: PeerTable::new(settings.record.clone()),
+            peers: PeerTable::new(settings.record.clone(), started_at),
             directory: RefCell::new(directory),
             grace_period: Cell::new(settings.grace_period),
             quotas: RefCell::new(TeamQuotas::new(settings.limit_window)),
@@ -105,7 +102,6 @@
             tables: RefCell::default(),
             validation: RefCell::default(),
             was_validated: Cell::new(true),
-            status_changed: Notify::new(),
             started_at,
             caller_count: Cell::new(0),
             leaving_since: Cell::new(None),
@@ -201,7 +197,7 @@
     pub fn start_leaving(&self) {
         self.leaving_since.set(Some(self.now()));
         self.leave_signal.notify_waiters();
-        self.status_changed.notify_waiters();
+        self.refresh_status();
     }
 
     /// Waits until the instance announces that it is leaving.
@@ -238,7 +234,7 @@
             return;
         }
         // Peers in the availability zone may rely on this instance to read the store.
-        self.status_changed.notify_waiters();
+        self.refresh_status();
         if reachable {
             log_event!(LogEvent::PlatformFound, "service=store");
         } else {
@@ -259,24 +255,11 @@
     /// Sets the fencing token of the promotion lease, or `None` when the lease is lost.
     pub fn set_promotion_token(&self, token: Option<u64>) {
         if self.promotion_token.replace(token) != token {
-            self.status_changed.notify_waiters();
+            self.refresh_status();
             log_event!(LogEvent::PromotionLeaseChanged, "token={token:?}");
         }
     }
 
-    /// Returns the status that is reported to peers.
-    pub fn status(&self) -> InstanceStatus {
-        let directory = self.directory.borrow();
-        InstanceStatus {
-            leaving: self.is_leaving(),
-            table_versions: self.tables.borrow().versions(),
-            promotion_token: self.promotion_token.get(),
-            store_reachable: self.store_reachable.get(),
-            unreachable_endpoints: self.pools.unreachable_endpoints(),
-            leaders: directory.leaders(),
-        }
-    }
-
     /// Applies a changed row of a watched table to the directory.
     pub fn apply_row_change(&self, change: RowChange) {
         let now = self.now();
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -21,5 +21,6 @@
 mod pool;
 pub mod record;
 pub mod statement;
+pub mod subscription;
 pub mod tables;
 pub mod watch;
--- a/crates/engine/src/lifecycle.rs
+++ b/crates/engine/src/lifecycle.rs
@@ -62,6 +62,8 @@
         tokio::task::spawn_local(self.clone().register_and_discover());
         tokio::task::spawn_local(self.clone().run_anti_entropy());
         tokio::task::spawn_local(self.clone().ping_peers());
+        tokio::task::spawn_local(self.clone().maintain_subscriptions());
+        tokio::task::spawn_local(self.clone().publish_changes());
         tokio::task::spawn_local(self.clone().track_reachability());
         tokio::task::spawn_local(self.clone().coordinate_failover());
         let instance = self.clone();
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
+use coord::membership::{MemberStatus, ViewEntry};
 use coord::priority::PriorityLevel;
 use coord::session::TransactionState;
 use serde::{Deserialize, Serialize};
@@ -164,23 +165,37 @@
     },
 }
 
-/// Status that an instance reports to others.
+/// State of an instance that it reports to the observers it subscribes to.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct InstanceReport {
+    /// Number of the status, counted from the start of the instance.
+    pub sequence: u32,
+    /// Status of the instance.
+    pub status: MemberStatus,
+    /// Known leaders and table versions.
+    pub heads: FleetHeads,
+}
+
+/// What instances pass on about the services: leaders and versions of the tables.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct InstanceStatus {
-    /// The instance is shutting down and takes no new work from others.
-    pub leaving: bool,
+pub struct FleetHeads {
     /// Versions of the table caches, in the order of [`WatchedTable::ALL`].
     pub table_versions: [u64; 2],
-    /// Fencing token if the instance holds the promotion lease.
-    pub promotion_token: Option<u64>,
-    /// The instance reaches the store.
-    pub store_reachable: bool,
-    /// Endpoints that the instance cannot reach.
-    pub unreachable_endpoints: Vec<String>,
     /// Known leaders: service, endpoint, term.
     pub leaders: Vec<(String, String, u64)>,
 }
 
+/// Update that an observer publishes to its subscribers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ViewUpdate {
+    /// The entries replace the earlier view; otherwise they change it.
+    pub is_full: bool,
+    /// Instances of the view.
+    pub entries: Vec<ViewEntry>,
+    /// Leaders and table versions, if they changed.
+    pub heads: Option<FleetHeads>,
+}
+
 /// Validation that the document was current at some time.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DocumentValidation {
@@ -195,13 +210,17 @@
 pub enum PeerRequest {
     /// Introduces the instance that opened the connection.
     Hello(InstanceRecord),
-    /// Checks that the receiver is alive, and requests its status if it changed.
+    /// Checks that the receiver is alive.
     Ping {
         /// Identifier of the ping, repeated in the answer.
         ping_id: u32,
-        /// Version of the status that the sender already has.
-        known_version: u32,
     },
+    /// Subscribes to the views that the receiver publishes, starting with a full one.
+    Subscribe,
+    /// Ends the subscription.
+    Unsubscribe,
+    /// Reports the state of the subscriber.
+    Report(Box<InstanceReport>),
     /// Runs statements.
     Execute {
         /// Identifier of the call, repeated in the answer.
@@ -251,16 +270,21 @@
 /// Message of the instance that accepted the connection.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum PeerReply {
-    /// Answer to [`PeerRequest::Ping`], or a status update without one.
+    /// Answer to [`PeerRequest::Ping`].
     Pong {
-        /// Identifier of the ping; zero for a status update without one.
+        /// Identifier of the ping.
         ping_id: u32,
         /// Validation of the sender's document, if a revocation bound is set.
         validation: Option<DocumentValidation>,
-        /// Version of the status on this connection.
-        status_version: u32,
-        /// Status, if the receiver does not have this version.
-        status: Option<Box<InstanceStatus>>,
+    },
+    /// Published view, in answer to [`PeerRequest::Subscribe`] and after changes.
+    View(Box<ViewUpdate>),
+    /// Pushes changed rows of a table to a subscriber.
+    Rows {
+        /// Table.
+        table: WatchedTable,
+        /// Changed rows in the order of their changes.
+        rows: Vec<StoredRow>,
     },
     /// Answer to [`PeerRequest::Execute`].
     Execute {
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use coord::membership::{InstanceKey, InstanceRecord};
 use coord::priority::PriorityLevel;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
@@ -15,14 +16,15 @@
 
 use crate::interface::WatchedTable;
 use crate::message::{
-    AdmissionDecision, DocumentValidation, ExecuteCall, ExecuteOutcome, ExecuteReply,
-    InstanceStatus, NotSentReason, PeerReply, PeerRequest, encode, millis,
+    AdmissionDecision, ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason, PeerReply,
+    PeerRequest, encode, millis,
 };
-use crate::record::InstanceRecord;
 use crate::tables::StoredRow;
 
 /// Bounds the wait for the answer to a ping. A peer that exceeds it is disconnected.
 pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a newer ping replaces an unanswered one for the validation of the document.
+const VALIDATION_PING_TTL: Duration = Duration::from_millis(1_000);
 /// Queued bytes above which a connection counts as stuck and is closed.
 const MAX_OUTPUT_BYTES: usize = 8 << 20;
 
@@ -50,6 +52,14 @@
         self.data_ready.notify_one();
     }
 
+    /// Appends an encoded message.
+    pub(crate) fn push_encoded(&self, message: &[u8]) {
+        if !self.closed.get() {
+            self.bytes.borrow_mut().extend_from_slice(message);
+            self.data_ready.notify_one();
+        }
+    }
+
     /// Closes the connection without writing what is queued.
     pub(crate) fn close(&self) {
         self.closed.set(true);
@@ -73,40 +83,6 @@
     }
 }
 
-/// Status as last published on one connection.
-#[derive(Debug, Default)]
-pub(crate) struct StatusPublisher {
-    pub(crate) published: RefCell<InstanceStatus>,
-    pub(crate) version: Cell<u32>,
-}
-
-impl StatusPublisher {
-    /// Sets the current status and returns whether it differs from the last one.
-    pub(crate) fn refresh(&self, status: InstanceStatus) -> bool {
-        let changed = self.version.get() == 0 || *self.published.borrow() != status;
-        if changed {
-            self.version.set(self.version.get() + 1);
-            *self.published.borrow_mut() = status;
-        }
-        changed
-    }
-
-    /// Sends the answer to ping `ping_id`, or an unsolicited status if `ping_id` is zero.
-    ///
-    /// The status is left out if the peer already has `known_version`.
-    pub(crate) fn publish(
-        &self,
-        output: &OutputQueue,
-        ping_id: u32,
-        known_version: u32,
-        validation: Option<DocumentValidation>,
-    ) {
-        let version = self.version.get();
-        let status = (known_version != version).then(|| Box::new(self.published.borrow().clone()));
-        output.push(&PeerReply::Pong { ping_id, validation, status_version: version, status });
-    }
-}
-
 /// Senders that pass answers to the waiting calls of one kind, by call identifier.
 type ReplySenders<T> = HashMap<u32, oneshot::Sender<T>>;
 
@@ -119,64 +95,90 @@
     pub(crate) table: ReplySenders<(Vec<StoredRow>, u64)>,
 }
 
-/// Link to a peer instance, which this instance reconnects when the connection is lost.
+/// Keeps the connection of a link open while no calls are in flight.
+#[derive(Clone, Debug)]
+pub struct LinkLease {
+    _count: Rc<()>,
+}
+
+/// Link to a peer instance, whose connection is opened when it is needed.
 #[derive(Debug)]
 pub struct PeerLink {
     /// Registration of the peer.
     pub record: InstanceRecord,
-    /// Output of the open connection; set once the peer has responded on it.
-    pub(crate) live_output: RefCell<Option<Rc<OutputQueue>>>,
+    /// Key of the peer in the membership table.
+    pub(crate) key: InstanceKey,
+    /// Output of the connection that is open or being opened.
+    pub(crate) output: RefCell<Option<Rc<OutputQueue>>>,
     pub(crate) pending: RefCell<PendingCalls>,
     /// Next identifier of a call or ping.
     pub(crate) next_call_id: Cell<u32>,
-    /// Output of the open connection, whether the peer has responded on it or not.
-    pub(crate) open_output: RefCell<Option<Rc<OutputQueue>>>,
+    /// The transport connection is established.
+    pub(crate) is_connected: Cell<bool>,
     pub(crate) last_response_at: Cell<Option<Instant>>,
+    /// Notified when the peer responds, and when the connection is lost.
+    pub(crate) responded: Notify,
+    /// Time at which the link was last asked for.
+    pub(crate) last_used_at: Cell<Instant>,
     /// Time of the oldest unanswered ping.
     pub(crate) unanswered_since: Cell<Option<Instant>>,
     /// Identifier and time of the ping whose answer may validate the document.
     pub(crate) validation_ping: Cell<Option<(u32, Instant)>>,
-    pub(crate) unreachable_since: Cell<Option<Instant>>,
-    /// Version of `status` on the open connection; zero before the first one.
-    pub(crate) status_version: Cell<u32>,
-    /// Last reported status of the peer.
-    pub(crate) status: RefCell<InstanceStatus>,
-    /// A newer registration of the peer has replaced this link.
-    pub(crate) superseded: Cell<bool>,
+    /// This instance has subscribed to the views of the peer.
+    pub(crate) is_subscription: Cell<bool>,
+    /// Versions of the peer's table caches, as far as is known.
+    pub(crate) table_versions: Cell<[u64; 2]>,
+    /// Connections to the peer fail; when to try again, and the delay after the next failure.
+    pub(crate) retry: Cell<Option<(Instant, Duration)>>,
+    /// The connection is closed because nothing uses it.
+    pub(crate) is_closed_idle: Cell<bool>,
+    leases: Rc<()>,
 }
 
 impl PeerLink {
-    pub(crate) fn new(record: InstanceRecord, now: Instant) -> Self {
+    pub(crate) fn new(key: InstanceKey, record: InstanceRecord, now: Instant) -> Self {
         Self {
             record,
-            live_output: RefCell::default(),
+            key,
+            output: RefCell::default(),
             pending: RefCell::default(),
             next_call_id: Cell::new(1),
-            open_output: RefCell::default(),
+            is_connected: Cell::new(false),
             last_response_at: Cell::new(None),
+            responded: Notify::new(),
+            last_used_at: Cell::new(now),
             unanswered_since: Cell::new(None),
             validation_ping: Cell::new(None),
-            unreachable_since: Cell::new(Some(now)),
-            status_version: Cell::new(0),
-            status: RefCell::default(),
-            superseded: Cell::new(false),
+            is_subscription: Cell::new(false),
+            table_versions: Cell::new([0; 2]),
+            retry: Cell::new(None),
+            is_closed_idle: Cell::new(false),
+            leases: Rc::default(),
         }
     }
 
-    /// Returns whether the peer responds.
-    pub fn is_live(&self) -> bool {
-        self.unreachable_since.get().is_none()
+    /// Keeps the connection open until the lease is dropped.
+    pub fn lease(&self) -> LinkLease {
+        LinkLease { _count: self.leases.clone() }
     }
 
-    /// Returns the last reported status of the peer.
-    pub fn status(&self) -> InstanceStatus {
-        self.status.borrow().clone()
+    /// Returns whether open transactions need the connection.
+    pub(crate) fn is_leased(&self) -> bool {
+        Rc::strong_count(&self.leases) > 1
     }
 
-    /// Returns whether statements or admission requests are in flight.
+    /// Returns whether a connection is open or being opened.
+    pub(crate) fn is_open(&self) -> bool {
+        self.output.borrow().as_ref().is_some_and(|output| !output.closed.get())
+    }
+
+    /// Returns whether any calls are in flight.
     pub(crate) fn has_pending_calls(&self) -> bool {
         let pending = self.pending.borrow();
-        !pending.execute.is_empty() || !pending.admission.is_empty()
+        !pending.execute.is_empty()
+            || !pending.admission.is_empty()
+            || !pending.probe.is_empty()
+            || !pending.table.is_empty()
     }
 
     /// Returns a new identifier for a call or ping.
@@ -186,9 +188,22 @@
         call_id
     }
 
+    /// Sends a ping. Its answer may validate the document.
+    pub(crate) fn send_ping(&self, now: Instant) {
+        let ping_id = self.new_call_id();
+        self.send(&PeerRequest::Ping { ping_id });
+        // Only the answer to the recorded ping is accepted. Recording each newer ping would discard
+        // all answers that take longer than the ping interval.
+        let expired = |at: Instant| now.saturating_duration_since(at) > VALIDATION_PING_TTL;
+        if self.validation_ping.get().is_none_or(|(_, at)| expired(at)) {
+            self.validation_ping.set(Some((ping_id, now)));
+        }
+        self.unanswered_since.set(self.unanswered_since.get().or(Some(now)));
+    }
+
     /// Runs statements through the peer, which owns the endpoint's connections.
     pub async fn execute(&self, body: ExecuteCall) -> ExecuteReply {
-        if self.live_output.borrow().is_none() {
+        if !self.is_open() {
             return no_owner_reply();
         }
         let answer_timeout =
@@ -256,23 +271,17 @@
         answer.ok()?.ok()
     }
 
-    /// Sends a request, or drops it if the peer is not connected.
+    /// Sends a request, or drops it if no connection is open or being opened.
     pub(crate) fn send(&self, request: &PeerRequest) {
-        if let Some(output) = &*self.live_output.borrow() {
+        if let Some(output) = &*self.output.borrow() {
             output.push(request);
         }
     }
 
-    /// Handles a message of the peer: stores its status or completes a call.
-    pub(crate) fn handle_reply(&self, reply: PeerReply) {
+    /// Completes the call that a reply answers; other replies are ignored.
+    pub(crate) fn complete_call(&self, reply: PeerReply) {
         let mut pending = self.pending.borrow_mut();
         match reply {
-            PeerReply::Pong { status_version: version, status, .. } => {
-                if let Some(status) = status {
-                    self.status_version.set(version);
-                    *self.status.borrow_mut() = *status;
-                }
-            }
             PeerReply::Execute { call_id, body } => {
                 deliver(&mut pending.execute, call_id, *body);
             }
@@ -285,7 +294,27 @@
             PeerReply::Table { call_id, rows, version } => {
                 deliver(&mut pending.table, call_id, (rows, version));
             }
+            PeerReply::Pong { .. } | PeerReply::View(_) | PeerReply::Rows { .. } => {}
+        }
+    }
+
+    /// Closes the connection and ends the calls in flight.
+    ///
+    /// Calls on a connection that was never established were not sent, and are answered so.
+    pub(crate) fn close(&self) {
+        if let Some(output) = self.output.borrow_mut().take() {
+            output.close();
+        }
+        let pending = std::mem::take(&mut *self.pending.borrow_mut());
+        if !self.is_connected.replace(false) {
+            for sender in pending.execute.into_values() {
+                // The receiver is dropped if the call timed out.
+                let _ = sender.send(no_owner_reply());
+            }
         }
+        self.unanswered_since.set(None);
+        self.last_response_at.set(None);
+        self.responded.notify_waiters();
     }
 }
 
@@ -301,11 +330,3 @@
     let outcome = ExecuteOutcome::NotSent { reason: NotSentReason::NoOwner, retry_ms: 0 };
     ExecuteReply { outcome, queue_wait_ms: 0, watermark: None }
 }
-
-/// Closes the output of a link and fails its calls in flight.
-pub(crate) fn close_link(link: &PeerLink) {
-    if let Some(output) = link.live_output.borrow_mut().take() {
-        output.close();
-    }
-    *link.pending.borrow_mut() = PendingCalls::default();
-}
--- a/crates/engine/src/record.rs
+++ b/crates/engine/src/record.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use coord::membership::InstanceRecord;
 use coord::priority::PriorityLevel;
 use coord::quota::TeamLimit;
 use serde::{Deserialize, Serialize};
@@ -114,19 +115,6 @@
     pub started_ms: u64,
 }
 
-/// Registered instance.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct InstanceRecord {
-    /// Name of the instance.
-    pub name: String,
-    /// Address that accepts connections from other instances.
-    pub address: SocketAddr,
-    /// Availability zone.
-    pub zone: String,
-    /// Random number drawn at process start.
-    pub incarnation: u64,
-}
-
 /// Promotion lease, as kept in the store.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct PromotionLease {
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -17,6 +17,7 @@
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
 use crate::message::{ExecuteCall, ExecuteOutcome, NotSentReason, StatementAnswer, millis};
+use crate::peer_link::LinkLease;
 use crate::record::{RouteConsistency, RouteRecord};
 
 /// Maximum attempts of one statement, over all endpoints.
@@ -41,6 +42,8 @@
     pub endpoint: String,
     /// Identifier of the transaction, unique on the instance of its session.
     pub transaction_id: u32,
+    /// Keeps the connection to the owner open; `None` if it is this instance.
+    pub link_lease: Option<LinkLease>,
 }
 
 /// Statement with the context of its session.
@@ -292,6 +295,7 @@
                     owner: owner_reply.owner,
                     endpoint: endpoint.to_owned(),
                     transaction_id,
+                    link_lease: owner_reply.link_lease,
                 };
                 classify_answers(context, answers, answer_index, keep_pinned.then_some(transaction))
             }
--- /dev/null
+++ b/crates/engine/src/subscription.rs
@@ -0,0 +1,330 @@
+//! Subscriptions between instances: which to hold, what to publish and what to report.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use coord::membership::{InstanceKey, MemberStatus, ViewScope};
+use slotmap::new_key_type;
+use telemetry::event::LogEvent;
+use telemetry::log_event;
+use tokio::time::{sleep, timeout};
+
+use crate::instance::{EngineTypes, GatewayInstance};
+use crate::interface::WatchedTable;
+use crate::message::{FleetHeads, InstanceReport, PeerReply, PeerRequest, ViewUpdate, encode};
+use crate::peer::InboundConnection;
+use crate::peer_link::{OutputQueue, PeerLink};
+use crate::tables::StoredRow;
+
+/// Interval at which subscriptions and expired views are checked.
+const SUBSCRIPTION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest interval between two published updates; changes in between are published together.
+const PUBLICATION_INTERVAL: Duration = Duration::from_millis(20);
+
+new_key_type! {
+    /// Key of a subscriber.
+    pub struct SubscriberKey;
+}
+
+/// Peer that subscribed to this instance.
+#[derive(Debug)]
+pub(crate) struct Subscriber {
+    pub(crate) key: InstanceKey,
+    incarnation: u64,
+    pub(crate) scope: ViewScope,
+    output: Rc<OutputQueue>,
+    pub(crate) table_versions: [u64; 2],
+}
+
+/// What was last published to subscribers and reported to observers.
+#[derive(Debug, Default)]
+pub(crate) struct SubscriptionFeed {
+    heads: FleetHeads,
+    reported: InstanceReport,
+}
+
+impl<E: EngineTypes> GatewayInstance<E> {
+    /// Records the own status and notifies observers and subscribers if it changed.
+    pub fn refresh_status(&self) {
+        let status = MemberStatus {
+            leaving: self.is_leaving(),
+            store_reachable: self.is_store_reachable(),
+            promotion_token: self.promotion_token(),
+            unreachable_endpoints: self.pools.unreachable_endpoints(),
+        };
+        self.peers.update(|table| table.set_own_status(status));
+        if self.heads() != self.peers.feed.borrow().heads {
+            self.peers.changed.notify_one();
+        }
+    }
+
+    fn heads(&self) -> FleetHeads {
+        FleetHeads {
+            table_versions: self.tables.borrow().versions(),
+            leaders: self.directory.borrow().leaders(),
+        }
+    }
+
+    fn report(&self) -> InstanceReport {
+        let membership = self.peers.membership.borrow();
+        let (sequence, status) = membership.own_status();
+        InstanceReport { sequence, status: status.clone(), heads: self.heads() }
+    }
+
+    /// Holds the subscriptions that the membership asks for, and retries unreachable peers.
+    pub async fn maintain_subscriptions(self: Rc<Self>) {
+        loop {
+            let now = self.now();
+            let removed = self.peers.update(|table| table.expire(now));
+            for record in removed {
+                log_event!(LogEvent::PeerExpired, "instance={}", record.name);
+            }
+            let wanted = self.peers.membership.borrow().wanted_observers();
+            for key in &wanted {
+                self.subscribe(*key, now);
+            }
+            self.end_surplus_subscriptions(&wanted, now);
+            self.retry_links(&wanted, now);
+            sleep(SUBSCRIPTION_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Subscribes to an instance that is not known to be unreachable.
+    fn subscribe(self: &Rc<Self>, key: InstanceKey, now: Instant) {
+        let Some(link) = self.current_link(key) else {
+            return;
+        };
+        if link.is_subscription.get() && link.is_open() {
+            return;
+        }
+        if !link.is_open() {
+            if link.retry.get().is_some_and(|(at, _)| now < at) {
+                return;
+            }
+            self.connect_link(&link);
+        }
+        link.is_subscription.set(true);
+        link.send(&PeerRequest::Subscribe);
+        link.send(&PeerRequest::Report(Box::new(self.report())));
+    }
+
+    fn end_surplus_subscriptions(&self, wanted: &[InstanceKey], now: Instant) {
+        let links: Vec<Rc<PeerLink>> = self.peers.links.borrow().values().cloned().collect();
+        let is_surplus =
+            |link: &&Rc<PeerLink>| link.is_subscription.get() && !wanted.contains(&link.key);
+        for link in links.iter().filter(is_surplus) {
+            link.is_subscription.set(false);
+            link.send(&PeerRequest::Unsubscribe);
+            self.peers.update(|table| table.unsubscribe(link.key, now));
+        }
+    }
+
+    /// Connects again to unreachable peers that others report as live, so that calls need not try
+    /// them.
+    fn retry_links(self: &Rc<Self>, wanted: &[InstanceKey], now: Instant) {
+        let due: Vec<Rc<PeerLink>> = {
+            let membership = self.peers.membership.borrow();
+            let mut links = self.peers.links.borrow_mut();
+            links.retain(|key, _| membership.record(key).is_some());
+            let is_due = |link: &&Rc<PeerLink>| {
+                let is_due = link.retry.get().is_some_and(|(at, _)| now >= at);
+                let is_live = membership.is_live(link.key) && !wanted.contains(&link.key);
+                is_due && is_live && !link.is_open()
+            };
+            links.values().filter(is_due).cloned().collect()
+        };
+        for link in due {
+            link.last_used_at.set(now);
+            self.connect_link(&link);
+        }
+    }
+
+    /// Publishes changes to the subscribers and reports them to the observers.
+    pub async fn publish_changes(self: Rc<Self>) {
+        loop {
+            // A change that was notified in the meantime ends the wait at once.
+            let wait = self.peers.changed.notified();
+            let _ = timeout(Duration::from_secs(1), wait).await;
+            self.publish_views();
+            self.send_reports();
+            sleep(PUBLICATION_INTERVAL).await;
+        }
+    }
+
+    fn publish_views(&self) {
+        let heads = self.heads();
+        let heads_changed = heads != self.peers.feed.borrow().heads;
+        if heads_changed {
+            self.peers.feed.borrow_mut().heads = heads.clone();
+        }
+        for scope in ViewScope::ALL {
+            let entries = self.peers.membership.borrow_mut().take_changes(scope);
+            if entries.is_empty() && !heads_changed {
+                continue;
+            }
+            let heads = heads_changed.then(|| heads.clone());
+            let update = ViewUpdate { is_full: false, entries, heads };
+            self.push_to_subscribers(scope, &PeerReply::View(Box::new(update)));
+        }
+    }
+
+    fn send_reports(&self) {
+        let report = self.report();
+        if self.peers.feed.borrow().reported == report {
+            return;
+        }
+        self.peers.feed.borrow_mut().reported = report.clone();
+        let links = self.peers.links.borrow();
+        for link in links.values().filter(|link| link.is_subscription.get()) {
+            link.send(&PeerRequest::Report(Box::new(report.clone())));
+        }
+    }
+
+    /// Sends a message to all subscribers of a scope; it is encoded once.
+    fn push_to_subscribers(&self, scope: ViewScope, message: &PeerReply) {
+        let subscribers = self.peers.subscribers.borrow();
+        let mut receivers = subscribers.values().filter(|peer| peer.scope == scope).peekable();
+        if receivers.peek().is_none() {
+            return;
+        }
+        let mut bytes = Vec::new();
+        if let Err(error) = encode(message, &mut bytes) {
+            log_event!(LogEvent::PeerLost, "cause=\"message not sent: {error}\"");
+            return;
+        }
+        receivers.for_each(|peer| peer.output.push_encoded(&bytes));
+    }
+
+    /// Registers a subscription and sends the full view.
+    pub(crate) fn subscribe_peer(&self, connection: &InboundConnection) {
+        let now = self.now();
+        let Some(record) = connection.peer.borrow().clone() else {
+            return;
+        };
+        let key = self.peers.update(|table| table.add(&record, now));
+        let Some(key) = key.filter(|_| connection.subscriber.get().is_none()) else {
+            return;
+        };
+        let scope = self.peers.membership.borrow().scope_of(key);
+        let incarnation = record.incarnation;
+        let output = connection.output.clone();
+        let subscriber = Subscriber { key, incarnation, scope, output, table_versions: [0; 2] };
+        connection.subscriber.set(Some(self.peers.subscribers.borrow_mut().insert(subscriber)));
+        self.peers.update(|table| table.subscriber_connected(key, now));
+        let entries = self.peers.membership.borrow_mut().snapshot(scope);
+        let update = ViewUpdate { is_full: true, entries, heads: Some(self.heads()) };
+        connection.output.push(&PeerReply::View(Box::new(update)));
+    }
+
+    /// Ends the subscription of a connection, if it has one.
+    pub(crate) fn unsubscribe_peer(&self, connection: &InboundConnection) {
+        let key = connection.subscriber.take();
+        let removed = key.and_then(|key| self.peers.subscribers.borrow_mut().remove(key));
+        if let Some(subscriber) = removed {
+            let (key, incarnation, now) = (subscriber.key, subscriber.incarnation, self.now());
+            self.peers.update(|table| table.subscriber_lost(key, incarnation, now));
+        }
+    }
+
+    /// Records what a subscriber reports of itself.
+    pub(crate) fn receive_report(&self, connection: &InboundConnection, report: InstanceReport) {
+        let Some(subscriber_key) = connection.subscriber.get() else {
+            return;
+        };
+        let mut subscribers = self.peers.subscribers.borrow_mut();
+        let Some(subscriber) = subscribers.get_mut(subscriber_key) else {
+            return;
+        };
+        subscriber.table_versions = report.heads.table_versions;
+        let (key, incarnation) = (subscriber.key, subscriber.incarnation);
+        drop(subscribers);
+        self.peers.update(|table| {
+            if table.record(key).is_some_and(|record| record.incarnation == incarnation) {
+                table.record_status(key, report.sequence, &report.status);
+            }
+        });
+        self.record_leaders(&report.heads);
+    }
+
+    /// Merges a view that an observer published.
+    pub(crate) fn receive_view(&self, link: &PeerLink, update: ViewUpdate) {
+        if !link.is_subscription.get() {
+            return;
+        }
+        let now = self.now();
+        self.peers.update(|table| {
+            if update.is_full {
+                table.observer_connected(link.key, now);
+            }
+            table.receive_view(link.key, update.is_full, &update.entries, now);
+        });
+        if let Some(heads) = update.heads {
+            link.table_versions.set(heads.table_versions);
+            self.record_leaders(&heads);
+        }
+    }
+
+    fn record_leaders(&self, heads: &FleetHeads) {
+        let mut directory = self.directory.borrow_mut();
+        for (service, endpoint, term) in &heads.leaders {
+            if directory.record_leader(service, endpoint, *term) {
+                self.peers.changed.notify_one();
+                log_event!(
+                    LogEvent::PrimaryChanged,
+                    "service={service} endpoint={endpoint} term={term} source=peer"
+                );
+            }
+        }
+    }
+
+    /// Pushes rows that this instance read from the store to the others of its zone.
+    ///
+    /// All of them subscribe to the first instances of the zone. A reader further behind passes the
+    /// rows through one of these.
+    pub(crate) fn push_rows(&self, table: WatchedTable, rows: &[StoredRow]) {
+        if rows.is_empty() {
+            return;
+        }
+        let message = PeerReply::Rows { table, rows: rows.to_vec() };
+        self.push_to_subscribers(ViewScope::Zone, &message);
+        let membership = self.peers.membership.borrow();
+        if !membership.is_zone_observer(membership.own_key())
+            && let Some(observer) = membership.first_zone_observer()
+            && let Some(link) = self.peers.links.borrow().get(observer)
+        {
+            link.send(&PeerRequest::Rows { table, rows: rows.to_vec() });
+        }
+    }
+
+    /// Merges rows from a reader of the store that few instances subscribe to, and passes them on.
+    pub(crate) fn relay_rows(&self, table: WatchedTable, rows: Vec<StoredRow>) {
+        let changed = self.merge_rows(table, rows);
+        if !changed.is_empty() {
+            let message = PeerReply::Rows { table, rows: changed };
+            self.push_to_subscribers(ViewScope::Zone, &message);
+        }
+    }
+
+    /// Merges rows that a peer pushed, and passes them on if only few subscribe to that peer.
+    pub(crate) fn receive_rows(&self, link: &PeerLink, table: WatchedTable, rows: Vec<StoredRow>) {
+        if self.peers.membership.borrow().is_zone_observer(link.key) {
+            self.merge_rows(table, rows);
+        } else {
+            self.relay_rows(table, rows);
+        }
+    }
+
+    /// Returns the peer with the newest version of a table among observers and subscribers, if it
+    /// is newer than `own`.
+    pub(crate) fn newest_table_peer(&self, index: usize, own: u64) -> Option<InstanceKey> {
+        let links = self.peers.links.borrow();
+        let observers = links
+            .values()
+            .filter(|link| link.is_subscription.get())
+            .map(|link| (link.table_versions.get()[index], link.key));
+        let subscribers = self.peers.subscribers.borrow();
+        let subscribers = subscribers.values().map(|peer| (peer.table_versions[index], peer.key));
+        let newest = observers.chain(subscribers).max()?;
+        (newest.0 > own).then_some(newest.1)
+    }
+}
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -3,12 +3,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coord::rendezvous;
 use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{PlatformApi, PlatformError, WatchedTable};
-use crate::message::PeerRequest;
 use crate::tables::StoredRow;
 
 /// Wait of a long poll, as a fraction of the time within which a change must be in force.
@@ -37,8 +35,6 @@
 /// Delay before the second read of the registered instances: instances that start at the same time
 /// have registered by then.
 const FIRST_DISCOVERY_DELAY: Duration = Duration::from_millis(600);
-/// Rendezvous hash key that elects the instance of an availability zone that reads the store.
-const READER_ELECTION_KEY: &str = "reader";
 
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Keeps the cache of a table up to date; never returns.
@@ -114,30 +110,16 @@
     /// Returns whether another instance of this availability zone reads the store on behalf of this
     /// one.
     fn has_zone_reader(&self) -> bool {
-        let zone = &self.settings.record.zone;
-        let readers = self.peers.live().into_iter().filter(|peer| {
-            let status = peer.status();
-            peer.record.zone == *zone && status.store_reachable && !status.leaving
-        });
-        let names: Vec<String> = readers.map(|peer| peer.record.name.clone()).collect();
-        rendezvous::rank(READER_ELECTION_KEY, self.name(), names.iter().map(String::as_str)) > 0
+        let membership = self.peers.membership.borrow();
+        membership.zone_reader() != membership.own_key()
     }
 
-    /// Pushes changed rows to the other instances of this availability zone.
-    fn push_rows(&self, table: WatchedTable, rows: &[StoredRow]) {
-        if rows.is_empty() {
-            return;
-        }
-        let zone = &self.settings.record.zone;
-        for peer in self.peers.live().into_iter().filter(|peer| peer.record.zone == *zone) {
-            peer.send(&PeerRequest::Rows { table, rows: rows.to_vec() });
-        }
-    }
-
-    /// Merges changed rows into the cache of a table and applies what is new.
-    pub(crate) fn merge_rows(&self, table: WatchedTable, rows: Vec<StoredRow>) {
+    /// Merges changed rows into the cache of a table, applies what is new and returns it.
+    pub(crate) fn merge_rows(&self, table: WatchedTable, rows: Vec<StoredRow>) -> Vec<StoredRow> {
         let changed = self.tables.borrow_mut().table(table).merge_changes(rows);
-        self.apply_changed_rows(table, changed);
+        self.apply_changed_rows(table, &changed);
+        self.peers.changed.notify_one();
+        changed
     }
 
     /// Merges a full read of a table; cached rows missing from it are removed.
@@ -146,12 +128,13 @@
         if table == WatchedTable::Endpoints {
             self.directory.borrow_mut().set_endpoints_loaded();
         }
-        self.apply_changed_rows(table, changed);
+        self.apply_changed_rows(table, &changed);
+        self.peers.changed.notify_one();
     }
 
-    fn apply_changed_rows(&self, table: WatchedTable, rows: Vec<StoredRow>) {
+    fn apply_changed_rows(&self, table: WatchedTable, rows: &[StoredRow]) {
         for row in rows {
-            if let Some(change) = self.platform.decode_row(table, &row) {
+            if let Some(change) = self.platform.decode_row(table, row) {
                 self.apply_row_change(change);
             }
         }
@@ -166,14 +149,14 @@
         let mut delay = FIRST_DISCOVERY_DELAY;
         loop {
             match self.platform.read_instances().await {
-                Ok(records) => records.into_iter().for_each(|record| self.connect_peer(record)),
+                Ok(records) => records.iter().for_each(|record| self.add_peer(record)),
                 Err(error) => {
                     self.record_store_status(false, &error.to_string());
                     sleep(RETRY_BACKOFF).await;
                     continue;
                 }
             }
-            // Instances that start later connect to this one; repeated reads find any missed ones.
+            // Observers report instances that start later; repeated reads find any missed ones.
             sleep(delay).await;
             delay = DISCOVERY_INTERVAL;
             while self.has_zone_reader() {
@@ -192,11 +175,7 @@
             self.directory.borrow_mut().remove_expired(self.now());
             for (index, table) in WatchedTable::ALL.into_iter().enumerate() {
                 let own = self.tables.borrow().versions()[index];
-                let live = self.peers.live();
-                let newest =
-                    live.into_iter().max_by_key(|peer| peer.status().table_versions[index]);
-                let ahead = newest.filter(|peer| peer.status().table_versions[index] > own);
-                let Some(peer) = ahead else {
+                let Some(peer) = self.newest_table_peer(index, own) else {
                     behind[index] = false;
                     continue;
                 };
@@ -205,7 +184,10 @@
                 if !std::mem::replace(&mut behind[index], true) && own > 0 {
                     continue;
                 }
-                if let Some((rows, version)) = peer.fetch_table(table, TABLE_TIMEOUT).await {
+                let Some(link) = self.open_link_by_key(peer) else {
+                    continue;
+                };
+                if let Some((rows, version)) = link.fetch_table(table, TABLE_TIMEOUT).await {
                     self.tables.borrow_mut().table(table).raise_version(version);
                     self.merge_rows(table, rows);
                     if table == WatchedTable::Endpoints {
