Start from the zone's reader and publish only what changed

All leaders went out with each version of a table. Every instance read the table of endpoints because it was empty at the start and so never counted as loaded.

Ruled out: statements between zones (16 MB of payload at 83 instances, the smaller part at 295).

A pushed change carries the version that it follows, since a cache that missed one took the next for complete (test a_missed_push_keeps_the_cache_behind). Observers publish the observers they subscribe to, so that groups that started without knowledge of each other join. Fewer periodic checks; caches of owners are dropped only when membership changed.

--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -192,6 +192,11 @@
         self.own
     }
 
+    /// Returns whether instances may have to be published.
+    pub fn has_changes(&self) -> bool {
+        self.changes.iter().any(|changes| !changes.changed.is_empty())
+    }
+
     /// Returns a number that changes with every change of records, liveness or status.
     pub fn generation(&self) -> u64 {
         self.generation
@@ -357,6 +362,7 @@
         }
         own.status = status;
         own.sequence += 1;
+        self.generation += 1;
         self.mark_changed(self.own);
         true
     }
@@ -371,6 +377,7 @@
         }
         member.sequence = sequence;
         member.status = status.clone();
+        self.generation += 1;
         self.mark_changed(key);
     }
 
@@ -523,14 +530,13 @@
     /// subscribers in its zone, or there is no one else to observe the zone.
     pub fn is_observer(&self) -> bool {
         let zone = &self.members[self.own].record.zone;
-        let in_zone = |key: InstanceKey| {
-            self.members.get(key).is_some_and(|member| member.record.zone == *zone)
-        };
+        let may_observe =
+            |key: &InstanceKey| *key != self.own && !self.members[*key].is_unreachable;
         let has_subscriber = self
             .members
             .values()
             .any(|member| member.subscriptions > 0 && member.record.zone == *zone);
-        has_subscriber || !self.subscribed().into_iter().any(in_zone)
+        has_subscriber || !self.own_ranking().iter().any(may_observe)
     }
 
     /// Returns the scope in which an instance learns of views published here.
@@ -587,7 +593,8 @@
     fn is_observed(&self, key: InstanceKey) -> bool {
         let own_zone = &self.members[self.own].record.zone;
         let member = &self.members[key];
-        key == self.own || (member.subscriptions > 0 && member.record.zone == *own_zone)
+        let has_connection = member.subscriptions > 0 || self.is_subscribed(key);
+        key == self.own || (has_connection && member.record.zone == *own_zone)
     }
 
     /// Returns whether an observer of another zone reports an instance as live.
@@ -658,12 +665,13 @@
                 member.dead_since = now;
                 self.live_count -= 1;
             }
+            self.generation += 1;
         }
         self.mark_changed(key);
     }
 
+    /// Marks an instance for publication, where it is left out if nothing changed.
     fn mark_changed(&mut self, key: InstanceKey) {
-        self.generation += 1;
         for changes in &mut self.changes {
             changes.changed.insert(key);
         }
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -14,8 +14,6 @@
 const ADMISSION_TIMEOUT: Duration = Duration::from_millis(150);
 /// Shortest retry delay stated in a refusal.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Interval at which the reachable fraction of instances is updated.
-const REACHABILITY_INTERVAL: Duration = Duration::from_millis(200);
 
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Admits an operation of a team, or returns the delay after which a retry may be admitted.
@@ -88,13 +86,12 @@
         }
     }
 
-    /// Updates the reachable fraction of instances that the quotas are scaled by.
-    pub async fn track_reachability(self: Rc<Self>) {
-        loop {
-            let (reached, known) = self.peers.counts();
-            self.quotas.borrow_mut().record_reachable(reached, known, self.now());
-            sleep(REACHABILITY_INTERVAL).await;
-        }
+    /// Updates the fraction of live instances that the quotas are scaled by.
+    ///
+    /// Must be called several times a second; see [`coord::quota::TeamQuotas::record_reachable`].
+    pub(crate) fn update_reachable_fraction(&self) {
+        let (live, known) = self.peers.counts();
+        self.quotas.borrow_mut().record_reachable(live, known, self.now());
     }
 
     /// Asks the quota owner of a team for a decision.
@@ -106,11 +103,7 @@
         priority: PriorityLevel,
         max_wait: Duration,
     ) -> AdmissionDecision {
-        let owners = self.quota_owners(team);
-        if owners.first().is_some_and(|name| name == self.name()) {
-            return self.admit_locally(team, priority, max_wait);
-        }
-        for name in owners.iter() {
+        for name in self.fleet_owners(team).iter() {
             if name == self.name() {
                 return self.admit_locally(team, priority, max_wait);
             }
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -21,6 +21,8 @@
 
 /// Interval between checks of the lease and of the leaders.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between checks of an instance that neither holds the lease nor is next to acquire it.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Validity of the promotion lease; bounds how long a crashed holder blocks failover.
 const LEASE_TTL: Duration = Duration::from_secs(3);
 /// Time before the expiry of the lease at which it is renewed.
@@ -65,7 +67,8 @@
         let mut vacant_since = None;
         let mut machines: HashMap<String, Rc<RefCell<PromotionMachine>>> = HashMap::new();
         loop {
-            sleep(CHECK_INTERVAL).await;
+            let is_idle = self.promotion_token().is_none() && !self.is_elected_coordinator();
+            sleep(if is_idle { IDLE_CHECK_INTERVAL } else { CHECK_INTERVAL }).await;
             if self.is_leaving() {
                 self.release_lease(&held).await;
                 return;
@@ -131,9 +134,8 @@
 
     /// Returns whether this instance is the one that acquires a vacant lease.
     fn is_elected_coordinator(&self) -> bool {
-        let membership = self.peers.membership.borrow();
-        let elected = membership.fleet_owners(COORDINATOR_ELECTION_KEY, 1);
-        elected.first() == Some(&membership.own_key())
+        let owners = self.fleet_owners(COORDINATOR_ELECTION_KEY);
+        owners.first().is_some_and(|name| name == self.name())
     }
 
     async fn acquire_lease(&self, held: &RefCell<HeldLease>) {
--- a/crates/engine/src/lifecycle.rs
+++ b/crates/engine/src/lifecycle.rs
@@ -64,7 +64,6 @@
         tokio::task::spawn_local(self.clone().ping_peers());
         tokio::task::spawn_local(self.clone().maintain_subscriptions());
         tokio::task::spawn_local(self.clone().publish_changes());
-        tokio::task::spawn_local(self.clone().track_reachability());
         tokio::task::spawn_local(self.clone().coordinate_failover());
         let instance = self.clone();
         tokio::task::spawn_local(async move {
@@ -74,6 +73,11 @@
                 instance.log_validation_change();
                 gauge!(meter::CALLERS).set(instance.caller_count.get() as f64);
                 gauge!(meter::ENDPOINT_WORK).set(instance.pools.outstanding_requests() as f64);
+                let (live, known) = instance.peers.counts();
+                gauge!(meter::INSTANCES, "state" => "live").set(live as f64);
+                gauge!(meter::INSTANCES, "state" => "dead").set((known - live) as f64);
+                gauge!(meter::PEER_LINKS).set(instance.peers.open_link_count() as f64);
+                gauge!(meter::SUBSCRIBERS).set(instance.peers.subscriber_count() as f64);
             }
         });
     }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -172,7 +172,7 @@
     pub sequence: u32,
     /// Status of the instance.
     pub status: MemberStatus,
-    /// Known leaders and table versions.
+    /// Table versions, and the leaders that changed since the last report.
     pub heads: FleetHeads,
 }
 
@@ -185,6 +185,15 @@
     pub leaders: Vec<(String, String, u64)>,
 }
 
+impl FleetHeads {
+    /// Returns the versions with only those leaders that differ from `previous`.
+    pub fn changes_since(&self, previous: &Self) -> Self {
+        let is_new = |leader: &&(String, String, u64)| !previous.leaders.contains(leader);
+        let leaders = self.leaders.iter().filter(is_new).cloned().collect();
+        Self { table_versions: self.table_versions, leaders }
+    }
+}
+
 /// Update that an observer publishes to its subscribers.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct ViewUpdate {
@@ -192,7 +201,7 @@
     pub is_full: bool,
     /// Instances of the view.
     pub entries: Vec<ViewEntry>,
-    /// Leaders and table versions, if they changed.
+    /// Table versions and changed leaders, if any of them changed.
     pub heads: Option<FleetHeads>,
 }
 
@@ -251,10 +260,12 @@
         /// Endpoint.
         endpoint: String,
     },
-    /// Pushes changed rows of a table.
+    /// Pushes changed rows of a table, to be passed on to the receiver's subscribers.
     Rows {
         /// Table.
         table: WatchedTable,
+        /// Version after which these are all changes.
+        after: u64,
         /// Changed rows in the order of their changes.
         rows: Vec<StoredRow>,
     },
@@ -283,6 +294,8 @@
     Rows {
         /// Table.
         table: WatchedTable,
+        /// Version after which these are all changes.
+        after: u64,
         /// Changed rows in the order of their changes.
         rows: Vec<StoredRow>,
     },
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -51,8 +51,8 @@
 const READ_CHUNK_BYTES: usize = 8_192;
 /// Connection owners that are tried for one call, as long as none has sent it to the endpoint.
 const MAX_CONNECTION_OWNERS: usize = 3;
-/// Maximum candidates for the quota owner that are asked before an instance decides locally.
-const MAX_QUOTA_OWNERS: usize = 2;
+/// Candidates that are asked for the whole fleet's decision before an instance decides locally.
+const MAX_FLEET_OWNERS: usize = 2;
 /// Most owners that are kept in the cache.
 const MAX_CACHED_OWNERS: usize = 4_096;
 
@@ -64,7 +64,7 @@
 struct OwnerCache {
     generation: u64,
     connections: HashMap<String, OwnerNames>,
-    quotas: HashMap<String, OwnerNames>,
+    fleet: HashMap<String, OwnerNames>,
 }
 
 /// Known instances, links to them and their subscriptions.
@@ -73,6 +73,12 @@
     pub(crate) membership: RefCell<MembershipTable>,
     /// Notified when the membership table has changes to publish or act upon.
     pub(crate) changed: Notify,
+    /// Notified when subscriptions may be missing: an observer was lost or instances were read.
+    pub(crate) subscriptions_due: Notify,
+    /// Notified when an observer has tables that this instance has not loaded yet.
+    pub(crate) tables_offered: Notify,
+    /// The registered instances were read at least once.
+    pub(crate) is_discovered: Cell<bool>,
     pub(crate) links: RefCell<SecondaryMap<InstanceKey, Rc<PeerLink>>>,
     pub(crate) subscribers: RefCell<SlotMap<SubscriberKey, Subscriber>>,
     pub(crate) feed: RefCell<SubscriptionFeed>,
@@ -85,6 +91,9 @@
         Self {
             membership: RefCell::new(MembershipTable::new(own, now)),
             changed: Notify::new(),
+            subscriptions_due: Notify::new(),
+            tables_offered: Notify::new(),
+            is_discovered: Cell::new(false),
             links: RefCell::default(),
             subscribers: RefCell::default(),
             feed: RefCell::default(),
@@ -108,6 +117,11 @@
         self.links.borrow().values().filter(|link| link.is_open()).count()
     }
 
+    /// Returns the number of peers that subscribe to this instance.
+    pub fn subscriber_count(&self) -> usize {
+        self.subscribers.borrow().len()
+    }
+
     /// Returns the link to a peer if it was ever opened.
     pub fn link_by_name(&self, name: &str) -> Option<Rc<PeerLink>> {
         let key = self.membership.borrow().key(name)?;
@@ -119,7 +133,7 @@
         let mut membership = self.membership.borrow_mut();
         let generation = membership.generation();
         let result = change(&mut membership);
-        if membership.generation() != generation {
+        if membership.generation() != generation || membership.has_changes() {
             self.changed.notify_one();
         }
         result
@@ -166,12 +180,13 @@
         )
     }
 
-    /// Returns the first candidate owners of a team's quota, best first.
-    pub fn quota_owners(&self, team: &str) -> OwnerNames {
+    /// Returns the first candidates to decide about `subject`, such as a team's quota, for the whole
+    /// fleet.
+    pub fn fleet_owners(&self, subject: &str) -> OwnerNames {
         self.peers.cached_owners(
-            |cache| &mut cache.quotas,
-            team,
-            |table| table.fleet_owners(team, MAX_QUOTA_OWNERS),
+            |cache| &mut cache.fleet,
+            subject,
+            |table| table.fleet_owners(subject, MAX_FLEET_OWNERS),
         )
     }
 
@@ -264,6 +279,7 @@
         let now = self.now();
         if link.is_subscription.replace(false) {
             self.peers.update(|table| table.observer_lost(link.key, now));
+            self.peers.subscriptions_due.notify_one();
         }
         if link.is_closed_idle.get() {
             return;
@@ -281,6 +297,7 @@
     /// Pings peers, closes connections whose ping times out, and those that nothing uses.
     pub async fn ping_peers(self: Rc<Self>) {
         loop {
+            self.update_reachable_fraction();
             sleep(PING_INTERVAL).await;
             let now = self.now();
             let needs_validation =
@@ -375,7 +392,7 @@
                 self.record_validation(link, ping_id, validation);
             }
             PeerReply::View(update) => self.receive_view(link, *update),
-            PeerReply::Rows { table, rows } => self.receive_rows(link, table, rows),
+            PeerReply::Rows { table, after, rows } => self.receive_rows(link, table, after, rows),
             other => link.complete_call(other),
         }
     }
@@ -531,7 +548,7 @@
                     output.push(&PeerReply::Probe { call_id, reached });
                 });
             }
-            PeerRequest::Rows { table, rows } => self.relay_rows(table, rows),
+            PeerRequest::Rows { table, after, rows } => self.relay_rows(table, after, rows),
             PeerRequest::Table { call_id, table } => {
                 let mut tables = self.tables.borrow_mut();
                 let cache = tables.table(table);
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -17,7 +17,7 @@
 use crate::tables::StoredRow;
 
 /// Interval at which subscriptions and expired views are checked.
-const SUBSCRIPTION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const SUBSCRIPTION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest interval between two published updates; changes in between are published together.
 const PUBLICATION_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -85,7 +85,8 @@
             }
             self.end_surplus_subscriptions(&wanted, now);
             self.retry_links(&wanted, now);
-            sleep(SUBSCRIPTION_CHECK_INTERVAL).await;
+            let subscriptions_due = self.peers.subscriptions_due.notified();
+            let _ = timeout(SUBSCRIPTION_CHECK_INTERVAL, subscriptions_due).await;
         }
     }
 
@@ -153,10 +154,9 @@
 
     fn publish_views(&self) {
         let heads = self.heads();
-        let heads_changed = heads != self.peers.feed.borrow().heads;
-        if heads_changed {
-            self.peers.feed.borrow_mut().heads = heads.clone();
-        }
+        let previous = std::mem::replace(&mut self.peers.feed.borrow_mut().heads, heads.clone());
+        let heads_changed = heads != previous;
+        let heads = heads.changes_since(&previous);
         for scope in ViewScope::ALL {
             let entries = self.peers.membership.borrow_mut().take_changes(scope);
             if entries.is_empty() && !heads_changed {
@@ -169,11 +169,13 @@
     }
 
     fn send_reports(&self) {
-        let report = self.report();
-        if self.peers.feed.borrow().reported == report {
+        let mut report = self.report();
+        let previous =
+            std::mem::replace(&mut self.peers.feed.borrow_mut().reported, report.clone());
+        if previous == report {
             return;
         }
-        self.peers.feed.borrow_mut().reported = report.clone();
+        report.heads = report.heads.changes_since(&previous.heads);
         let links = self.peers.links.borrow();
         for link in links.values().filter(|link| link.is_subscription.get()) {
             link.send(&PeerRequest::Report(Box::new(report.clone())));
@@ -261,6 +263,9 @@
         if let Some(heads) = update.heads {
             link.table_versions.set(heads.table_versions);
             self.record_leaders(&heads);
+            if !self.directory.borrow().is_loaded() {
+                self.peers.tables_offered.notify_one();
+            }
         }
     }
 
@@ -281,36 +286,41 @@
     ///
     /// All of them subscribe to the first instances of the zone. A reader further behind passes the
     /// rows through one of these.
-    pub(crate) fn push_rows(&self, table: WatchedTable, rows: &[StoredRow]) {
+    pub(crate) fn push_rows(&self, table: WatchedTable, after: u64, rows: &[StoredRow]) {
         if rows.is_empty() {
             return;
         }
-        let message = PeerReply::Rows { table, rows: rows.to_vec() };
+        let message = PeerReply::Rows { table, after, rows: rows.to_vec() };
         self.push_to_subscribers(ViewScope::Zone, &message);
         let membership = self.peers.membership.borrow();
         if !membership.is_zone_observer(membership.own_key())
             && let Some(observer) = membership.first_zone_observer()
             && let Some(link) = self.peers.links.borrow().get(observer)
         {
-            link.send(&PeerRequest::Rows { table, rows: rows.to_vec() });
+            link.send(&PeerRequest::Rows { table, after, rows: rows.to_vec() });
         }
     }
 
     /// Merges rows from a reader of the store that few instances subscribe to, and passes them on.
-    pub(crate) fn relay_rows(&self, table: WatchedTable, rows: Vec<StoredRow>) {
-        let changed = self.merge_rows(table, rows);
-        if !changed.is_empty() {
-            let message = PeerReply::Rows { table, rows: changed };
+    pub(crate) fn relay_rows(&self, table: WatchedTable, after: u64, rows: Vec<StoredRow>) {
+        let message = PeerReply::Rows { table, after, rows: rows.clone() };
+        if self.merge_changes(table, after, rows) {
             self.push_to_subscribers(ViewScope::Zone, &message);
         }
     }
 
     /// Merges rows that a peer pushed, and passes them on if only few subscribe to that peer.
-    pub(crate) fn receive_rows(&self, link: &PeerLink, table: WatchedTable, rows: Vec<StoredRow>) {
+    pub(crate) fn receive_rows(
+        &self,
+        link: &PeerLink,
+        table: WatchedTable,
+        after: u64,
+        rows: Vec<StoredRow>,
+    ) {
         if self.peers.membership.borrow().is_zone_observer(link.key) {
-            self.merge_rows(table, rows);
+            self.merge_changes(table, after, rows);
         } else {
-            self.relay_rows(table, rows);
+            self.relay_rows(table, after, rows);
         }
     }
 
--- a/crates/engine/src/tables.rs
+++ b/crates/engine/src/tables.rs
@@ -34,11 +34,10 @@
         self.version
     }
 
-    /// Merges changed rows and returns those that were newer than the cached ones.
-    pub fn merge_changes(&mut self, rows: Vec<StoredRow>) -> Vec<StoredRow> {
+    /// Merges rows and returns those that were newer than the cached ones. The version stays.
+    pub fn merge_rows(&mut self, rows: Vec<StoredRow>) -> Vec<StoredRow> {
         let mut changed = Vec::new();
         for row in rows {
-            self.version = self.version.max(row.version);
             if self.rows.get(&row.key).is_some_and(|known| known.version >= row.version) {
                 continue;
             }
@@ -48,9 +47,22 @@
         changed
     }
 
+    /// Merges all changes after the version `after`, and returns the rows that changed.
+    ///
+    /// If the cache lacks changes up to `after`, its version stays, so that it is still seen to be
+    /// behind.
+    pub fn merge_changes(&mut self, after: u64, rows: Vec<StoredRow>) -> Vec<StoredRow> {
+        let newest = rows.iter().map(|row| row.version).max();
+        if self.version >= after {
+            self.version = self.version.max(newest.unwrap_or_default());
+        }
+        self.merge_rows(rows)
+    }
+
     /// Merges all rows of the table as of `version` and returns those that changed.
     ///
-    /// Cached rows that are missing from `rows` are treated as removed.
+    /// Cached rows that are missing from `rows` are treated as removed. The cache has the version of
+    /// the read afterwards, even if the table is empty.
     pub fn merge_snapshot(&mut self, rows: Vec<StoredRow>, version: u64) -> Vec<StoredRow> {
         let is_missing = |known: &&StoredRow| {
             known.version <= version
@@ -65,8 +77,9 @@
             // one replaces the row.
             .map(|known| StoredRow { version: known.version + 1, value: None, ..known.clone() })
             .collect();
-        let mut changed = self.merge_changes(removed);
-        changed.extend(self.merge_changes(rows));
+        self.raise_version(version);
+        let mut changed = self.merge_rows(removed);
+        changed.extend(self.merge_rows(rows));
         changed
     }
 
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{PlatformApi, PlatformError, WatchedTable};
@@ -25,11 +25,15 @@
 /// Delay before a failed call to the store is retried.
 const RETRY_BACKOFF: Duration = Duration::from_millis(300);
 /// Interval at which an instance checks whether another one still reads the store for its zone.
-const DELEGATION_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+const DELEGATION_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval between comparisons with the table caches of other instances.
 const ANTI_ENTROPY_INTERVAL: Duration = Duration::from_millis(300);
 /// Bounds the wait for a table from another instance.
 const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which a starting instance waits for a table of its zone's reader.
+const PEER_TABLE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Interval at which a starting instance checks whether it has the table.
+const PEER_TABLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between reads of the registered instances.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(12);
 /// Delay before the second read of the registered instances: instances that start at the same time
@@ -39,7 +43,12 @@
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Keeps the cache of a table up to date; never returns.
     pub async fn watch_table(self: Rc<Self>, table: WatchedTable) {
+        self.await_peer_table(table).await;
         loop {
+            let cached_version = self.tables.borrow_mut().table(table).version();
+            if cached_version > 0 {
+                self.poll_from(table, cached_version).await;
+            }
             let sent_at = self.now();
             let version = match self.platform.read_table(table).await {
                 Ok(read) => {
@@ -58,6 +67,27 @@
         }
     }
 
+    /// Waits until the table was fetched from an observer, or until no other instance is known to
+    /// read the store for this zone.
+    ///
+    /// When a whole fleet starts, one read for each zone spares the store one for each instance.
+    async fn await_peer_table(&self, table: WatchedTable) {
+        let started_at = self.now();
+        loop {
+            let is_loaded = self.tables.borrow_mut().table(table).version() > 0;
+            let is_reader = self.peers.is_discovered.get()
+                && !self.peers.membership.borrow().subscribed().is_empty()
+                && !self.has_zone_reader();
+            let is_alone =
+                self.peers.is_discovered.get() && self.peers.membership.borrow().known_count() == 1;
+            let waited = self.now().saturating_duration_since(started_at);
+            if is_loaded || is_reader || is_alone || waited >= PEER_TABLE_TIMEOUT {
+                return;
+            }
+            sleep(PEER_TABLE_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Polls changes of a table until the store no longer has the history after `version`.
     async fn poll_from(&self, table: WatchedTable, mut version: u64) {
         let bound = match table {
@@ -86,8 +116,9 @@
                 Ok(read) => {
                     self.record_store_status(true, "");
                     version = read.version.max(version);
-                    self.push_rows(table, &read.rows);
-                    self.merge_rows(table, read.rows);
+                    let cached_version = self.tables.borrow_mut().table(table).version();
+                    self.push_rows(table, cached_version, &read.rows);
+                    self.merge_changes(table, cached_version, read.rows);
                     self.record_up_to_date(table, sent_at);
                 }
                 Err(PlatformError::HistoryExpired) => return,
@@ -114,12 +145,34 @@
         membership.zone_reader() != membership.own_key()
     }
 
-    /// Merges changed rows into the cache of a table, applies what is new and returns it.
-    pub(crate) fn merge_rows(&self, table: WatchedTable, rows: Vec<StoredRow>) -> Vec<StoredRow> {
-        let changed = self.tables.borrow_mut().table(table).merge_changes(rows);
+    /// Merges all changes after a version into the cache of a table and applies what is new.
+    ///
+    /// Returns whether anything changed.
+    pub(crate) fn merge_changes(
+        &self,
+        table: WatchedTable,
+        after: u64,
+        rows: Vec<StoredRow>,
+    ) -> bool {
+        let changed = self.tables.borrow_mut().table(table).merge_changes(after, rows);
+        self.apply_changed_rows(table, &changed);
+        self.peers.changed.notify_one();
+        !changed.is_empty()
+    }
+
+    /// Merges another instance's cache of a table.
+    fn merge_cache(&self, table: WatchedTable, rows: Vec<StoredRow>, version: u64) {
+        let changed = {
+            let mut tables = self.tables.borrow_mut();
+            let cache = tables.table(table);
+            cache.raise_version(version);
+            cache.merge_rows(rows)
+        };
+        if table == WatchedTable::Endpoints {
+            self.directory.borrow_mut().set_endpoints_loaded();
+        }
         self.apply_changed_rows(table, &changed);
         self.peers.changed.notify_one();
-        changed
     }
 
     /// Merges a full read of a table; cached rows missing from it are removed.
@@ -146,10 +199,15 @@
             self.record_store_status(false, &error.to_string());
             sleep(RETRY_BACKOFF).await;
         }
+        self.record_store_status(true, "");
         let mut delay = FIRST_DISCOVERY_DELAY;
         loop {
             match self.platform.read_instances().await {
-                Ok(records) => records.iter().for_each(|record| self.add_peer(record)),
+                Ok(records) => {
+                    records.iter().for_each(|record| self.add_peer(record));
+                    self.peers.is_discovered.set(true);
+                    self.peers.subscriptions_due.notify_one();
+                }
                 Err(error) => {
                     self.record_store_status(false, &error.to_string());
                     sleep(RETRY_BACKOFF).await;
@@ -171,7 +229,9 @@
     pub async fn run_anti_entropy(self: Rc<Self>) {
         let mut behind = [false; 2];
         loop {
-            sleep(ANTI_ENTROPY_INTERVAL).await;
+            // An instance that has not loaded the tables fetches them as soon as it can.
+            let offered = self.peers.tables_offered.notified();
+            let _ = timeout(ANTI_ENTROPY_INTERVAL, offered).await;
             self.directory.borrow_mut().remove_expired(self.now());
             for (index, table) in WatchedTable::ALL.into_iter().enumerate() {
                 let own = self.tables.borrow().versions()[index];
@@ -188,11 +248,7 @@
                     continue;
                 };
                 if let Some((rows, version)) = link.fetch_table(table, TABLE_TIMEOUT).await {
-                    self.tables.borrow_mut().table(table).raise_version(version);
-                    self.merge_rows(table, rows);
-                    if table == WatchedTable::Endpoints {
-                        self.directory.borrow_mut().set_endpoints_loaded();
-                    }
+                    self.merge_cache(table, rows, version);
                 }
             }
         }
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -25,6 +25,12 @@
 pub const ENDPOINT_WORK: &str = "hibiscus_endpoint_work";
 /// Revision of the document in force.
 pub const DOCUMENT_REVISION: &str = "hibiscus_document_revision";
+/// Known instances, by state: live or not.
+pub const INSTANCES: &str = "hibiscus_instances";
+/// Open connections to peers.
+pub const PEER_LINKS: &str = "hibiscus_peer_links";
+/// Peers that subscribe to this instance.
+pub const SUBSCRIBERS: &str = "hibiscus_subscribers";
 /// Messages sent to peers, by kind.
 pub const PEER_MESSAGES: &str = "hibiscus_peer_messages_total";
 
