--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -46,18 +46,23 @@
         if let Err(error) = encode(message, &mut bytes) {
             log_event!(LogEvent::PeerLost, "cause=\"message not sent: {error}\"");
         }
-        if bytes.len() > MAX_OUTPUT_BYTES {
-            self.closed.set(true);
-        }
-        self.data_ready.notify_one();
+        self.finish_push(bytes.len());
     }
 
     /// Appends an encoded message.
     pub(crate) fn push_encoded(&self, message: &[u8]) {
         if !self.closed.get() {
-            self.bytes.borrow_mut().extend_from_slice(message);
-            self.data_ready.notify_one();
+            let mut bytes = self.bytes.borrow_mut();
+            bytes.extend_from_slice(message);
+            self.finish_push(bytes.len());
+        }
+    }
+
+    fn finish_push(&self, queued_bytes: usize) {
+        if queued_bytes > MAX_OUTPUT_BYTES {
+            self.closed.set(true);
         }
+        self.data_ready.notify_one();
     }
 
     /// Closes the connection without writing what is queued.
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -19,7 +19,7 @@
 /// Interval at which subscriptions and expired views are checked.
 const SUBSCRIPTION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest interval between two published updates; changes in between are published together.
-const PUBLICATION_INTERVAL: Duration = Duration::from_millis(20);
+const PUBLICATION_INTERVAL: Duration = Duration::from_millis(50);
 
 new_key_type! {
     /// Key of a subscriber.
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -99,19 +99,17 @@
             wait = wait.min(bound.mul_f64(VALIDATION_POLL_FRACTION));
         }
         loop {
+            let mut takes_over = false;
             while self.has_zone_reader() {
+                takes_over = true;
                 sleep(DELEGATION_CHECK_INTERVAL).await;
             }
             let sent_at = self.now();
-            // A successor to a partitioned reader needs a fresh validation at once.
-            let wait = match table {
-                WatchedTable::Document
-                    if self.validation_is_older(wait.mul_f64(STALE_VALIDATION_FACTOR)) =>
-                {
-                    Duration::ZERO
-                }
-                WatchedTable::Document | WatchedTable::Endpoints => wait,
-            };
+            // A successor to a partitioned reader needs a fresh validation at once, and must soon
+            // notice whether it reaches the store itself.
+            let is_stale = table == WatchedTable::Document
+                && self.validation_is_older(wait.mul_f64(STALE_VALIDATION_FACTOR));
+            let wait = if takes_over || is_stale { Duration::ZERO } else { wait };
             match self.platform.poll_changes(table, version, wait, wait + ANSWER_MARGIN).await {
                 Ok(read) => {
                     self.record_store_status(true, "");
