Observe other zones only as a settled observer

While a zone loses its observers, its instances try many others; each that got a subscriber for a moment subscribed to twelve observers of other zones and received their full views. The same happens when all processes are killed.

Change: an instance that does not rank among the first of its zone observes other zones only after a second with subscribers, and in its first three seconds it does not take unreachable instances for a reason that it ranks first. A cache that is behind is fetched from its own zone first, and from another one only after three rounds.

Failed try: the rank without regard to unreachable instances; when all observers of a zone ended, the next ones came a second too late and the others looked isolated (loss_of_all_observers_of_a_zone_isolates_nobody).

Measured: tests of coord, engine and platform pass.

--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -27,6 +27,14 @@
 const LOST_OBSERVER_GRACE_PERIOD: Duration = Duration::from_millis(700);
 /// Time after which an instance that is not live is removed.
 const DEAD_MEMBER_TTL: Duration = Duration::from_secs(20);
+/// Time for which an instance that does not rank among the first of its zone must have had
+/// subscribers before it observes other zones.
+///
+/// While a zone loses its observers, its instances subscribe to many others for a moment.
+const OBSERVER_PROMOTION_DELAY: Duration = Duration::from_secs(1);
+/// Time after its start in which an instance does not conclude from unreachable ones that it ranks
+/// among the first of its zone.
+const STARTUP_PERIOD: Duration = Duration::from_secs(3);
 /// Factor by which an instance with twice the capacity is more likely to become an owner.
 ///
 /// Large instances answer faster and few owners need few connections, but a single large instance
@@ -163,6 +171,9 @@
     changes: [ScopeChanges; 2],
     live_count: usize,
     generation: u64,
+    started_at: Instant,
+    /// Time since which instances of the own zone subscribe to this one.
+    observes_since: Option<Instant>,
 }
 
 impl MembershipTable {
@@ -182,6 +193,8 @@
             changes: Default::default(),
             live_count: 1,
             generation: 1,
+            started_at: now,
+            observes_since: None,
         };
         table.rank_zone(&zone);
         table
@@ -342,6 +355,7 @@
             for view in self.observers.values_mut() {
                 view.live.remove(&key);
             }
+            self.update_observer_role(now);
         } else {
             member.record = record.clone();
         }
@@ -386,6 +400,7 @@
         if let Some(member) = self.members.get_mut(key) {
             member.subscriptions += 1;
             self.update(key, now);
+            self.update_observer_role(now);
         }
     }
 
@@ -397,6 +412,7 @@
         if member.record.incarnation == incarnation {
             member.subscriptions = member.subscriptions.saturating_sub(1);
             self.update(key, now);
+            self.update_observer_role(now);
         }
     }
 
@@ -495,10 +511,10 @@
     /// Returns the instances to which this one should hold subscriptions.
     ///
     /// Unreachable ones are included for further attempts, but do not count.
-    pub fn wanted_observers(&self) -> Vec<InstanceKey> {
+    pub fn wanted_observers(&self, now: Instant) -> Vec<InstanceKey> {
         let own_zone = &self.members[self.own].record.zone;
         let mut wanted = self.wanted_in(self.own_ranking());
-        if self.is_observer() {
+        if self.is_observer(now) {
             let other_zones = self.rankings.iter().filter(|(zone, _)| *zone != own_zone);
             wanted.extend(other_zones.flat_map(|(_, ranking)| self.wanted_in(ranking)));
         }
@@ -526,17 +542,32 @@
         connected.map(|(key, _)| key).collect()
     }
 
-    /// Returns whether other zones should learn of this one through the own instance: it has
-    /// subscribers in its zone, or there is no one else to observe the zone.
-    pub fn is_observer(&self) -> bool {
-        let zone = &self.members[self.own].record.zone;
+    /// Returns whether the own instance connects its zone with the others: it has had subscribers
+    /// there for a while or ranks among the first, or it reaches no one else there.
+    pub fn is_observer(&self, now: Instant) -> bool {
         let may_observe =
-            |key: &InstanceKey| *key != self.own && !self.members[*key].is_unreachable;
-        let has_subscriber = self
-            .members
-            .values()
-            .any(|member| member.subscriptions > 0 && member.record.zone == *zone);
-        has_subscriber || !self.own_ranking().iter().any(may_observe)
+            |key: &&InstanceKey| **key != self.own && !self.members[**key].is_unreachable;
+        // When a whole fleet starts, the first of a zone may not be reachable yet.
+        let is_starting = now.saturating_duration_since(self.started_at) < STARTUP_PERIOD;
+        let ranking = self.own_ranking();
+        let mut better = ranking
+            .iter()
+            .take_while(|key| **key != self.own)
+            .filter(|key| is_starting || may_observe(key));
+        let is_first = better.nth(OBSERVERS_PER_ZONE).is_none();
+        let is_settled = |since: Instant| {
+            is_first || now.saturating_duration_since(since) >= OBSERVER_PROMOTION_DELAY
+        };
+        let is_alone = !ranking.iter().any(|key| may_observe(&key));
+        self.observes_since.is_some_and(is_settled) || is_alone
+    }
+
+    fn update_observer_role(&mut self, now: Instant) {
+        let zone = &self.members[self.own].record.zone;
+        let mut members = self.members.values();
+        let has_subscriber =
+            members.any(|member| member.subscriptions > 0 && member.record.zone == *zone);
+        self.observes_since = if has_subscriber { self.observes_since.or(Some(now)) } else { None };
     }
 
     /// Returns the scope in which an instance learns of views published here.
--- a/crates/coord/tests/membership.rs
+++ b/crates/coord/tests/membership.rs
@@ -128,7 +128,7 @@
 
     /// Opens and ends subscriptions as an instance wants them.
     fn subscribe(&mut self, from: usize) {
-        let wanted = self.instances[from].table.wanted_observers();
+        let wanted = self.instances[from].table.wanted_observers(self.now);
         let names: BTreeSet<String> = wanted.iter().map(|key| self.name(from, *key)).collect();
         let surplus = self.subscriptions.keys().copied().filter(|(subscriber, to)| {
             *subscriber == from && !names.contains(&self.instances[*to].record.name)
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -79,7 +79,7 @@
             for record in removed {
                 log_event!(LogEvent::PeerExpired, "instance={}", record.name);
             }
-            let wanted = self.peers.membership.borrow().wanted_observers();
+            let wanted = self.peers.membership.borrow().wanted_observers(now);
             for key in &wanted {
                 self.subscribe(*key, now);
             }
@@ -324,9 +324,15 @@
         }
     }
 
-    /// Returns the peer with the newest version of a table among observers and subscribers, if it
-    /// is newer than `own`.
-    pub(crate) fn newest_table_peer(&self, index: usize, own: u64) -> Option<InstanceKey> {
+    /// Returns the peer with the newest version of a table among the observers and subscribers of
+    /// the own zone, if it is newer than `own`; with `any_zone` among all of them.
+    pub(crate) fn newest_table_peer(
+        &self,
+        index: usize,
+        own: u64,
+        any_zone: bool,
+    ) -> Option<InstanceKey> {
+        let membership = self.peers.membership.borrow();
         let links = self.peers.links.borrow();
         let observers = links
             .values()
@@ -334,7 +340,10 @@
             .map(|link| (link.table_versions.get()[index], link.key));
         let subscribers = self.peers.subscribers.borrow();
         let subscribers = subscribers.values().map(|peer| (peer.table_versions[index], peer.key));
-        let newest = observers.chain(subscribers).max()?;
+        let is_eligible = |(_, key): &(u64, InstanceKey)| {
+            any_zone || membership.scope_of(*key) == ViewScope::Zone
+        };
+        let newest = observers.chain(subscribers).filter(is_eligible).max()?;
         (newest.0 > own).then_some(newest.1)
     }
 }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -28,6 +28,11 @@
 const DELEGATION_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval between comparisons with the table caches of other instances.
 const ANTI_ENTROPY_INTERVAL: Duration = Duration::from_millis(300);
+/// Rounds for which a cache must be behind others of its zone before the table is fetched from them.
+const ZONE_FETCH_ROUNDS: u32 = 1;
+/// Rounds for which a cache must be behind before the table is fetched from another zone, whose
+/// traffic is expensive; the own zone's reader usually comes first.
+const REMOTE_FETCH_ROUNDS: u32 = 3;
 /// Bounds the wait for a table from another instance.
 const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for which a starting instance waits for a table of its zone's reader.
@@ -225,7 +230,7 @@
     ///
     /// Also removes endpoints whose registration vanished long ago.
     pub async fn run_anti_entropy(self: Rc<Self>) {
-        let mut behind = [false; 2];
+        let mut rounds_behind = [0_u32; 2];
         loop {
             // An instance that has not loaded the tables fetches them as soon as it can.
             let offered = self.peers.tables_offered.notified();
@@ -233,15 +238,21 @@
             self.directory.borrow_mut().remove_expired(self.now());
             for (index, table) in WatchedTable::ALL.into_iter().enumerate() {
                 let own = self.tables.borrow().versions()[index];
-                let Some(peer) = self.newest_table_peer(index, own) else {
-                    behind[index] = false;
+                if self.newest_table_peer(index, own, true).is_none() {
+                    rounds_behind[index] = 0;
                     continue;
-                };
-                // Changes that the reader has just pushed may still be in flight: fetch the table
-                // only if it is behind in two successive rounds.
-                if !std::mem::replace(&mut behind[index], true) && own > 0 {
+                }
+                // Changes that a reader has just pushed may still be in flight: fetch the table only
+                // if it is behind in successive rounds.
+                let rounds = if own == 0 { u32::MAX } else { rounds_behind[index] };
+                rounds_behind[index] += 1;
+                if rounds < ZONE_FETCH_ROUNDS {
                     continue;
                 }
+                let any_zone = rounds >= REMOTE_FETCH_ROUNDS;
+                let Some(peer) = self.newest_table_peer(index, own, any_zone) else {
+                    continue;
+                };
                 let Some(link) = self.open_link_by_key(peer) else {
                     continue;
                 };
