Follow the zone of an endpoint in the cache of owners

Cause: owners were cached by the name of the endpoint. Until its registration arrives its zone is unknown, and an instance that asked before kept owners chosen without the zone until the next change of membership, other ones than the rest of the fleet.

Change: cached owners hold the zone that they were chosen for. peer.rs is parted into the table (peer), the upkeep of links (link_upkeep) and the connections of peers (peer_server); moved lines are unchanged.

--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -103,7 +103,7 @@
         priority: PriorityLevel,
         max_wait: Duration,
     ) -> AdmissionDecision {
-        for name in self.fleet_owners(team).iter() {
+        for name in self.peers.fleet_owners(team).iter() {
             if name == self.name() {
                 return self.admit_locally(team, priority, max_wait);
             }
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -134,7 +134,7 @@
 
     /// Returns whether this instance is the one that acquires a vacant lease.
     fn is_elected_coordinator(&self) -> bool {
-        let owners = self.fleet_owners(COORDINATOR_ELECTION_KEY);
+        let owners = self.peers.fleet_owners(COORDINATOR_ELECTION_KEY);
         owners.first().is_some_and(|name| name == self.name())
     }
 
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -25,6 +25,8 @@
 pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a newer ping replaces an unanswered one for the validation of the document.
 const VALIDATION_PING_TTL: Duration = Duration::from_millis(1_000);
+/// Free space reserved before each read, in bytes.
+pub(crate) const READ_CHUNK_BYTES: usize = 8_192;
 /// Queued bytes above which a connection counts as stuck and is closed.
 const MAX_OUTPUT_BYTES: usize = 8 << 20;
 
--- /dev/null
+++ b/crates/engine/src/peer_server.rs
@@ -0,0 +1,173 @@
+//! Serves the connections that peer instances open.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use telemetry::event::LogEvent;
+use telemetry::log_event;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::instance::{EngineTypes, GatewayInstance};
+use crate::message::{DocumentValidation, PeerReply, PeerRequest, decode, millis};
+use crate::peer_link::{OutputQueue, READ_CHUNK_BYTES};
+use crate::record::InstanceRecord;
+use crate::subscription::SubscriberKey;
+
+/// Pause after a failed accept, which usually means that file descriptors ran out.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(250);
+/// Time without a message after which the subscription of a peer ends.
+const SUBSCRIBER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a message after which an inbound connection with open transactions is closed, and
+/// they are rolled back.
+const TRANSACTION_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without a message after which any inbound connection is closed.
+const INBOUND_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Connection that a peer opened.
+#[derive(Debug)]
+pub(crate) struct InboundConnection {
+    /// Origin of the calls on the connection.
+    origin: u64,
+    pub(crate) output: Rc<OutputQueue>,
+    /// Registration of the peer, once it has introduced itself.
+    pub(crate) peer: RefCell<Option<InstanceRecord>>,
+    /// Subscription of the peer.
+    pub(crate) subscriber: Cell<Option<SubscriberKey>>,
+}
+
+impl<E: EngineTypes> GatewayInstance<E> {
+    /// Accepts connections from peers.
+    pub async fn accept_peers(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let instance = self.clone();
+                    tokio::task::spawn_local(async move { instance.serve_peer(stream).await });
+                }
+                Err(error) => {
+                    log_event!(LogEvent::PeerLost, "cause=\"accept failed: {error}\"");
+                    sleep(ACCEPT_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_peer(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let (reader, writer) = stream.into_split();
+        let output = Rc::new(OutputQueue::default());
+        let connection = InboundConnection {
+            origin: self.pools.register_origin(),
+            output: output.clone(),
+            peer: RefCell::default(),
+            subscriber: Cell::new(None),
+        };
+        tokio::select! {
+            () = output.drain(writer) => {}
+            () = self.read_peer(&connection, reader) => {}
+        }
+        output.close();
+        self.unsubscribe_peer(&connection);
+        self.unregister_origin(connection.origin);
+    }
+
+    async fn read_peer(self: &Rc<Self>, connection: &InboundConnection, mut reader: OwnedReadHalf) {
+        let mut input = BytesMut::new();
+        let mut last_message_at = self.now();
+        loop {
+            input.reserve(READ_CHUNK_BYTES);
+            let check_interval = match connection.subscriber.get() {
+                Some(_) => SUBSCRIBER_TIMEOUT,
+                None => TRANSACTION_IDLE_TIMEOUT,
+            };
+            match timeout(check_interval, reader.read_buf(&mut input)).await {
+                Ok(Ok(0) | Err(_)) => return,
+                Ok(Ok(_)) => last_message_at = self.now(),
+                Err(_) => {
+                    let silence = self.now().saturating_duration_since(last_message_at);
+                    if silence >= self.max_silence(connection) {
+                        return;
+                    }
+                    continue;
+                }
+            }
+            loop {
+                match decode::<PeerRequest>(&mut input) {
+                    Ok(Some(request)) => self.handle_request(connection, request),
+                    Ok(None) => break,
+                    Err(error) => {
+                        log_event!(LogEvent::PeerLost, "cause=\"{error}\"");
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the time without a message after which an inbound connection is closed.
+    fn max_silence(&self, connection: &InboundConnection) -> Duration {
+        if connection.subscriber.get().is_some() {
+            SUBSCRIBER_TIMEOUT
+        } else if self.pools.has_pinned_by(connection.origin) {
+            TRANSACTION_IDLE_TIMEOUT
+        } else {
+            INBOUND_IDLE_TIMEOUT
+        }
+    }
+
+    fn handle_request(self: &Rc<Self>, connection: &InboundConnection, request: PeerRequest) {
+        let (instance, output) = (self.clone(), connection.output.clone());
+        let origin = connection.origin;
+        match request {
+            PeerRequest::Hello(record) => {
+                self.add_peer(&record);
+                *connection.peer.borrow_mut() = Some(record);
+            }
+            PeerRequest::Ping { ping_id } => {
+                let validation = self.document_validation();
+                output.push(&PeerReply::Pong { ping_id, validation });
+            }
+            PeerRequest::Subscribe => self.subscribe_peer(connection),
+            PeerRequest::Unsubscribe => self.unsubscribe_peer(connection),
+            PeerRequest::Report(report) => self.receive_report(connection, *report),
+            PeerRequest::Execute { call_id, body } => {
+                tokio::task::spawn_local(async move {
+                    let body = Box::new(instance.execute_locally(origin, *body).await);
+                    output.push(&PeerReply::Execute { call_id, body });
+                });
+            }
+            PeerRequest::Release { transaction_id } => self.release_locally(origin, transaction_id),
+            PeerRequest::Admit { call_id, team, priority, max_wait_ms } => {
+                let max_wait = Duration::from_millis(max_wait_ms.into());
+                let answer = self.admit_locally(&team, priority, max_wait);
+                output.push(&PeerReply::Admit { call_id, decision: answer });
+            }
+            PeerRequest::Probe { call_id, endpoint } => {
+                tokio::task::spawn_local(async move {
+                    let reached = instance.probe_member(&endpoint).await.is_some();
+                    output.push(&PeerReply::Probe { call_id, reached });
+                });
+            }
+            PeerRequest::Rows { table, after, rows } => self.relay_rows(table, after, rows),
+            PeerRequest::Table { call_id, table } => {
+                let mut tables = self.tables.borrow_mut();
+                let cache = tables.table(table);
+                let (rows, version) = (cache.rows(), cache.version());
+                output.push(&PeerReply::Table { call_id, rows, version });
+            }
+        }
+    }
+
+    /// Returns the validation of the own document for peers.
+    fn document_validation(&self) -> Option<DocumentValidation> {
+        self.settings.revocation_bound?;
+        let tracker = self.validation.borrow();
+        let age = tracker.validation_age(self.now())?;
+        Some(DocumentValidation { version: tracker.version(), age_ms: millis(age) + 1 })
+    }
+}
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -12,8 +12,8 @@
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::WatchedTable;
 use crate::message::{FleetHeads, InstanceReport, PeerReply, PeerRequest, ViewUpdate, encode};
-use crate::peer::InboundConnection;
 use crate::peer_link::{OutputQueue, PeerLink};
+use crate::peer_server::InboundConnection;
 use crate::tables::StoredRow;
 
 /// Interval at which subscriptions and expired views are checked.
@@ -203,8 +203,10 @@
         let Some(record) = connection.peer.borrow().clone() else {
             return;
         };
-        let key = self.peers.update(|table| table.add(&record, now));
-        let Some(key) = key.filter(|_| connection.subscriber.get().is_none()) else {
+        if connection.subscriber.get().is_some() {
+            return;
+        }
+        let Some(key) = self.peers.add_live(&record, now) else {
             return;
         };
         let scope = self.peers.membership.borrow().scope_of(key);
@@ -212,7 +214,6 @@
         let output = connection.output.clone();
         let subscriber = Subscriber { key, incarnation, scope, output, table_versions: [0; 2] };
         connection.subscriber.set(Some(self.peers.subscribers.borrow_mut().insert(subscriber)));
-        self.peers.update(|table| table.subscriber_connected(key, now));
         let entries = self.peers.membership.borrow_mut().snapshot(scope);
         let update = ViewUpdate { is_full: true, entries, heads: Some(self.heads()) };
         connection.output.push(&PeerReply::View(Box::new(update)));
