Report a cut off instance instead of each endpoint that it misses

Change: an instance that reaches none of three or more endpoints reports only that it is cut off. It comes last as an owner and raises no suspicion against a leader.

Measured: tests of coord, engine and platform pass; cut_off_instance_reports_no_endpoints states the bound.

--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -40,6 +40,8 @@
 /// Large instances answer faster and few owners need few connections, but a single large instance
 /// must not own everything.
 const OWNER_WEIGHT_FACTOR: f64 = 16.0;
+/// Number of unreachable endpoints from which an instance that reaches no other counts as cut off.
+const MIN_CUT_OFF_ENDPOINTS: usize = 3;
 /// Number of replaced incarnations that are remembered for each name.
 const MAX_SUPERSEDED: usize = 8;
 /// Rendezvous hash key that ranks the instances of an availability zone.
@@ -92,8 +94,26 @@
     pub store_reachable: bool,
     /// Fencing token if the instance holds the promotion lease.
     pub promotion_token: Option<u64>,
-    /// Endpoints that the instance cannot reach.
+    /// Endpoints that the instance cannot reach while it reaches others.
     pub unreachable_endpoints: Vec<String>,
+    /// The instance reaches none of the endpoints that it tried.
+    pub is_cut_off: bool,
+}
+
+impl MemberStatus {
+    /// Sets which endpoints cannot be reached, besides `reachable_count` others that can.
+    ///
+    /// An instance that reaches none of several endpoints is itself cut off. It reports only that: the
+    /// list would change with each endpoint it tries, and says nothing about any of them.
+    pub fn set_unreachable(&mut self, endpoints: Vec<String>, reachable_count: usize) {
+        self.is_cut_off = reachable_count == 0 && endpoints.len() >= MIN_CUT_OFF_ENDPOINTS;
+        self.unreachable_endpoints = if self.is_cut_off { Vec::new() } else { endpoints };
+    }
+
+    /// Returns whether the instance reports that it cannot reach an endpoint.
+    fn misses(&self, endpoint: &str) -> bool {
+        self.is_cut_off || self.unreachable_endpoints.iter().any(|name| name == endpoint)
+    }
 }
 
 /// What an observer publishes about one instance.
@@ -279,7 +299,7 @@
         let rank = |key: &InstanceKey| {
             let member = &self.members[*key];
             (
-                member.status.unreachable_endpoints.iter().any(|name| name == endpoint),
+                member.status.misses(endpoint),
                 member.record.zone != zone,
                 member.record.owner_rank(endpoint),
             )
--- a/crates/coord/tests/membership.rs
+++ b/crates/coord/tests/membership.rs
@@ -375,6 +375,37 @@
     fleet.check_agreement();
 });
 
+// A cut off instance reported each endpoint that it tried, and every report went to the whole fleet.
+#[test]
+fn cut_off_instance_reports_no_endpoints() {
+    let endpoints = |count: usize| (0..count).map(|index| format!("m-{index}")).collect();
+    let mut status = MemberStatus::default();
+    status.set_unreachable(endpoints(2), 0);
+    assert_eq!((status.unreachable_endpoints.len(), status.is_cut_off), (2, false));
+    status.set_unreachable(endpoints(60), 0);
+    assert_eq!((status.unreachable_endpoints.len(), status.is_cut_off), (0, true));
+    status.set_unreachable(endpoints(60), 1);
+    assert_eq!((status.unreachable_endpoints.len(), status.is_cut_off), (60, false));
+}
+
+fleet_case!(cut_off_instance_is_the_last_owner_and_raises_no_suspicion, 1 x 3, 0 large, fleet => {
+    let owner = |fleet: &SimulatedFleet| {
+        let table = &fleet.instances[0].table;
+        fleet.name(0, table.connection_owners("m-1", "zone-0", 1)[0])
+    };
+    let first = owner(&fleet);
+    let mut status = MemberStatus::default();
+    status.set_unreachable((0..3).map(|index| format!("m-{index}")).collect(), 0);
+    fleet.instances[index_of(&first)].table.set_own_status(status.clone());
+    let now = fleet.now;
+    let table = &mut fleet.instances[0].table;
+    let key = table.key(&first).expect("it is known");
+    table.record_status(key, 9, &status);
+    table.expire(now);
+    assert_ne!(owner(&fleet), first);
+    assert!(!fleet.instances[0].table.is_endpoint_suspect("m-1"));
+});
+
 // A late message about the process before a restart must not bring it back.
 fleet_case!(replaced_incarnation_is_ignored, 1 x 4, 0 large, fleet => {
     let old = fleet.instances[1].record.clone();
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -83,6 +83,14 @@
         names
     }
 
+    /// Returns the number of endpoints that have responded and can be reached.
+    pub fn reachable_count(&self) -> usize {
+        let is_reachable = |pool: &&Rc<EndpointPool>| {
+            pool.unreachable_since.get().is_none() && pool.last_response_at.get().is_some()
+        };
+        self.by_endpoint.borrow().values().filter(is_reachable).count()
+    }
+
     /// Returns the time since which an endpoint cannot be reached.
     pub fn unreachable_since(&self, endpoint: &str) -> Option<Instant> {
         self.by_endpoint.borrow().get(endpoint).and_then(|pool| pool.unreachable_since.get())
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -46,12 +46,13 @@
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Records the own status and notifies observers and subscribers if it changed.
     pub fn refresh_status(&self) {
-        let status = MemberStatus {
+        let mut status = MemberStatus {
             leaving: self.is_leaving(),
             store_reachable: self.is_store_reachable(),
             promotion_token: self.promotion_token(),
-            unreachable_endpoints: self.pools.unreachable_endpoints(),
+            ..MemberStatus::default()
         };
+        status.set_unreachable(self.pools.unreachable_endpoints(), self.pools.reachable_count());
         self.peers.update(|table| table.set_own_status(status));
         if self.heads() != self.peers.feed.borrow().heads {
             self.peers.changed.notify_one();
