Remove the owner order that membership replaced

Cause: order_owners and top_ranked had no caller but tests since owners come from the membership table.

Change: both are removed. The test lost_connection_owner_moves_only_its_own_endpoints now asks the membership table, with the same nine instances, 40 endpoints and expectations (the own instance cannot be lost, so eight losses instead of nine). The assertion on top_ranked in ranks_are_a_balanced_permutation went with the function; MembershipTable::fleet_owners is checked by check_agreement.

Ruled out: a change of the program; nothing in it called the removed code.

--- a/crates/coord/src/placement.rs
+++ b/crates/coord/src/placement.rs
@@ -1,4 +1,4 @@
-//! Choice of the endpoint that executes a statement and of the instance that owns its connections.
+//! Choice of the endpoint that executes a statement, and limits of its connections.
 //!
 //! Slots are few and replicas lag at different times. A read goes to the endpoint that is expected
 //! to answer first, by queue delay, zone distance and time until it has the required position.
@@ -7,8 +7,6 @@
 
 use state::position::LogPosition;
 
-use crate::rendezvous;
-
 /// Time for which an endpoint is tried last after it failed.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(400);
 /// Time after which a reported queue delay is ignored.
@@ -117,24 +115,6 @@
     order
 }
 
-/// Instance that may own an endpoint's connections.
-#[derive(Clone, Copy, Debug)]
-pub struct OwnerCandidate<'a> {
-    /// Name of the instance.
-    pub name: &'a str,
-    /// The instance is in the endpoint's availability zone.
-    pub same_zone: bool,
-}
-
-/// Returns the instances that may own an endpoint's connections, the preferred one first.
-pub fn order_owners<'a>(endpoint: &str, candidates: &[OwnerCandidate<'a>]) -> Vec<&'a str> {
-    let mut order: Vec<&OwnerCandidate<'a>> = candidates.iter().collect();
-    order.sort_by_key(|candidate| {
-        (!candidate.same_zone, std::cmp::Reverse(rendezvous::weight(endpoint, candidate.name)))
-    });
-    order.into_iter().map(|candidate| candidate.name).collect()
-}
-
 /// Divisor for the fraction of an endpoint's connections that owners leave free: for probes, and
 /// for the moments in which two instances both act as the owner.
 const SPARE_CONNECTION_DIVISOR: usize = 6;
--- a/crates/coord/src/rendezvous.rs
+++ b/crates/coord/src/rendezvous.rs
@@ -25,18 +25,6 @@
     candidates.into_iter().filter(before).count()
 }
 
-/// Returns the `count` candidates that rank first for `subject`.
-pub fn top_ranked<'a>(
-    subject: &str,
-    candidates: impl IntoIterator<Item = &'a str>,
-    count: usize,
-) -> Vec<&'a str> {
-    let mut ordered: Vec<&str> = candidates.into_iter().collect();
-    ordered.sort_by_key(|candidate| sort_key(subject, candidate));
-    ordered.truncate(count);
-    ordered
-}
-
 fn sort_key<'a>(subject: &str, candidate: &'a str) -> (Reverse<u64>, &'a str) {
     (Reverse(weight(subject, candidate)), candidate)
 }
--- a/crates/coord/tests/decisions.rs
+++ b/crates/coord/tests/decisions.rs
@@ -201,7 +201,6 @@
         first_counts[first] += 1;
         ranks.sort_unstable();
         assert_eq!(ranks, (0..9).collect::<Vec<_>>());
-        assert_eq!(rendezvous::top_ranked(&subject, candidates(), 1), [names[first].as_str()]);
     }
     assert!(first_counts.iter().all(|count| (50..=160).contains(count)), "{first_counts:?}");
 }
--- a/crates/coord/tests/load_patterns.rs
+++ b/crates/coord/tests/load_patterns.rs
@@ -7,9 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::{Choices, check_cases};
-use coord::placement::{
-    EndpointView, OwnerCandidate, ReadCandidate, connection_limit, order_for_read, order_owners,
-};
+use coord::placement::{EndpointView, ReadCandidate, connection_limit, order_for_read};
 use coord::priority::PriorityQueue;
 use coord::queue::QueueRefusal;
 use coord::quota::{LimitShare, LimitWindow, TOKEN_TIMEOUT, TeamLimit, TeamQuotas, TokenRequest};
@@ -330,32 +328,6 @@
     assert_eq!(order_for_read(&[failed, other], required, later)[0], 0);
 });
 
-/// Checks that the loss of a connection owner moves only its own endpoints, and that instances in
-/// the endpoint's zone come first.
-#[test]
-fn lost_connection_owner_moves_only_its_own_endpoints() {
-    let names: Vec<String> = (0..9).map(|index| format!("instance-{index}")).collect();
-    let same_zone = |name: &str| name.ends_with(['0', '1', '2']);
-    let order = |endpoint: &str, without: &str| {
-        let candidates: Vec<OwnerCandidate<'_>> = names
-            .iter()
-            .filter(|name| *name != without)
-            .map(|name| OwnerCandidate { name, same_zone: same_zone(name) })
-            .collect();
-        order_owners(endpoint, &candidates).into_iter().map(str::to_owned).collect::<Vec<_>>()
-    };
-    for index in 0..40 {
-        let endpoint = format!("endpoint-{index}");
-        let before = order(&endpoint, "");
-        assert!(same_zone(&before[0]));
-        for lost in &names {
-            let after = order(&endpoint, lost);
-            let expected = if before[0] == *lost { &before[1] } else { &before[0] };
-            assert_eq!(after[0], *expected);
-        }
-    }
-}
-
 load_case!(sides_of_a_partition_together_stay_within_the_connection_limit, _start => {
     for (connections, sides) in [(23, vec![6, 1, 1, 1]), (34, vec![8, 1]), (62, vec![40, 30, 19])] {
         let registered: usize = sides.iter().sum();
--- a/crates/coord/tests/membership.rs
+++ b/crates/coord/tests/membership.rs
@@ -327,6 +327,47 @@
     assert!(owners.len() >= 5, "{}", owners.len());
 });
 
+/// Checks that the loss of a connection owner moves only its own endpoints, and that instances in
+/// the endpoint's zone come first.
+#[test]
+fn lost_connection_owner_moves_only_its_own_endpoints() {
+    let records: Vec<InstanceRecord> = (0..9)
+        .map(|index| InstanceRecord {
+            name: format!("instance-{index}"),
+            address: ([127, 0, 0, 1], 7_000).into(),
+            zone: if index < 3 { "a" } else { "b" }.to_owned(),
+            incarnation: 1,
+            capacity: 250,
+        })
+        .collect();
+    let now = Instant::now();
+    let table_without = |lost: Option<usize>| {
+        let mut table = MembershipTable::new(records[8].clone(), now);
+        for (index, record) in records.iter().enumerate().filter(|(index, _)| *index != 8) {
+            let key = table.add(record, now).expect("the record is new");
+            table.subscriber_connected(key, now);
+            table.set_unreachable(key, lost == Some(index));
+        }
+        table
+    };
+    let owners = |table: &MembershipTable, endpoint: &str| -> Vec<InstanceRecord> {
+        let keys = table.connection_owners(endpoint, "a", 2).into_iter();
+        keys.map(|key| table.record(key).expect("it is known").clone()).collect()
+    };
+    let complete = table_without(None);
+    let others: Vec<(usize, MembershipTable)> =
+        (0..8).map(|lost| (lost, table_without(Some(lost)))).collect();
+    for index in 0..40 {
+        let endpoint = format!("endpoint-{index}");
+        let before = owners(&complete, &endpoint);
+        assert_eq!(before[0].zone, "a");
+        for (lost, table) in &others {
+            let expected = if before[0] == records[*lost] { &before[1] } else { &before[0] };
+            assert_eq!(owners(table, &endpoint)[0], *expected);
+        }
+    }
+}
+
 // A single observer that lost the connection to a slow instance must not declare it dead.
 fleet_case!(instance_stays_live_while_one_observer_reports_it, 2 x 12, 0 large, fleet => {
     let subscriber = (0..24).find(|index| fleet.subscription_count(*index) == OBSERVERS_PER_ZONE);
