Share the ranking of owners and the reply without an owner

Cause: read again, the change had written the reply of a call without an owner a third time, sorted active instances twice in the same way, and ranked the instances of all zones again for each restarted one.

Change: best_active ranks for both kinds of owners; dispatch uses no_owner_reply; a replaced record ranks its own zone again, and the old one only if the zone changed. An unused accessor and an unused result are gone.

Ruled out: a change of behaviour is not meant; rankings hold the instances of their own zone only, so ranking the other zones gave the same order.

--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -245,11 +245,6 @@
         self.members.get(key).map(|member| &member.record)
     }
 
-    /// Returns the last known status of an instance.
-    pub fn status(&self, key: InstanceKey) -> Option<&MemberStatus> {
-        self.members.get(key).map(|member| &member.status)
-    }
-
     /// Returns the own status and its sequence number.
     pub fn own_status(&self) -> (u32, &MemberStatus) {
         let own = &self.members[self.own];
@@ -296,24 +291,28 @@
     ///
     /// Instances that report the endpoint as unreachable come last.
     pub fn connection_owners(&self, endpoint: &str, zone: &str, count: usize) -> Vec<InstanceKey> {
-        let rank = |key: &InstanceKey| {
-            let member = &self.members[*key];
+        self.best_active(count, |member| {
             (
                 member.status.misses(endpoint),
                 member.record.zone != zone,
                 member.record.owner_rank(endpoint),
             )
-        };
-        let mut keys = self.active();
-        keys.sort_by_cached_key(rank);
-        keys.truncate(count);
-        keys
+        })
     }
 
     /// Returns the first `count` candidates to decide about `subject` for the whole fleet.
     pub fn fleet_owners(&self, subject: &str, count: usize) -> Vec<InstanceKey> {
+        self.best_active(count, |member| member.record.owner_rank(subject))
+    }
+
+    /// Returns the first `count` active instances by rank, the lowest one first.
+    fn best_active<R: Ord>(
+        &self,
+        count: usize,
+        rank: impl Fn(&MemberState) -> R,
+    ) -> Vec<InstanceKey> {
         let mut keys = self.active();
-        keys.sort_by_cached_key(|key| self.members[*key].record.owner_rank(subject));
+        keys.sort_by_cached_key(|key| rank(&self.members[*key]));
         keys.truncate(count);
         keys
     }
@@ -365,6 +364,7 @@
         if key == self.own || is_replaced {
             return None;
         }
+        let old_zone = member.record.zone.clone();
         if member.record.incarnation != record.incarnation {
             let mut superseded = std::mem::take(&mut member.superseded);
             superseded.insert(0, member.record.incarnation);
@@ -379,26 +379,24 @@
         } else {
             member.record = record.clone();
         }
-        let old_zones: Vec<String> = self.rankings.keys().cloned().collect();
-        for zone in old_zones {
-            self.rank_zone(&zone);
+        if old_zone != record.zone {
+            self.rank_zone(&old_zone);
         }
         self.rank_zone(&record.zone);
         self.update(key, now);
         Some(key)
     }
 
-    /// Sets the own status; returns whether it changed.
-    pub fn set_own_status(&mut self, status: MemberStatus) -> bool {
+    /// Sets the own status.
+    pub fn set_own_status(&mut self, status: MemberStatus) {
         let own = &mut self.members[self.own];
         if own.sequence > 0 && own.status == status {
-            return false;
+            return;
         }
         own.status = status;
         own.sequence += 1;
         self.generation += 1;
         self.mark_changed(self.own);
-        true
     }
 
     /// Records the status that an instance reports of itself, directly or through observers.
@@ -653,7 +651,7 @@
         let is_remote = |observer| self.scope_of(observer) == ViewScope::Remote;
         self.observers
             .iter()
-            .any(|(observer, view)| is_remote(observer) && (view.live.contains(&key)))
+            .any(|(observer, view)| is_remote(observer) && view.live.contains(&key))
     }
 
     fn wanted_in(&self, ranking: &[InstanceKey]) -> Vec<InstanceKey> {
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::message::{
     ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason, StatementAnswer, millis,
 };
-use crate::peer_link::LinkLease;
+use crate::peer_link::{LinkLease, no_owner_reply};
 
 /// Reply to a call, with the instance that sent it.
 #[derive(Debug)]
@@ -62,9 +62,8 @@
             last = Some(owner_reply);
         }
         last.unwrap_or_else(|| {
-            let outcome = ExecuteOutcome::NotSent { reason: NotSentReason::NoOwner, retry_ms: 0 };
-            let reply = ExecuteReply { outcome, queue_wait_ms: 0, watermark: None };
-            OwnerReply { owner: self.name().to_owned(), reply, link_lease: None }
+            let (owner, reply) = (self.name().to_owned(), no_owner_reply());
+            OwnerReply { owner, reply, link_lease: None }
         })
     }
 
@@ -77,12 +76,10 @@
             return reply;
         }
         let Some(link) = self.open_link(owner) else {
-            let outcome = ExecuteOutcome::NotSent { reason: NotSentReason::NoOwner, retry_ms: 0 };
-            return ExecuteReply { outcome, queue_wait_ms: 0, watermark: None };
+            return no_owner_reply();
         };
         if !call.retryable && !self.confirm_link(&link).await {
-            let outcome = ExecuteOutcome::NotSent { reason: NotSentReason::NoOwner, retry_ms: 0 };
-            return ExecuteReply { outcome, queue_wait_ms: 0, watermark: None };
+            return no_owner_reply();
         }
         let sent_at = self.now();
         let reply = link.execute(call).await;
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -333,7 +333,8 @@
     }
 }
 
-fn no_owner_reply() -> ExecuteReply {
+/// Returns the reply to a call that was not sent to any owner.
+pub(crate) fn no_owner_reply() -> ExecuteReply {
     let outcome = ExecuteOutcome::NotSent { reason: NotSentReason::NoOwner, retry_ms: 0 };
     ExecuteReply { outcome, queue_wait_ms: 0, watermark: None }
 }
