Log why peers and subscribers are lost, and fetched tables

Cause: peer_lost gave no reason, an observer that ended a subscription logged nothing, and neither did an instance that fetched a table. Change: peer_lost says its cause, the silence before it and whether a table was being fetched; subscriber_lost, table_fetched and table_fetch_failed are new; losses are counted by reason. Ruled out: nothing yet. No decision changes.

--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -6,8 +6,9 @@
 use bytes::BytesMut;
 use coord::membership::InstanceKey;
 use coord::validation::HeartbeatOutcome;
+use metrics::counter;
 use telemetry::event::LogEvent;
-use telemetry::log_event;
+use telemetry::{log_event, meter};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -35,6 +36,34 @@
 /// Time after which an unused connection is closed.
 const LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Reason why the connection of a link ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LinkEnd {
+    /// The connection was not established in time or was refused.
+    ConnectFailed,
+    /// The peer closed or reset the connection.
+    ClosedByPeer,
+    /// A ping was not answered in time.
+    PingTimeout,
+    /// A message of the peer could not be decoded.
+    Malformed,
+    /// Nothing used the connection, or another one replaced it.
+    Unused,
+}
+
+impl LinkEnd {
+    /// Returns the label of the reason for logs and metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::ConnectFailed => "connect_failed",
+            Self::ClosedByPeer => "closed_by_peer",
+            Self::PingTimeout => "ping_timeout",
+            Self::Malformed => "malformed",
+            Self::Unused => "unused",
+        }
+    }
+}
+
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Returns the link to a peer, and opens its connection if necessary.
     ///
@@ -77,7 +106,7 @@
     /// Starts to open the connection of a link. Calls may be sent at once.
     pub(crate) fn connect_link(self: &Rc<Self>, link: &Rc<PeerLink>) {
         if link.output.borrow().is_some() {
-            self.end_connection(link);
+            self.end_connection(link, LinkEnd::Unused);
         }
         let output = Rc::new(OutputQueue::default());
         output.push(&PeerRequest::Hello(self.settings.record.clone()));
@@ -85,19 +114,19 @@
         *link.output.borrow_mut() = Some(output.clone());
         let (instance, link) = (self.clone(), link.clone());
         tokio::task::spawn_local(async move {
-            instance.run_link(&link, &output).await;
+            let end = instance.run_link(&link, &output).await;
             let is_current =
                 link.output.borrow().as_ref().is_some_and(|open| Rc::ptr_eq(open, &output));
             if is_current {
-                instance.end_connection(&link);
+                instance.end_connection(&link, end);
             }
         });
     }
 
-    async fn run_link(self: &Rc<Self>, link: &Rc<PeerLink>, output: &Rc<OutputQueue>) {
+    async fn run_link(self: &Rc<Self>, link: &Rc<PeerLink>, output: &Rc<OutputQueue>) -> LinkEnd {
         let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(link.record.address)).await;
         let Ok(Ok(stream)) = connected else {
-            return;
+            return LinkEnd::ConnectFailed;
         };
         // Without this option the connection works, only with higher latency.
         let _ = stream.set_nodelay(true);
@@ -107,16 +136,19 @@
         }
         let (reader, writer) = stream.into_split();
         tokio::select! {
-            () = output.drain(writer) => {}
-            () = self.read_link(link, reader) => {}
+            () = output.drain(writer) => LinkEnd::ClosedByPeer,
+            end = self.read_link(link, reader) => end,
         }
     }
 
     /// Closes a connection. Unless nothing used it, the peer counts as unreachable from here until
     /// it responds on a new one.
-    fn end_connection(&self, link: &PeerLink) {
-        link.close();
+    fn end_connection(&self, link: &PeerLink, end: LinkEnd) {
         let now = self.now();
+        let silence = link.last_response_at.get().map(|at| now.saturating_duration_since(at));
+        let fetches = link.pending.borrow().table.len();
+        let is_subscription = link.is_subscription.get();
+        link.close();
         if link.is_subscription.replace(false) {
             self.peers.update(|table| table.observer_lost(link.key, now));
             self.peers.subscriptions_due.notify_one();
@@ -129,7 +161,14 @@
             None => MIN_RECONNECT_BACKOFF,
         };
         if link.retry.replace(Some((now + backoff, backoff))).is_none() {
-            log_event!(LogEvent::PeerLost, "instance={}", link.record.name);
+            counter!(meter::PEER_LOSSES, "reason" => end.label()).increment(1);
+            log_event!(
+                LogEvent::PeerLost,
+                "instance={} cause={} silence={silence:?} subscribed={is_subscription} \
+                 table_fetches={fetches}",
+                link.record.name,
+                end.label()
+            );
         }
         self.peers.update(|table| table.set_unreachable(link.key, true));
     }
@@ -160,14 +199,14 @@
         let is_subscription = link.is_subscription.get();
         let ping_timeout = if is_subscription { SUBSCRIPTION_PING_TIMEOUT } else { PING_TIMEOUT };
         if older(link.unanswered_since.get(), ping_timeout) {
-            self.end_connection(link);
+            self.end_connection(link, LinkEnd::PingTimeout);
             return;
         }
         let (is_leased, has_calls) = (link.is_leased(), link.has_pending_calls());
         let is_used = is_subscription || is_leased || has_calls;
         if !is_used && older(Some(link.last_used_at.get()), LINK_IDLE_TIMEOUT) {
             link.is_closed_idle.set(true);
-            self.end_connection(link);
+            self.end_connection(link, LinkEnd::Unused);
             return;
         }
         let silent = |limit| {
@@ -201,12 +240,12 @@
         timeout(CONNECT_TIMEOUT + PING_TIMEOUT, answered).await.is_ok() && responded()
     }
 
-    async fn read_link(self: &Rc<Self>, link: &Rc<PeerLink>, mut reader: OwnedReadHalf) {
+    async fn read_link(self: &Rc<Self>, link: &Rc<PeerLink>, mut reader: OwnedReadHalf) -> LinkEnd {
         let mut input = BytesMut::new();
         loop {
             input.reserve(READ_CHUNK_BYTES);
             match reader.read_buf(&mut input).await {
-                Ok(0) | Err(_) => return,
+                Ok(0) | Err(_) => return LinkEnd::ClosedByPeer,
                 Ok(_) => {}
             }
             loop {
@@ -219,7 +258,7 @@
                     Err(error) => {
                         let name = &link.record.name;
                         log_event!(LogEvent::PeerLost, "instance={name} cause=\"{error}\"");
-                        return;
+                        return LinkEnd::Malformed;
                     }
                 }
             }
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -67,16 +67,30 @@
             peer: RefCell::default(),
             subscriber: Cell::new(None),
         };
-        tokio::select! {
-            () = output.drain(writer) => {}
-            () = self.read_peer(&connection, reader) => {}
-        }
+        let cause = tokio::select! {
+            () = output.drain(writer) => "write_failed",
+            cause = self.read_peer(&connection, reader) => cause,
+        };
         output.close();
+        if connection.subscriber.get().is_some() {
+            let peer = connection.peer.borrow();
+            let name = peer.as_ref().map_or("", |record| record.name.as_str());
+            let unsent_bytes = output.bytes.borrow().len();
+            log_event!(
+                LogEvent::SubscriberLost,
+                "instance={name} cause={cause} unsent_bytes={unsent_bytes}"
+            );
+        }
         self.unsubscribe_peer(&connection);
         self.unregister_origin(connection.origin);
     }
 
-    async fn read_peer(self: &Rc<Self>, connection: &InboundConnection, mut reader: OwnedReadHalf) {
+    /// Serves requests until the connection ends; returns the reason for its end.
+    async fn read_peer(
+        self: &Rc<Self>,
+        connection: &InboundConnection,
+        mut reader: OwnedReadHalf,
+    ) -> &'static str {
         let mut input = BytesMut::new();
         let mut last_message_at = self.now();
         loop {
@@ -86,12 +100,12 @@
                 None => TRANSACTION_IDLE_TIMEOUT,
             };
             match timeout(check_interval, reader.read_buf(&mut input)).await {
-                Ok(Ok(0) | Err(_)) => return,
+                Ok(Ok(0) | Err(_)) => return "closed_by_peer",
                 Ok(Ok(_)) => last_message_at = self.now(),
                 Err(_) => {
                     let silence = self.now().saturating_duration_since(last_message_at);
                     if silence >= self.max_silence(connection) {
-                        return;
+                        return "silent";
                     }
                     continue;
                 }
@@ -102,7 +116,7 @@
                     Ok(None) => break,
                     Err(error) => {
                         log_event!(LogEvent::PeerLost, "cause=\"{error}\"");
-                        return;
+                        return "malformed";
                     }
                 }
             }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use telemetry::event::LogEvent;
+use telemetry::log_event;
 use tokio::time::{sleep, timeout};
 
 use crate::instance::{EngineTypes, GatewayInstance};
@@ -256,8 +258,22 @@
                 let Some(link) = self.open_link_by_key(peer) else {
                     continue;
                 };
-                if let Some((rows, version)) = link.fetch_table(table, TABLE_TIMEOUT).await {
-                    self.merge_cache(table, rows, version);
+                let (started_at, source) = (self.now(), link.record.name.clone());
+                let fetched = link.fetch_table(table, TABLE_TIMEOUT).await;
+                let elapsed = self.now().saturating_duration_since(started_at);
+                match fetched {
+                    Some((rows, version)) => {
+                        log_event!(
+                            LogEvent::TableFetched,
+                            "table={table:?} source={source} from={own} to={version} \
+                             elapsed={elapsed:?}"
+                        );
+                        self.merge_cache(table, rows, version);
+                    }
+                    None => log_event!(
+                        LogEvent::TableFetchFailed,
+                        "table={table:?} source={source} version={own} elapsed={elapsed:?}"
+                    ),
                 }
             }
         }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -53,6 +53,14 @@
     DocumentAccepted = 1105, Info, "document_accepted";
     /// An operator's document was refused because another revision is in force.
     DocumentConflict = 1106, Warn, "document_conflict";
+    /// Another instance has had a newer document for longer than the bound on its age.
+    DocumentOutdated = 1107, Warn, "document_outdated";
+    /// A document that was outdated is up to date again.
+    DocumentCaughtUp = 1108, Info, "document_caught_up";
+    /// A table was fetched from another instance.
+    TableFetched = 1109, Info, "table_fetched";
+    /// A table could not be fetched from another instance.
+    TableFetchFailed = 1110, Info, "table_fetch_failed";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
     /// A caller's connection closed.
@@ -103,6 +111,8 @@
     PromotionLeaseChanged = 5005, Info, "duty_changed";
     /// Reading, writing, renewing or releasing the promotion lease failed.
     PromotionLeaseFailed = 5006, Warn, "duty_refused";
+    /// The connection of a subscriber ended without an end of its subscription.
+    SubscriberLost = 5007, Info, "subscriber_lost";
     /// The instance started to drain.
     DrainStarted = 6001, Info, "drain_started";
     /// The instance has drained or reached its drain deadline.
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -33,6 +33,12 @@
 pub const SUBSCRIBERS: &str = "hibiscus_subscribers";
 /// Messages sent to peers, by kind.
 pub const PEER_MESSAGES: &str = "hibiscus_peer_messages_total";
+/// Connections to peers that were lost, by reason.
+pub const PEER_LOSSES: &str = "hibiscus_peer_losses_total";
+/// Bytes sent to peers, by kind of message.
+pub const PEER_BYTES: &str = "hibiscus_peer_bytes_total";
+/// Seconds for which another instance has had a newer document in force.
+pub const DOCUMENT_LAG_SECONDS: &str = "hibiscus_document_lag_seconds";
 
 /// Upper bounds of the histogram buckets, in seconds.
 const REQUEST_SECONDS_BUCKETS: &[f64] =
