--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -5,11 +5,12 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Maximum number of bytes forwarded at once.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -28,6 +29,8 @@
     Forward,
     /// Forwards each chunk after a delay.
     Delay(Duration),
+    /// Forwards at most this many bytes a second in each direction, over all connections together.
+    Limit(u32),
     /// Drops the bytes sent to the target.
     DropToTarget,
     /// Drops the bytes sent by the target.
@@ -45,6 +48,19 @@
     resets: watch::Sender<u32>,
     opened_count: AtomicU64,
     reset_count: AtomicU32,
+    /// Times at which the limited link is free again, by direction.
+    free_at: Mutex<[Option<Instant>; 2]>,
+}
+
+impl RelayState {
+    /// Reserves the limited link for a chunk, and returns the time at which it has been sent.
+    fn reserve(&self, direction: RelayDirection, length: usize, bytes_per_s: u32) -> Instant {
+        let mut free_at = self.free_at.lock();
+        let start = free_at[direction as usize].unwrap_or_else(Instant::now).max(Instant::now());
+        let end = start + Duration::from_secs_f64(length as f64 / f64::from(bytes_per_s.max(1)));
+        free_at[direction as usize] = Some(end);
+        end
+    }
 }
 
 /// Relay in front of one target.
@@ -66,6 +82,7 @@
             resets: watch::channel(0).0,
             opened_count: AtomicU64::new(0),
             reset_count: AtomicU32::new(0),
+            free_at: Mutex::default(),
         });
         let shared = state.clone();
         tokio::spawn(async move {
@@ -129,7 +146,7 @@
         let mode = *state.mode.borrow();
         let is_dropped = connection <= state.last_blackholed.load(Ordering::Relaxed)
             || match mode {
-                RelayMode::Forward | RelayMode::Delay(_) => false,
+                RelayMode::Forward | RelayMode::Delay(_) | RelayMode::Limit(_) => false,
                 RelayMode::DropToTarget => direction == RelayDirection::ToTarget,
                 RelayMode::DropFromTarget => direction == RelayDirection::FromTarget,
                 RelayMode::DropAll => true,
@@ -140,8 +157,12 @@
             Ok(0) | Err(_) => return,
             Ok(read) => read,
         };
-        if let RelayMode::Delay(delay) = mode {
-            sleep(delay).await;
+        match mode {
+            RelayMode::Delay(delay) => sleep(delay).await,
+            RelayMode::Limit(bytes_per_s) => {
+                sleep_until(state.reserve(direction, read, bytes_per_s)).await;
+            }
+            _ => {}
         }
         if !is_dropped && writer.write_all(&chunk[..read]).await.is_err() {
             return;
