Ping observers at a fixed interval

Cause: a subscriber pinged its observer 0.6 s after the observer's last message. While the observer published more often than that, the subscriber sent nothing at all, and the observer closed the subscription after 1.5 s without a byte. The instance then counted as lost and found, took its views anew, and a document under way started again at its first byte. Change: pings to observers follow the time of the last ping, not of the last answer. Before: a_subscriber_that_only_listens_stays_subscribed fails after 1.56 s.

--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -26,7 +26,10 @@
 const MAX_RECONNECT_BACKOFF: Duration = Duration::from_secs(2);
 /// Interval of the ping loop; peers with calls in flight are pinged every time.
 const PING_INTERVAL: Duration = Duration::from_millis(200);
-/// Time without a response after which an observer is pinged.
+/// Interval between pings to an observer.
+///
+/// They also tell the observer that the subscriber is alive, so they do not depend on what the
+/// observer sends.
 const SUBSCRIPTION_PING_INTERVAL: Duration = Duration::from_millis(600);
 /// Bounds the wait for a ping's answer of an observer, which serves many instances.
 const SUBSCRIPTION_PING_TIMEOUT: Duration = Duration::from_millis(700);
@@ -212,8 +215,10 @@
         let silent = |limit| {
             link.last_response_at.get().is_none() || older(link.last_response_at.get(), limit)
         };
+        let is_ping_due = link.last_ping_at.get().is_none()
+            || older(link.last_ping_at.get(), SUBSCRIPTION_PING_INTERVAL);
         if has_calls
-            || (is_subscription && (needs_validation || silent(SUBSCRIPTION_PING_INTERVAL)))
+            || (is_subscription && (needs_validation || is_ping_due))
             || (is_leased && silent(IDLE_PING_INTERVAL))
         {
             link.send_ping(now);
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -127,6 +127,8 @@
     pub(crate) responded: Notify,
     /// Time at which the link was last asked for.
     pub(crate) last_used_at: Cell<Instant>,
+    /// Time of the last ping on the open connection.
+    pub(crate) last_ping_at: Cell<Option<Instant>>,
     /// Time of the oldest unanswered ping.
     pub(crate) unanswered_since: Cell<Option<Instant>>,
     /// Identifier and time of the ping whose answer may validate the document.
@@ -154,6 +156,7 @@
             last_response_at: Cell::new(None),
             responded: Notify::new(),
             last_used_at: Cell::new(now),
+            last_ping_at: Cell::new(None),
             unanswered_since: Cell::new(None),
             validation_ping: Cell::new(None),
             is_subscription: Cell::new(false),
@@ -199,6 +202,7 @@
     pub(crate) fn send_ping(&self, now: Instant) {
         let ping_id = self.new_call_id();
         self.send(&PeerRequest::Ping { ping_id });
+        self.last_ping_at.set(Some(now));
         // Only the answer to the recorded ping is accepted. Recording each newer ping would discard
         // all answers that take longer than the ping interval.
         let expired = |at: Instant| now.saturating_duration_since(at) > VALIDATION_PING_TTL;
@@ -319,6 +323,7 @@
                 let _ = sender.send(no_owner_reply());
             }
         }
+        self.last_ping_at.set(None);
         self.unanswered_since.set(None);
         self.last_response_at.set(None);
         self.responded.notify_waiters();
