--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`rendezvous`] and [`validation`]. The proxy uses [`failover`], [`freshness`], [`ledger`],
 //! [`routing`] and, in its connection pools, [`queue`]; these modules speak of a database group and
 //! its primary. The engine uses [`membership`], [`placement`], [`priority`] (built on [`queue`]), [`promotion`],
-//! [`quota`], [`session`] and [`watermark`]; these modules speak of a service and its leader.
+//! [`quota`], [`session`] and [`watermark`]; these modules speak of a service and its leader. It replicates
+//! the platform's tables with [`table_source`] and [`transfer_gate`].
 
 pub mod failover;
 pub mod freshness;
@@ -21,5 +22,7 @@
 pub mod rendezvous;
 pub mod routing;
 pub mod session;
+pub mod table_source;
+pub mod transfer_gate;
 pub mod validation;
 pub mod watermark;
--- a/crates/coord/src/rendezvous.rs
+++ b/crates/coord/src/rendezvous.rs
@@ -9,7 +9,15 @@
 
 /// Returns the weight of `candidate` for `subject`, the same on every instance.
 pub fn weight(subject: &str, candidate: &str) -> u64 {
-    let bytes = subject.bytes().chain([0]).chain(candidate.bytes());
+    hash(subject.bytes().chain([0]).chain(candidate.bytes()))
+}
+
+/// Returns a hash of content, the same on every instance.
+pub fn weight_of(content: &[u8]) -> u64 {
+    hash(content.iter().copied())
+}
+
+fn hash(bytes: impl Iterator<Item = u8>) -> u64 {
     let hash =
         bytes.fold(FNV_OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME));
     // FNV mixes the high bits of short inputs poorly; this finalizer spreads them.
--- /dev/null
+++ b/crates/coord/src/table_source.rs
@@ -0,0 +1,187 @@
+//! Chooses where an instance that is behind fetches a table from.
+//!
+//! Answers the load of many instances that are behind at once, some of them slow: if all ask the peer
+//! with the newest version, its link is choked, and a slow peer is asked again and again. Sources
+//! here are spread by hash, a failed or busy one is left alone for a while, the own availability zone
+//! comes first, and the store is the last resort.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::time::{Duration, Instant};
+
+use crate::rendezvous;
+
+/// Time for which a push may still be on its way before the table is fetched.
+pub const PUSH_DELAY: Duration = Duration::from_millis(300);
+/// Time behind after which sources in other availability zones are asked; their traffic is expensive.
+pub const REMOTE_DELAY: Duration = Duration::from_millis(900);
+/// Shortest time for which a source is left alone after a failure.
+const MIN_FAILURE_BACKOFF: Duration = Duration::from_millis(500);
+/// Longest time for which a source is left alone after a failure.
+const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(4);
+/// Shortest interval between reads of the store by one instance.
+const STORE_INTERVAL: Duration = Duration::from_secs(2);
+/// Largest part of a delay by which it is spread over the instances.
+const SPREAD_FRACTION: f64 = 0.5;
+
+/// Peer from which a table may be fetched.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SourceCandidate<K> {
+    /// Key of the peer.
+    pub key: K,
+    /// Version of the peer's table, as far as is known.
+    pub version: u64,
+    /// The peer is in the own availability zone.
+    pub is_in_zone: bool,
+}
+
+/// What to do about a table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SourceStep<K> {
+    /// No known peer has a newer version.
+    UpToDate,
+    /// Wait for a push, or for a source that may be asked again.
+    Wait,
+    /// Fetch from this peer.
+    Peer(K),
+    /// Read the store.
+    Store,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct AvoidedSource {
+    until: Instant,
+    backoff: Duration,
+}
+
+/// Sources of one table, as one instance has experienced them.
+#[derive(Clone, Debug)]
+pub struct SourcePlanner<K> {
+    own_name: String,
+    /// Time behind after which the store is read.
+    store_delay: Duration,
+    avoided: HashMap<K, AvoidedSource>,
+    /// Peers that a busy source named, with the version that they have.
+    referred: Vec<SourceCandidate<K>>,
+    behind_since: Option<Instant>,
+    /// A version was announced whose change is not pushed.
+    is_offered: bool,
+    store_read_at: Option<Instant>,
+    attempts: u32,
+}
+
+impl<K: Copy + Eq + Hash> SourcePlanner<K> {
+    /// Creates a planner for the instance `own_name`, which reads the store if it has been behind for
+    /// `store_delay`.
+    pub fn new(own_name: &str, store_delay: Duration) -> Self {
+        let spread = 1.0 + SPREAD_FRACTION * fraction(rendezvous::weight(own_name, "store"));
+        Self {
+            own_name: own_name.to_owned(),
+            store_delay: store_delay.mul_f64(spread),
+            avoided: HashMap::new(),
+            referred: Vec::new(),
+            behind_since: None,
+            is_offered: false,
+            store_read_at: None,
+            attempts: 0,
+        }
+    }
+
+    /// Returns what to do with a table of version `own`; `name` returns a candidate's name.
+    pub fn next_step<'a>(
+        &mut self,
+        own: u64,
+        candidates: impl IntoIterator<Item = SourceCandidate<K>>,
+        name: impl Fn(K) -> &'a str,
+        now: Instant,
+    ) -> SourceStep<K> {
+        self.referred.retain(|candidate| candidate.version > own);
+        let mut newer: Vec<SourceCandidate<K>> =
+            candidates.into_iter().filter(|candidate| candidate.version > own).collect();
+        for referred in &self.referred {
+            if newer.iter().all(|candidate| candidate.key != referred.key) {
+                newer.push(*referred);
+            }
+        }
+        if newer.is_empty() {
+            self.behind_since = None;
+            self.is_offered = false;
+            self.store_read_at = None;
+            return SourceStep::UpToDate;
+        }
+        let behind_since = *self.behind_since.get_or_insert(now);
+        let behind = now.saturating_duration_since(behind_since);
+        if own > 0 && !self.is_offered && behind < PUSH_DELAY {
+            return SourceStep::Wait;
+        }
+        let is_store_due =
+            self.store_read_at.is_none_or(|at| now.saturating_duration_since(at) >= STORE_INTERVAL);
+        if own > 0 && behind >= self.store_delay && is_store_due {
+            self.store_read_at = Some(now);
+            return SourceStep::Store;
+        }
+        self.avoided.retain(|_, source| now < source.until + MAX_FAILURE_BACKOFF);
+        let may_ask = |candidate: &&SourceCandidate<K>| {
+            let is_avoided =
+                self.avoided.get(&candidate.key).is_some_and(|source| now < source.until);
+            !is_avoided && (candidate.is_in_zone || own == 0 || behind >= REMOTE_DELAY)
+        };
+        // The turn changes with each attempt, so that no source is asked by the same ones each time.
+        let subject = format!("{} {}", self.own_name, self.attempts);
+        let chosen = newer.iter().filter(may_ask).max_by_key(|candidate| {
+            (candidate.is_in_zone, rendezvous::weight(&subject, name(candidate.key)))
+        });
+        match chosen {
+            Some(candidate) => {
+                self.attempts = self.attempts.wrapping_add(1);
+                SourceStep::Peer(candidate.key)
+            }
+            None => SourceStep::Wait,
+        }
+    }
+
+    /// Records that a version was announced whose change is not pushed.
+    pub fn offered(&mut self) {
+        self.is_offered = true;
+    }
+
+    /// Records that a source did not answer, or broke off.
+    pub fn failed(&mut self, source: K, now: Instant) {
+        let backoff = match self.avoided.get(&source) {
+            Some(known) => (2 * known.backoff).clamp(MIN_FAILURE_BACKOFF, MAX_FAILURE_BACKOFF),
+            None => MIN_FAILURE_BACKOFF,
+        };
+        self.avoided.insert(source, AvoidedSource { until: now + backoff, backoff });
+    }
+
+    /// Records that a source serves others, and who has the table's `version` from it.
+    pub fn busy(
+        &mut self,
+        source: K,
+        retry_after: Duration,
+        holders: impl IntoIterator<Item = K>,
+        version: u64,
+        now: Instant,
+    ) {
+        let seed = rendezvous::weight(&self.own_name, &self.attempts.to_string());
+        let spread = 1.0 - SPREAD_FRACTION + 2.0 * SPREAD_FRACTION * fraction(seed);
+        let avoided =
+            AvoidedSource { until: now + retry_after.mul_f64(spread), backoff: Duration::ZERO };
+        self.avoided.insert(source, avoided);
+        for key in holders {
+            self.referred.retain(|candidate| candidate.key != key);
+            self.referred.push(SourceCandidate { key, version, is_in_zone: true });
+        }
+    }
+
+    /// Records that a source sent the whole table, or has nothing newer.
+    pub fn succeeded(&mut self, source: K) {
+        self.avoided.remove(&source);
+        self.referred.retain(|candidate| candidate.key != source);
+    }
+}
+
+/// Maps a hash to the range from zero to one.
+fn fraction(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -17,6 +17,7 @@
 use crate::interface::{PlatformApi, RowChange, WireCodec};
 use crate::peer::PeerTable;
 use crate::record::InstanceRecord;
+use crate::table_server::TableServer;
 use crate::tables::TableCaches;
 
 /// Platform and protocol that an instance is built for.
@@ -64,6 +65,8 @@
     pub directory: RefCell<FleetDirectory>,
     /// Cached tables of the platform.
     pub tables: RefCell<TableCaches>,
+    /// Changes of tables that other instances fetch.
+    pub(crate) table_server: RefCell<TableServer>,
     /// Tracks when the document in force was last validated as the newest.
     pub validation: RefCell<ValidationTracker>,
     /// Links to peer instances.
@@ -100,6 +103,7 @@
             platform,
             pools: ConnectionPools::default(),
             tables: RefCell::default(),
+            table_server: RefCell::default(),
             validation: RefCell::default(),
             was_validated: Cell::new(true),
             started_at,
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -49,6 +49,14 @@
 impl WatchedTable {
     /// All tables.
     pub const ALL: [Self; 2] = [Self::Document, Self::Endpoints];
+
+    /// Returns the index of the table in [`Self::ALL`].
+    pub fn index(self) -> usize {
+        match self {
+            Self::Document => 0,
+            Self::Endpoints => 1,
+        }
+    }
 }
 
 /// Change of one row of a watched table.
--- a/crates/engine/src/lifecycle.rs
+++ b/crates/engine/src/lifecycle.rs
@@ -60,7 +60,8 @@
         tokio::task::spawn_local(self.clone().watch_table(WatchedTable::Document));
         tokio::task::spawn_local(self.clone().watch_table(WatchedTable::Endpoints));
         tokio::task::spawn_local(self.clone().register_and_discover());
-        tokio::task::spawn_local(self.clone().run_anti_entropy());
+        tokio::task::spawn_local(self.clone().replicate_table(WatchedTable::Document));
+        tokio::task::spawn_local(self.clone().replicate_table(WatchedTable::Endpoints));
         tokio::task::spawn_local(self.clone().ping_peers());
         tokio::task::spawn_local(self.clone().maintain_subscriptions());
         tokio::task::spawn_local(self.clone().publish_changes());
@@ -71,6 +72,7 @@
                 sleep(MAINTENANCE_INTERVAL).await;
                 instance.evict_idle_connections();
                 instance.log_validation_change();
+                instance.directory.borrow_mut().remove_expired(instance.now());
                 gauge!(meter::CALLERS).set(instance.caller_count.get() as f64);
                 gauge!(meter::ENDPOINT_WORK).set(instance.pools.outstanding_requests() as f64);
                 let (live, known) = instance.peers.counts();
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
 use coord::membership::InstanceKey;
 use coord::validation::HeartbeatOutcome;
 use metrics::counter;
@@ -14,9 +13,11 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::{sleep, timeout};
 
+use crate::frame::FrameDecoder;
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::message::{DocumentValidation, PeerReply, PeerRequest, decode};
-use crate::peer_link::{OutputQueue, PING_TIMEOUT, PeerLink, READ_CHUNK_BYTES};
+use crate::message::{DocumentValidation, PeerReply, PeerRequest};
+use crate::output_queue::OutputQueue;
+use crate::peer_link::{PING_TIMEOUT, PeerLink, READ_CHUNK_BYTES};
 
 /// Bounds the opening of a connection to a peer instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -149,7 +150,7 @@
     fn end_connection(&self, link: &PeerLink, end: LinkEnd) {
         let now = self.now();
         let silence = link.last_response_at.get().map(|at| now.saturating_duration_since(at));
-        let fetches = link.pending.borrow().table.len();
+        let fetches = link.pending.borrow().part.len();
         let is_subscription = link.is_subscription.get();
         link.close();
         if link.is_subscription.replace(false) {
@@ -201,7 +202,9 @@
         };
         let is_subscription = link.is_subscription.get();
         let ping_timeout = if is_subscription { SUBSCRIPTION_PING_TIMEOUT } else { PING_TIMEOUT };
-        if older(link.unanswered_since.get(), ping_timeout) {
+        // Bytes of a long message are an answer too: the pong may be behind them.
+        let silent_since = link.unanswered_since.get().max(link.last_byte_at.get());
+        if link.unanswered_since.get().is_some() && older(silent_since, ping_timeout) {
             self.end_connection(link, LinkEnd::PingTimeout);
             return;
         }
@@ -246,15 +249,15 @@
     }
 
     async fn read_link(self: &Rc<Self>, link: &Rc<PeerLink>, mut reader: OwnedReadHalf) -> LinkEnd {
-        let mut input = BytesMut::new();
+        let mut decoder = FrameDecoder::default();
         loop {
-            input.reserve(READ_CHUNK_BYTES);
-            match reader.read_buf(&mut input).await {
+            decoder.input().reserve(READ_CHUNK_BYTES);
+            match reader.read_buf(decoder.input()).await {
                 Ok(0) | Err(_) => return LinkEnd::ClosedByPeer,
-                Ok(_) => {}
+                Ok(_) => link.last_byte_at.set(Some(self.now())),
             }
             loop {
-                match decode::<PeerReply>(&mut input) {
+                match decoder.next_message::<PeerReply>() {
                     Ok(Some(reply)) => {
                         self.record_response(link);
                         self.handle_reply(link, reply);
@@ -276,7 +279,8 @@
                 self.record_validation(link, ping_id, validation);
             }
             PeerReply::View(update) => self.receive_view(link, *update),
-            PeerReply::Rows { table, after, rows } => self.receive_rows(link, table, after, rows),
+            PeerReply::Change { table, change } => self.receive_change(link, table, change),
+            PeerReply::Offer { table, version } => self.receive_offer(link, table, version),
             other => link.complete_call(other),
         }
     }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -1,8 +1,7 @@
-//! Messages between instances, encoded with `postcard` after a four-byte length prefix.
+//! Messages between instances, encoded with `postcard` in the frames of [`crate::frame`].
 
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
 use coord::membership::{MemberStatus, ViewEntry};
 use coord::priority::PriorityLevel;
 use coord::session::TransactionState;
@@ -10,14 +9,10 @@
 use snafu::Snafu;
 use state::position::LogPosition;
 
+use crate::frame::{FrameLane, MAX_MESSAGE_BYTES};
 use crate::interface::{RefusalCode, WatchedTable};
 use crate::record::InstanceRecord;
-use crate::tables::StoredRow;
-
-/// Maximum size of a message; a document or the largest answer fits.
-const MAX_MESSAGE_BYTES: usize = 4 << 20;
-/// Size of the length prefix of a message.
-const LENGTH_PREFIX_BYTES: usize = 4;
+use crate::table_change::PackedChange;
 
 /// Error of encoding or decoding a message.
 #[derive(Debug, Snafu)]
@@ -28,6 +23,12 @@
         /// Length of the message, in bytes.
         length: usize,
     },
+    /// The prefix of a frame names an unknown lane or too long a part.
+    #[snafu(display("malformed frame prefix {prefix:#010x}"))]
+    MalformedFrame {
+        /// Prefix as received.
+        prefix: u32,
+    },
     /// The codec rejected the message.
     #[snafu(display("message cannot be encoded or decoded: {source}"))]
     Codec {
@@ -181,6 +182,8 @@
 pub struct FleetHeads {
     /// Versions of the table caches, in the order of [`WatchedTable::ALL`].
     pub table_versions: [u64; 2],
+    /// Number of the document in force.
+    pub document_version: u64,
     /// Known leaders: service, endpoint, term.
     pub leaders: Vec<(String, String, u64)>,
 }
@@ -190,7 +193,7 @@
     pub fn changes_since(&self, previous: &Self) -> Self {
         let is_new = |leader: &&(String, String, u64)| !previous.leaders.contains(leader);
         let leaders = self.leaders.iter().filter(is_new).cloned().collect();
-        Self { table_versions: self.table_versions, leaders }
+        Self { leaders, ..*self }
     }
 }
 
@@ -260,21 +263,30 @@
         /// Endpoint.
         endpoint: String,
     },
-    /// Pushes changed rows of a table, to be passed on to the receiver's subscribers.
-    Rows {
+    /// Pushes a small change of a table, to be passed on to the receiver's subscribers.
+    Change {
+        /// Table.
+        table: WatchedTable,
+        /// Change.
+        change: PackedChange,
+    },
+    /// Announces a version of a table whose change is too large to be pushed.
+    Offer {
         /// Table.
         table: WatchedTable,
-        /// Version after which these are all changes.
-        after: u64,
-        /// Changed rows in the order of their changes.
-        rows: Vec<StoredRow>,
+        /// Version of the sender's cache.
+        version: u64,
     },
-    /// Requests all rows of a cached table.
-    Table {
+    /// Requests one part of the changes of a table.
+    Fetch {
         /// Identifier of the call, repeated in the answer.
         call_id: u32,
         /// Table.
         table: WatchedTable,
+        /// Version after which changes are wanted; zero for all rows.
+        since: u64,
+        /// Transfer to go on with, and the bytes of it that were received.
+        resume: Option<(u64, u32)>,
     },
 }
 
@@ -290,14 +302,19 @@
     },
     /// Published view, in answer to [`PeerRequest::Subscribe`] and after changes.
     View(Box<ViewUpdate>),
-    /// Pushes changed rows of a table to a subscriber.
-    Rows {
+    /// Pushes a small change of a table to a subscriber.
+    Change {
         /// Table.
         table: WatchedTable,
-        /// Version after which these are all changes.
-        after: u64,
-        /// Changed rows in the order of their changes.
-        rows: Vec<StoredRow>,
+        /// Change.
+        change: PackedChange,
+    },
+    /// Announces a version of a table whose change is too large to be pushed.
+    Offer {
+        /// Table.
+        table: WatchedTable,
+        /// Version of the sender's cache.
+        version: u64,
     },
     /// Answer to [`PeerRequest::Execute`].
     Execute {
@@ -320,50 +337,100 @@
         /// The endpoint answered the probe.
         reached: bool,
     },
-    /// Answer to [`PeerRequest::Table`].
-    Table {
+    /// Answer to [`PeerRequest::Fetch`].
+    Part {
         /// Identifier of the call.
         call_id: u32,
-        /// All rows, including removed ones.
-        rows: Vec<StoredRow>,
-        /// Version of the cache.
-        version: u64,
+        /// Part of the changes, or the reason why none is sent.
+        part: TransferPart,
     },
 }
 
-/// Returns a duration in whole milliseconds, at most [`u32::MAX`].
-pub fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+/// Answer to a request for a part of the changes of a table.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum TransferPart {
+    /// Part of the encoded changes.
+    Data {
+        /// Identifies the encoded changes, which are the same at all peers with the same rows.
+        transfer: u64,
+        /// Length of the encoded changes, in bytes.
+        total_length: u32,
+        /// Position of the part.
+        offset: u32,
+        /// Bytes of the part.
+        bytes: Vec<u8>,
+    },
+    /// The sender has nothing newer.
+    UpToDate,
+    /// The sender serves as many receivers as its link allows.
+    Busy {
+        /// Time after which to ask again, in milliseconds.
+        retry_ms: u32,
+        /// Instances that have received the same changes.
+        holders: Vec<String>,
+    },
+}
+
+/// Message between instances, with its place on a connection.
+pub trait PeerMessage: Serialize {
+    /// Returns the lane on which the message travels.
+    fn lane(&self) -> FrameLane;
+
+    /// Returns the label of the message's kind for metrics.
+    fn label(&self) -> &'static str;
 }
 
-/// Appends a message with its length prefix to a buffer.
-pub fn encode<M: Serialize>(message: &M, out: &mut Vec<u8>) -> Result<(), MessageError> {
-    let start = out.len();
-    out.extend_from_slice(&[0; LENGTH_PREFIX_BYTES]);
-    let filled = postcard::to_extend(message, std::mem::take(out));
-    *out = filled.map_err(|source| MessageError::Codec { source })?;
-    let length = out.len() - start - LENGTH_PREFIX_BYTES;
-    let prefix = u32::try_from(length).map_err(|_| MessageError::TooLong { length })?;
-    out[start..start + LENGTH_PREFIX_BYTES].copy_from_slice(&prefix.to_le_bytes());
-    Ok(())
+impl PeerMessage for PeerRequest {
+    fn lane(&self) -> FrameLane {
+        match self {
+            Self::Ping { .. } => FrameLane::Urgent,
+            _ => FrameLane::Ordered,
+        }
+    }
+
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Ping { .. } => "ping",
+            Self::Subscribe | Self::Unsubscribe => "subscribe",
+            Self::Report(_) => "report",
+            Self::Execute { .. } => "execute",
+            Self::Release { .. } => "release",
+            Self::Admit { .. } => "admit",
+            Self::Probe { .. } => "probe",
+            Self::Change { .. } => "change",
+            Self::Offer { .. } => "offer",
+            Self::Fetch { .. } => "fetch",
+        }
+    }
 }
 
-/// Removes the next message from a buffer; returns `None` until it is complete.
-pub fn decode<M: for<'a> Deserialize<'a>>(input: &mut BytesMut) -> Result<Option<M>, MessageError> {
-    let Some(prefix) = input.first_chunk::<LENGTH_PREFIX_BYTES>() else {
-        return Ok(None);
-    };
-    let length = u32::from_le_bytes(*prefix) as usize;
-    if length > MAX_MESSAGE_BYTES {
-        return Err(MessageError::TooLong { length });
+impl PeerMessage for PeerReply {
+    fn lane(&self) -> FrameLane {
+        match self {
+            Self::Pong { .. } => FrameLane::Urgent,
+            Self::Part { .. } => FrameLane::Bulk,
+            _ => FrameLane::Ordered,
+        }
     }
-    if input.len() < LENGTH_PREFIX_BYTES + length {
-        return Ok(None);
+
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Pong { .. } => "pong",
+            Self::View(_) => "view",
+            Self::Change { .. } => "change",
+            Self::Offer { .. } => "offer",
+            Self::Execute { .. } => "execute_reply",
+            Self::Admit { .. } => "admit_reply",
+            Self::Probe { .. } => "probe_reply",
+            Self::Part { .. } => "part",
+        }
     }
-    input.advance(LENGTH_PREFIX_BYTES);
-    let body = input.split_to(length);
-    let message = postcard::from_bytes(&body).map_err(|source| MessageError::Codec { source })?;
-    Ok(Some(message))
+}
+
+/// Returns a duration in whole milliseconds, at most [`u32::MAX`].
+pub fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
 mod block_state {
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::instance::{EngineTypes, GatewayInstance};
+use crate::interface::WatchedTable;
 use crate::peer_link::PeerLink;
 use crate::record::InstanceRecord;
 use crate::subscription::{Subscriber, SubscriberKey, SubscriptionFeed};
@@ -49,6 +50,17 @@
     }
 }
 
+/// Announcements of one table's versions, and the state of its transfer.
+#[derive(Debug, Default)]
+pub(crate) struct TableOffers {
+    /// Notified when a newer version may have to be fetched at once.
+    pub(crate) announced: Notify,
+    /// A version was announced whose change is not pushed.
+    pub(crate) is_offered: Cell<bool>,
+    /// Time at which a part of the table last arrived.
+    pub(crate) progress_at: Cell<Option<Instant>>,
+}
+
 /// Known instances, links to them and their subscriptions.
 #[derive(Debug)]
 pub struct PeerTable {
@@ -57,8 +69,8 @@
     pub(crate) changed: Notify,
     /// Notified when subscriptions may be missing: an observer was lost or instances were read.
     pub(crate) subscriptions_due: Notify,
-    /// Notified when an observer has tables that this instance has not loaded yet.
-    pub(crate) tables_offered: Notify,
+    /// Announcements of newer tables, in the order of [`WatchedTable::ALL`].
+    pub(crate) table_offers: [TableOffers; WatchedTable::ALL.len()],
     /// The registered instances were read at least once.
     pub(crate) is_discovered: Cell<bool>,
     pub(crate) links: RefCell<SecondaryMap<InstanceKey, Rc<PeerLink>>>,
@@ -74,7 +86,7 @@
             membership: RefCell::new(MembershipTable::new(own, now)),
             changed: Notify::new(),
             subscriptions_due: Notify::new(),
-            tables_offered: Notify::new(),
+            table_offers: Default::default(),
             is_discovered: Cell::new(false),
             links: RefCell::default(),
             subscribers: RefCell::default(),
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -7,19 +7,15 @@
 
 use coord::membership::{InstanceKey, InstanceRecord};
 use coord::priority::PriorityLevel;
-use telemetry::event::LogEvent;
-use telemetry::log_event;
-use tokio::io::AsyncWriteExt;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
 use crate::interface::WatchedTable;
 use crate::message::{
     AdmissionDecision, ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason, PeerReply,
-    PeerRequest, encode, millis,
+    PeerRequest, TransferPart, millis,
 };
-use crate::tables::StoredRow;
+use crate::output_queue::OutputQueue;
 
 /// Bounds the wait for the answer to a ping. A peer that exceeds it is disconnected.
 pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(500);
@@ -27,68 +23,12 @@
 const VALIDATION_PING_TTL: Duration = Duration::from_millis(1_000);
 /// Free space reserved before each read, in bytes.
 pub(crate) const READ_CHUNK_BYTES: usize = 8_192;
-/// Queued bytes above which a connection counts as stuck and is closed.
-const MAX_OUTPUT_BYTES: usize = 8 << 20;
-
-/// Encoded messages that wait to be written to a connection.
-#[derive(Debug, Default)]
-pub(crate) struct OutputQueue {
-    pub(crate) bytes: RefCell<Vec<u8>>,
-    pub(crate) data_ready: Notify,
-    pub(crate) closed: Cell<bool>,
-}
-
-impl OutputQueue {
-    /// Appends a message. Closes the connection if too many bytes are queued.
-    pub(crate) fn push<M: serde::Serialize>(&self, message: &M) {
-        let mut bytes = self.bytes.borrow_mut();
-        if self.closed.get() {
-            return;
-        }
-        if let Err(error) = encode(message, &mut bytes) {
-            log_event!(LogEvent::PeerLost, "cause=\"message not sent: {error}\"");
-        }
-        self.finish_push(bytes.len());
-    }
-
-    /// Appends an encoded message.
-    pub(crate) fn push_encoded(&self, message: &[u8]) {
-        if !self.closed.get() {
-            let mut bytes = self.bytes.borrow_mut();
-            bytes.extend_from_slice(message);
-            self.finish_push(bytes.len());
-        }
-    }
-
-    fn finish_push(&self, queued_bytes: usize) {
-        if queued_bytes > MAX_OUTPUT_BYTES {
-            self.closed.set(true);
-        }
-        self.data_ready.notify_one();
-    }
-
-    /// Closes the connection without writing what is queued.
-    pub(crate) fn close(&self) {
-        self.closed.set(true);
-        self.data_ready.notify_one();
-    }
-
-    /// Writes queued messages to `stream` until the queue is closed or a write fails.
-    pub(crate) async fn drain(&self, mut stream: OwnedWriteHalf) {
-        loop {
-            let bytes = std::mem::take(&mut *self.bytes.borrow_mut());
-            if self.closed.get() {
-                return;
-            }
-            if bytes.is_empty() {
-                self.data_ready.notified().await;
-            } else if stream.write_all(&bytes).await.is_err() {
-                self.closed.set(true);
-                return;
-            }
-        }
-    }
-}
+/// Time without a byte from the peer after which a part of a table is given up.
+const PART_STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Bounds the wait for one part of a table, whatever else the peer sends.
+const MAX_PART_WAIT: Duration = Duration::from_secs(4);
+/// Interval at which the wait for a part checks for progress.
+const PART_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Senders that pass answers to the waiting calls of one kind, by call identifier.
 type ReplySenders<T> = HashMap<u32, oneshot::Sender<T>>;
@@ -99,7 +39,7 @@
     pub(crate) execute: ReplySenders<ExecuteReply>,
     pub(crate) admission: ReplySenders<AdmissionDecision>,
     pub(crate) probe: ReplySenders<bool>,
-    pub(crate) table: ReplySenders<(Vec<StoredRow>, u64)>,
+    pub(crate) part: ReplySenders<TransferPart>,
 }
 
 /// Keeps the connection of a link open while no calls are in flight.
@@ -123,6 +63,9 @@
     /// The transport connection is established.
     pub(crate) is_connected: Cell<bool>,
     pub(crate) last_response_at: Cell<Option<Instant>>,
+    /// Time at which any byte last arrived; a long message shows that the peer is alive before it is
+    /// complete.
+    pub(crate) last_byte_at: Cell<Option<Instant>>,
     /// Notified when the peer responds, and when the connection is lost.
     pub(crate) responded: Notify,
     /// Time at which the link was last asked for.
@@ -137,6 +80,8 @@
     pub(crate) is_subscription: Cell<bool>,
     /// Versions of the peer's table caches, as far as is known.
     pub(crate) table_versions: Cell<[u64; 2]>,
+    /// Document that the peer has in force, as far as is known.
+    pub(crate) document_version: Cell<u64>,
     /// Connections to the peer fail; when to try again, and the delay after the next failure.
     pub(crate) retry: Cell<Option<(Instant, Duration)>>,
     /// The connection is closed because nothing uses it.
@@ -154,6 +99,7 @@
             next_call_id: Cell::new(1),
             is_connected: Cell::new(false),
             last_response_at: Cell::new(None),
+            last_byte_at: Cell::new(None),
             responded: Notify::new(),
             last_used_at: Cell::new(now),
             last_ping_at: Cell::new(None),
@@ -161,6 +107,7 @@
             validation_ping: Cell::new(None),
             is_subscription: Cell::new(false),
             table_versions: Cell::new([0; 2]),
+            document_version: Cell::new(0),
             retry: Cell::new(None),
             is_closed_idle: Cell::new(false),
             leases: Rc::default(),
@@ -179,7 +126,7 @@
 
     /// Returns whether a connection is open or being opened.
     pub(crate) fn is_open(&self) -> bool {
-        self.output.borrow().as_ref().is_some_and(|output| !output.closed.get())
+        self.output.borrow().as_ref().is_some_and(|output| !output.is_closed())
     }
 
     /// Returns whether any calls are in flight.
@@ -188,7 +135,14 @@
         !pending.execute.is_empty()
             || !pending.admission.is_empty()
             || !pending.probe.is_empty()
-            || !pending.table.is_empty()
+            || !pending.part.is_empty()
+    }
+
+    /// Records the version of one of the peer's table caches.
+    pub(crate) fn set_table_version(&self, index: usize, version: u64) {
+        let mut versions = self.table_versions.get();
+        versions[index] = version;
+        self.table_versions.set(versions);
     }
 
     /// Returns a new identifier for a call or ping.
@@ -254,16 +208,34 @@
         self.send_call(|pending| &mut pending.probe, answer_timeout, request).await
     }
 
-    /// Fetches the peer's cached copy of a table and its version.
+    /// Requests a part of the peer's changes of a table after the version `since`.
     ///
-    /// Returns `None` without an answer within `answer_timeout`.
-    pub async fn fetch_table(
+    /// `resume` is the transfer to go on with and the number of its bytes that were received. Returns
+    /// `None` if the peer stops sending before the part is complete; `now` is the source of the time.
+    pub async fn fetch_part(
         &self,
         table: WatchedTable,
-        answer_timeout: Duration,
-    ) -> Option<(Vec<StoredRow>, u64)> {
-        let request = |call_id| PeerRequest::Table { call_id, table };
-        self.send_call(|pending| &mut pending.table, answer_timeout, request).await
+        since: u64,
+        resume: Option<(u64, u32)>,
+        now: impl Fn() -> Instant,
+    ) -> Option<TransferPart> {
+        let call_id = self.new_call_id();
+        let (sender, mut receiver) = oneshot::channel();
+        self.pending.borrow_mut().part.insert(call_id, sender);
+        self.send(&PeerRequest::Fetch { call_id, table, since, resume });
+        let sent_at = now();
+        let part = loop {
+            if let Ok(answer) = timeout(PART_CHECK_INTERVAL, &mut receiver).await {
+                break answer.ok();
+            }
+            let age = |at: Instant| now().saturating_duration_since(at);
+            let progress_at = self.last_byte_at.get().map_or(sent_at, |at| at.max(sent_at));
+            if age(progress_at) > PART_STALL_TIMEOUT || age(sent_at) > MAX_PART_WAIT {
+                break None;
+            }
+        };
+        self.pending.borrow_mut().part.remove(&call_id);
+        part
     }
 
     /// Sends a request with a new call identifier and waits for the answer up to `answer_timeout`.
@@ -302,10 +274,11 @@
             PeerReply::Probe { call_id, reached } => {
                 deliver(&mut pending.probe, call_id, reached);
             }
-            PeerReply::Table { call_id, rows, version } => {
-                deliver(&mut pending.table, call_id, (rows, version));
-            }
-            PeerReply::Pong { .. } | PeerReply::View(_) | PeerReply::Rows { .. } => {}
+            PeerReply::Part { call_id, part } => deliver(&mut pending.part, call_id, part),
+            PeerReply::Pong { .. }
+            | PeerReply::View(_)
+            | PeerReply::Change { .. }
+            | PeerReply::Offer { .. } => {}
         }
     }
 
@@ -326,6 +299,7 @@
         self.last_ping_at.set(None);
         self.unanswered_since.set(None);
         self.last_response_at.set(None);
+        self.last_byte_at.set(None);
         self.responded.notify_waiters();
     }
 }
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::io::AsyncReadExt;
@@ -12,9 +11,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
+use crate::frame::FrameDecoder;
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::message::{DocumentValidation, PeerReply, PeerRequest, decode, millis};
-use crate::peer_link::{OutputQueue, READ_CHUNK_BYTES};
+use crate::message::{DocumentValidation, PeerReply, PeerRequest, millis};
+use crate::output_queue::OutputQueue;
+use crate::peer_link::READ_CHUNK_BYTES;
 use crate::record::InstanceRecord;
 use crate::subscription::SubscriberKey;
 
@@ -75,7 +76,7 @@
         if connection.subscriber.get().is_some() {
             let peer = connection.peer.borrow();
             let name = peer.as_ref().map_or("", |record| record.name.as_str());
-            let unsent_bytes = output.bytes.borrow().len();
+            let unsent_bytes = output.queued_bytes();
             log_event!(
                 LogEvent::SubscriberLost,
                 "instance={name} cause={cause} unsent_bytes={unsent_bytes}"
@@ -91,15 +92,15 @@
         connection: &InboundConnection,
         mut reader: OwnedReadHalf,
     ) -> &'static str {
-        let mut input = BytesMut::new();
+        let mut decoder = FrameDecoder::default();
         let mut last_message_at = self.now();
         loop {
-            input.reserve(READ_CHUNK_BYTES);
+            decoder.input().reserve(READ_CHUNK_BYTES);
             let check_interval = match connection.subscriber.get() {
                 Some(_) => SUBSCRIBER_TIMEOUT,
                 None => TRANSACTION_IDLE_TIMEOUT,
             };
-            match timeout(check_interval, reader.read_buf(&mut input)).await {
+            match timeout(check_interval, reader.read_buf(decoder.input())).await {
                 Ok(Ok(0) | Err(_)) => return "closed_by_peer",
                 Ok(Ok(_)) => last_message_at = self.now(),
                 Err(_) => {
@@ -111,7 +112,7 @@
                 }
             }
             loop {
-                match decode::<PeerRequest>(&mut input) {
+                match decoder.next_message::<PeerRequest>() {
                     Ok(Some(request)) => self.handle_request(connection, request),
                     Ok(None) => break,
                     Err(error) => {
@@ -167,12 +168,13 @@
                     output.push(&PeerReply::Probe { call_id, reached });
                 });
             }
-            PeerRequest::Rows { table, after, rows } => self.relay_rows(table, after, rows),
-            PeerRequest::Table { call_id, table } => {
-                let mut tables = self.tables.borrow_mut();
-                let cache = tables.table(table);
-                let (rows, version) = (cache.rows(), cache.version());
-                output.push(&PeerReply::Table { call_id, rows, version });
+            PeerRequest::Change { table, change } => self.relay_change(table, change),
+            PeerRequest::Offer { table, version } => {
+                self.receive_relayed_offer(connection, table, version);
+            }
+            PeerRequest::Fetch { call_id, table, since, resume } => {
+                let part = self.serve_fetch(connection, table, since, resume);
+                output.push(&PeerReply::Part { call_id, part });
             }
         }
     }
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -3,23 +3,28 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use coord::membership::{InstanceKey, MemberStatus, ViewScope};
 use slotmap::new_key_type;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::time::{sleep, timeout};
 
+use crate::frame::FrameEncoder;
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::WatchedTable;
-use crate::message::{FleetHeads, InstanceReport, PeerReply, PeerRequest, ViewUpdate, encode};
-use crate::peer_link::{OutputQueue, PeerLink};
+use crate::message::{FleetHeads, InstanceReport, PeerMessage, PeerReply, PeerRequest, ViewUpdate};
+use crate::output_queue::OutputQueue;
+use crate::peer_link::PeerLink;
 use crate::peer_server::InboundConnection;
-use crate::tables::StoredRow;
+use crate::table_change::{PackedChange, TableChange};
 
 /// Interval at which subscriptions and expired views are checked.
 const SUBSCRIPTION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest interval between two published updates; changes in between are published together.
 const PUBLICATION_INTERVAL: Duration = Duration::from_millis(50);
+/// Size up to which changes of a table are pushed to all subscribers; larger ones are fetched.
+pub(crate) const MAX_PUSHED_BYTES: usize = 4 << 10;
 
 new_key_type! {
     /// Key of a subscriber.
@@ -34,6 +39,8 @@
     pub(crate) scope: ViewScope,
     output: Rc<OutputQueue>,
     pub(crate) table_versions: [u64; 2],
+    /// Document that the subscriber has in force, as far as is known.
+    pub(crate) document_version: u64,
 }
 
 /// What was last published to subscribers and reported to observers.
@@ -62,6 +69,7 @@
     fn heads(&self) -> FleetHeads {
         FleetHeads {
             table_versions: self.tables.borrow().versions(),
+            document_version: self.directory.borrow().document().version,
             leaders: self.directory.borrow().leaders(),
         }
     }
@@ -190,12 +198,13 @@
         if receivers.peek().is_none() {
             return;
         }
-        let mut bytes = Vec::new();
-        if let Err(error) = encode(message, &mut bytes) {
+        let mut bytes = BytesMut::new();
+        let encoded = FrameEncoder::default().encode(message, message.lane(), &mut bytes);
+        if let Err(error) = encoded {
             log_event!(LogEvent::PeerLost, "cause=\"message not sent: {error}\"");
             return;
         }
-        receivers.for_each(|peer| peer.output.push_encoded(&bytes));
+        receivers.for_each(|peer| peer.output.push_encoded(&bytes, message.label()));
     }
 
     /// Registers a subscription and sends the full view.
@@ -213,7 +222,9 @@
         let scope = self.peers.membership.borrow().scope_of(key);
         let incarnation = record.incarnation;
         let output = connection.output.clone();
-        let subscriber = Subscriber { key, incarnation, scope, output, table_versions: [0; 2] };
+        let (table_versions, document_version) = ([0; 2], 0);
+        let subscriber =
+            Subscriber { key, incarnation, scope, output, table_versions, document_version };
         connection.subscriber.set(Some(self.peers.subscribers.borrow_mut().insert(subscriber)));
         let entries = self.peers.membership.borrow_mut().snapshot(scope);
         let update = ViewUpdate { is_full: true, entries, heads: Some(self.heads()) };
@@ -240,6 +251,7 @@
             return;
         };
         subscriber.table_versions = report.heads.table_versions;
+        subscriber.document_version = report.heads.document_version;
         let (key, incarnation) = (subscriber.key, subscriber.incarnation);
         drop(subscribers);
         self.peers.update(|table| {
@@ -264,9 +276,10 @@
         });
         if let Some(heads) = update.heads {
             link.table_versions.set(heads.table_versions);
+            link.document_version.set(heads.document_version);
             self.record_leaders(&heads);
             if !self.directory.borrow().is_loaded() {
-                self.peers.tables_offered.notify_one();
+                self.peers.table_offers.iter().for_each(|offers| offers.announced.notify_one());
             }
         }
     }
@@ -284,68 +297,97 @@
         }
     }
 
-    /// Pushes rows that this instance read from the store to the others of its zone.
+    /// Passes a change that this instance read from the store to the others of its zone.
     ///
     /// All of them subscribe to the first instances of the zone. A reader further behind passes the
-    /// rows through one of these.
-    pub(crate) fn push_rows(&self, table: WatchedTable, after: u64, rows: &[StoredRow]) {
-        if rows.is_empty() {
+    /// change through one of these.
+    pub(crate) fn push_change(&self, table: WatchedTable, change: &TableChange) {
+        if change.rows.is_empty() {
             return;
         }
-        let message = PeerReply::Rows { table, after, rows: rows.to_vec() };
+        let packed = match PackedChange::pack(change) {
+            Ok(packed) => packed,
+            Err(error) => {
+                log_event!(LogEvent::TableFetchFailed, "table={table:?} cause=\"{error}\"");
+                return;
+            }
+        };
+        if packed.length() > MAX_PUSHED_BYTES {
+            self.offer_table(table);
+            return;
+        }
+        if let Some(link) = self.relaying_observer() {
+            link.send(&PeerRequest::Change { table, change: packed.clone() });
+        }
+        let message = PeerReply::Change { table, change: packed };
         self.push_to_subscribers(ViewScope::Zone, &message);
+    }
+
+    /// Announces the own version of a table to the others of the zone, which fetch it.
+    pub(crate) fn offer_table(&self, table: WatchedTable) {
+        let version = self.tables.borrow().versions()[table.index()];
+        if let Some(link) = self.relaying_observer() {
+            link.send(&PeerRequest::Offer { table, version });
+        }
+        self.push_to_subscribers(ViewScope::Zone, &PeerReply::Offer { table, version });
+    }
+
+    /// Returns the link to the instance that passes changes on, if few subscribe to this one.
+    fn relaying_observer(&self) -> Option<Rc<PeerLink>> {
         let membership = self.peers.membership.borrow();
-        if !membership.is_zone_observer(membership.own_key())
-            && let Some(observer) = membership.first_zone_observer()
-            && let Some(link) = self.peers.links.borrow().get(observer)
-        {
-            link.send(&PeerRequest::Rows { table, after, rows: rows.to_vec() });
+        if membership.is_zone_observer(membership.own_key()) {
+            return None;
         }
+        self.peers.links.borrow().get(membership.first_zone_observer()?).cloned()
     }
 
-    /// Merges rows from a reader of the store that few instances subscribe to, and passes them on.
-    pub(crate) fn relay_rows(&self, table: WatchedTable, after: u64, rows: Vec<StoredRow>) {
-        let message = PeerReply::Rows { table, after, rows: rows.clone() };
-        if self.merge_changes(table, after, rows) {
-            self.push_to_subscribers(ViewScope::Zone, &message);
+    /// Merges a change from a reader of the store that few instances subscribe to, and passes it on.
+    pub(crate) fn relay_change(&self, table: WatchedTable, change: PackedChange) {
+        if self.merge_peer_change(table, &change).0 {
+            self.push_to_subscribers(ViewScope::Zone, &PeerReply::Change { table, change });
         }
     }
 
-    /// Merges rows that a peer pushed, and passes them on if only few subscribe to that peer.
-    pub(crate) fn receive_rows(
+    /// Merges a change that a peer pushed, and passes it on if only few subscribe to that peer.
+    pub(crate) fn receive_change(
         &self,
         link: &PeerLink,
         table: WatchedTable,
-        after: u64,
-        rows: Vec<StoredRow>,
+        change: PackedChange,
     ) {
         if self.peers.membership.borrow().is_zone_observer(link.key) {
-            self.merge_changes(table, after, rows);
+            self.merge_peer_change(table, &change);
         } else {
-            self.relay_rows(table, after, rows);
+            self.relay_change(table, change);
         }
     }
 
-    /// Returns the peer with the newest version of a table among the observers and subscribers of
-    /// the own zone, if it is newer than `own`; with `any_zone` among all of them.
-    pub(crate) fn newest_table_peer(
+    /// Records a version that an observer announced, to be fetched at once.
+    pub(crate) fn receive_offer(&self, link: &PeerLink, table: WatchedTable, version: u64) {
+        link.set_table_version(table.index(), version);
+        self.schedule_fetch(table, version);
+    }
+
+    /// Does the same for a version that a subscriber announced.
+    pub(crate) fn receive_relayed_offer(
         &self,
-        index: usize,
-        own: u64,
-        any_zone: bool,
-    ) -> Option<InstanceKey> {
-        let membership = self.peers.membership.borrow();
-        let links = self.peers.links.borrow();
-        let observers = links
-            .values()
-            .filter(|link| link.is_subscription.get())
-            .map(|link| (link.table_versions.get()[index], link.key));
-        let subscribers = self.peers.subscribers.borrow();
-        let subscribers = subscribers.values().map(|peer| (peer.table_versions[index], peer.key));
-        let is_eligible = |(_, key): &(u64, InstanceKey)| {
-            any_zone || membership.scope_of(*key) == ViewScope::Zone
-        };
-        let newest = observers.chain(subscribers).filter(is_eligible).max()?;
-        (newest.0 > own).then_some(newest.1)
+        connection: &InboundConnection,
+        table: WatchedTable,
+        version: u64,
+    ) {
+        let mut subscribers = self.peers.subscribers.borrow_mut();
+        let subscriber = connection.subscriber.get().and_then(|key| subscribers.get_mut(key));
+        if let Some(subscriber) = subscriber {
+            subscriber.table_versions[table.index()] = version;
+            self.schedule_fetch(table, version);
+        }
+    }
+
+    fn schedule_fetch(&self, table: WatchedTable, version: u64) {
+        if version > self.tables.borrow().versions()[table.index()] {
+            let offers = &self.peers.table_offers[table.index()];
+            offers.is_offered.set(true);
+            offers.announced.notify_one();
+        }
     }
 }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -5,10 +5,11 @@
 
 use telemetry::event::LogEvent;
 use telemetry::log_event;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{PlatformApi, PlatformError, WatchedTable};
+use crate::table_change::PackedChange;
 use crate::tables::StoredRow;
 
 /// Wait of a long poll, as a fraction of the time within which a change must be in force.
@@ -28,16 +29,8 @@
 const RETRY_BACKOFF: Duration = Duration::from_millis(300);
 /// Interval at which an instance checks whether another one still reads the store for its zone.
 const DELEGATION_CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Interval between comparisons with the table caches of other instances.
-const ANTI_ENTROPY_INTERVAL: Duration = Duration::from_millis(300);
-/// Rounds for which a cache must be behind others of its zone before the table is fetched from them.
-const ZONE_FETCH_ROUNDS: u32 = 1;
-/// Rounds for which a cache must be behind before the table is fetched from another zone, whose
-/// traffic is expensive; the own zone's reader usually comes first.
-const REMOTE_FETCH_ROUNDS: u32 = 3;
-/// Bounds the wait for a table from another instance.
-const TABLE_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time for which a starting instance waits for a table of its zone's reader.
+/// Time for which a starting instance waits for a table of its zone's reader, since the start or
+/// since a part of the table arrived.
 const PEER_TABLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval at which a starting instance checks whether it has the table.
 const PEER_TABLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -87,7 +80,9 @@
                 && !self.has_zone_reader();
             let is_alone =
                 self.peers.is_discovered.get() && self.peers.membership.borrow().known_count() == 1;
-            let waited = self.now().saturating_duration_since(started_at);
+            let progress_at = self.peers.table_offers[table.index()].progress_at.get();
+            let waits_since = progress_at.map_or(started_at, |at| at.max(started_at));
+            let waited = self.now().saturating_duration_since(waits_since);
             if is_loaded || is_reader || is_alone || waited >= PEER_TABLE_TIMEOUT {
                 return;
             }
@@ -97,11 +92,7 @@
 
     /// Polls changes of a table until the store no longer has the history after `version`.
     async fn poll_from(&self, table: WatchedTable, mut version: u64) {
-        let bound = match table {
-            WatchedTable::Document => self.settings.document_bound,
-            WatchedTable::Endpoints => self.settings.drain_timeout,
-        };
-        let mut wait = bound.mul_f64(LONG_POLL_FRACTION);
+        let mut wait = self.table_bound(table).mul_f64(LONG_POLL_FRACTION);
         if let (WatchedTable::Document, Some(bound)) = (table, self.settings.revocation_bound) {
             wait = wait.min(bound.mul_f64(VALIDATION_POLL_FRACTION));
         }
@@ -121,9 +112,7 @@
                 Ok(read) => {
                     self.record_store_status(true, "");
                     version = read.version.max(version);
-                    let cached_version = self.tables.borrow_mut().table(table).version();
-                    self.push_rows(table, cached_version, &read.rows);
-                    self.merge_changes(table, cached_version, read.rows);
+                    self.merge_store_changes(table, read.rows);
                     self.record_up_to_date(table, sent_at);
                 }
                 Err(PlatformError::HistoryExpired) => return,
@@ -135,8 +124,16 @@
         }
     }
 
+    /// Returns the bound on the time until a change of a table is in force.
+    pub(crate) fn table_bound(&self, table: WatchedTable) -> Duration {
+        match table {
+            WatchedTable::Document => self.settings.document_bound,
+            WatchedTable::Endpoints => self.settings.drain_timeout,
+        }
+    }
+
     /// Records that the cache of a table included all changes in the store at `sent_at`.
-    fn record_up_to_date(&self, table: WatchedTable, sent_at: Instant) {
+    pub(crate) fn record_up_to_date(&self, table: WatchedTable, sent_at: Instant) {
         match table {
             WatchedTable::Document => self.record_document_validation(sent_at),
             WatchedTable::Endpoints => {}
@@ -150,38 +147,45 @@
         membership.zone_reader() != membership.own_key()
     }
 
-    /// Merges all changes after a version into the cache of a table and applies what is new.
-    ///
-    /// Returns whether anything changed.
-    pub(crate) fn merge_changes(
-        &self,
-        table: WatchedTable,
-        after: u64,
-        rows: Vec<StoredRow>,
-    ) -> bool {
-        let changed = self.tables.borrow_mut().table(table).merge_changes(after, rows);
+    /// Merges changes read from the store, and passes them on to the zone.
+    fn merge_store_changes(&self, table: WatchedTable, rows: Vec<StoredRow>) {
+        let (changed, change) = {
+            let mut tables = self.tables.borrow_mut();
+            let cache = tables.table(table);
+            cache.merge_store_changes(cache.version(), rows)
+        };
+        self.push_change(table, &change);
         self.apply_changed_rows(table, &changed);
         self.peers.changed.notify_one();
-        !changed.is_empty()
     }
 
-    /// Merges another instance's cache of a table.
-    fn merge_cache(&self, table: WatchedTable, rows: Vec<StoredRow>, version: u64) {
-        let changed = {
-            let mut tables = self.tables.borrow_mut();
-            let cache = tables.table(table);
-            cache.raise_version(version);
-            cache.merge_rows(rows)
+    /// Merges changes of another instance.
+    ///
+    /// Returns whether anything changed, and whether the cache has all of the changes now.
+    pub(crate) fn merge_peer_change(
+        &self,
+        table: WatchedTable,
+        change: &PackedChange,
+    ) -> (bool, bool) {
+        let change = match change.unpack() {
+            Ok(change) => change,
+            Err(error) => {
+                log_event!(LogEvent::TableFetchFailed, "table={table:?} cause=\"{error}\"");
+                return (false, false);
+            }
         };
-        if table == WatchedTable::Endpoints {
+        let is_full = change.is_full;
+        let (changed, is_complete) = self.tables.borrow_mut().table(table).merge_change(change);
+        if table == WatchedTable::Endpoints && is_full && is_complete {
             self.directory.borrow_mut().set_endpoints_loaded();
         }
         self.apply_changed_rows(table, &changed);
         self.peers.changed.notify_one();
+        (!changed.is_empty(), is_complete)
     }
 
     /// Merges a full read of a table; cached rows missing from it are removed.
-    fn merge_snapshot(&self, table: WatchedTable, rows: Vec<StoredRow>, version: u64) {
+    pub(crate) fn merge_snapshot(&self, table: WatchedTable, rows: Vec<StoredRow>, version: u64) {
         let changed = self.tables.borrow_mut().table(table).merge_snapshot(rows, version);
         if table == WatchedTable::Endpoints {
             self.directory.borrow_mut().set_endpoints_loaded();
@@ -227,55 +231,4 @@
             }
         }
     }
-
-    /// Compares table caches with those of other instances and fetches newer ones.
-    ///
-    /// Also removes endpoints whose registration vanished long ago.
-    pub async fn run_anti_entropy(self: Rc<Self>) {
-        let mut rounds_behind = [0_u32; 2];
-        loop {
-            // An instance that has not loaded the tables fetches them as soon as it can.
-            let offered = self.peers.tables_offered.notified();
-            let _ = timeout(ANTI_ENTROPY_INTERVAL, offered).await;
-            self.directory.borrow_mut().remove_expired(self.now());
-            for (index, table) in WatchedTable::ALL.into_iter().enumerate() {
-                let own = self.tables.borrow().versions()[index];
-                if self.newest_table_peer(index, own, true).is_none() {
-                    rounds_behind[index] = 0;
-                    continue;
-                }
-                // Changes that a reader has just pushed may still be in flight: fetch the table only
-                // if it is behind in successive rounds.
-                let rounds = if own == 0 { u32::MAX } else { rounds_behind[index] };
-                rounds_behind[index] += 1;
-                if rounds < ZONE_FETCH_ROUNDS {
-                    continue;
-                }
-                let any_zone = rounds >= REMOTE_FETCH_ROUNDS;
-                let Some(peer) = self.newest_table_peer(index, own, any_zone) else {
-                    continue;
-                };
-                let Some(link) = self.open_link_by_key(peer) else {
-                    continue;
-                };
-                let (started_at, source) = (self.now(), link.record.name.clone());
-                let fetched = link.fetch_table(table, TABLE_TIMEOUT).await;
-                let elapsed = self.now().saturating_duration_since(started_at);
-                match fetched {
-                    Some((rows, version)) => {
-                        log_event!(
-                            LogEvent::TableFetched,
-                            "table={table:?} source={source} from={own} to={version} \
-                             elapsed={elapsed:?}"
-                        );
-                        self.merge_cache(table, rows, version);
-                    }
-                    None => log_event!(
-                        LogEvent::TableFetchFailed,
-                        "table={table:?} source={source} version={own} elapsed={elapsed:?}"
-                    ),
-                }
-            }
-        }
-    }
 }
--- a/crates/engine/tests/peer_messages.rs
+++ b/crates/engine/tests/peer_messages.rs
@@ -2,11 +2,12 @@
 
 use bytes::BytesMut;
 use coord::membership::{InstanceRecord, MemberStatus, ViewEntry};
+use engine::frame::{FrameDecoder, FrameEncoder, FrameLane};
 use engine::interface::WatchedTable;
 use engine::message::{
-    FleetHeads, InstanceReport, PeerReply, PeerRequest, ViewUpdate, decode, encode,
+    FleetHeads, InstanceReport, PeerMessage, PeerReply, PeerRequest, TransferPart, ViewUpdate,
 };
-use engine::tables::StoredRow;
+use engine::table_change::{DeltaContent, PackedChange, RowDelta, TableChange};
 use quickcheck::quickcheck;
 
 fn record() -> InstanceRecord {
@@ -21,7 +22,7 @@
 
 fn heads() -> FleetHeads {
     let leader = ("bookings".to_owned(), "m-1".to_owned(), 3);
-    FleetHeads { table_versions: [4, 9], leaders: vec![leader] }
+    FleetHeads { table_versions: [4, 9], document_version: 2, leaders: vec![leader] }
 }
 
 fn view() -> PeerReply {
@@ -32,9 +33,18 @@
     PeerReply::View(Box::new(update))
 }
 
-fn rows() -> PeerReply {
-    let row = StoredRow { key: "config".to_owned(), version: 4, value: Some(vec![1, 2, 3]) };
-    PeerReply::Rows { table: WatchedTable::Document, after: 3, rows: vec![row] }
+fn change() -> PeerReply {
+    let content = DeltaContent::Whole(vec![1, 2, 3]);
+    let row = RowDelta { key: "config".to_owned(), version: 4, content };
+    let change = TableChange { after: 3, version: 4, is_full: false, rows: vec![row] };
+    let change = PackedChange::pack(&change).expect("the change is packed");
+    PeerReply::Change { table: WatchedTable::Document, change }
+}
+
+fn part() -> PeerReply {
+    let (transfer, total_length, offset) = (7, 60_000, 20_000);
+    let part = TransferPart::Data { transfer, total_length, offset, bytes: vec![5; 20_000] };
+    PeerReply::Part { call_id: 1, part }
 }
 
 fn report() -> PeerRequest {
@@ -42,28 +52,36 @@
     PeerRequest::Report(Box::new(InstanceReport { sequence, status, heads: heads() }))
 }
 
-fn encoded<M: serde::Serialize>(message: &M) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    encode(message, &mut bytes).expect("the message is encoded");
+fn encoded<M: PeerMessage>(message: &M) -> BytesMut {
+    let mut bytes = BytesMut::new();
+    let encoded = FrameEncoder::default().encode(message, message.lane(), &mut bytes);
+    encoded.expect("the message is encoded");
     bytes
 }
 
+fn decoder(bytes: &[u8]) -> FrameDecoder {
+    let mut decoder = FrameDecoder::default();
+    decoder.input().extend_from_slice(bytes);
+    decoder
+}
+
 /// Replaces bytes at the given positions and decodes all messages until the first error.
 fn decode_mutated(mut bytes: Vec<u8>, changes: &[(usize, u8)]) {
     for (position, value) in changes {
         let position = position % bytes.len();
         bytes[position] = *value;
     }
-    let mut requests = BytesMut::from(bytes.as_slice());
-    while let Ok(Some(_)) = decode::<PeerRequest>(&mut requests) {}
-    let mut replies = BytesMut::from(bytes.as_slice());
-    while let Ok(Some(_)) = decode::<PeerReply>(&mut replies) {}
+    let mut requests = decoder(&bytes);
+    while let Ok(Some(_)) = requests.next_message::<PeerRequest>() {}
+    let mut replies = decoder(&bytes);
+    while let Ok(Some(_)) = replies.next_message::<PeerReply>() {}
 }
 
 quickcheck! {
     fn mutated_messages_are_rejected(changes: Vec<(usize, u8)>) -> bool {
-        for bytes in [encoded(&view()), encoded(&rows()), encoded(&report())] {
-            decode_mutated(bytes, &changes);
+        let replies = [encoded(&view()), encoded(&change()), encoded(&part())];
+        for bytes in replies.into_iter().chain([encoded(&report())]) {
+            decode_mutated(bytes.to_vec(), &changes);
         }
         true
     }
@@ -78,8 +96,7 @@
 
 #[test]
 fn a_message_over_the_limit_is_rejected_before_it_arrives() {
-    let mut input = BytesMut::from(u32::MAX.to_le_bytes().as_slice());
-    assert!(decode::<PeerRequest>(&mut input).is_err());
+    assert!(decoder(&u32::MAX.to_le_bytes()).next_message::<PeerRequest>().is_err());
 }
 
 #[test]
@@ -91,3 +108,32 @@
     assert_eq!(changes.table_versions, [5, 9]);
     assert_eq!(changes.leaders, [("register".to_owned(), "m-4".to_owned(), 1)]);
 }
+
+// A ping waited behind a document in the same queue until the link counted as lost.
+#[test]
+fn urgent_messages_pass_between_the_parts_of_a_long_one() {
+    let long = encoded(&part());
+    let first_part_end = 4 + 8_192;
+    let ping = encoded(&PeerReply::Pong { ping_id: 9, validation: None });
+    let bytes = [&long[..first_part_end], &ping, &long[first_part_end..]].concat();
+    let mut decoder = decoder(&bytes);
+    let first = decoder.next_message::<PeerReply>().expect("the frames are valid");
+    assert!(matches!(first, Some(PeerReply::Pong { ping_id: 9, .. })), "{first:?}");
+    let second = decoder.next_message::<PeerReply>().expect("the frames are valid");
+    let Some(PeerReply::Part { part: TransferPart::Data { bytes, .. }, .. }) = second else {
+        panic!("{second:?}");
+    };
+    assert_eq!(bytes, vec![5; 20_000]);
+}
+
+// A message that could not be encoded took those queued before it along.
+#[test]
+fn a_message_that_is_too_long_leaves_the_queue_as_it_is() {
+    let mut bytes = encoded(&report());
+    let queued = bytes.clone();
+    let change = PackedChange::Plain(vec![0; 5 << 20]);
+    let message = PeerReply::Change { table: WatchedTable::Document, change };
+    let result = FrameEncoder::default().encode(&message, FrameLane::Ordered, &mut bytes);
+    assert!(result.is_err());
+    assert_eq!(bytes, queued);
+}
