Take no new work under a document that others have replaced

Cause: an instance that had missed the bound within which a document must be in force went on deciding by the old one, and nothing said so: its readiness stayed good, and neither log nor metrics told how far it was behind. Change: instances report the number of the document in force. Before: an_instance_with_an_outdated_document_leaves_callers_to_others fails with the decision switched off (ready for 10 s). After: it passes; four tests of the tracker pass, among them that a series of documents which each arrive a second late outdates nothing. Ruled out: counting the lag from the newest missed document, which a series never lets go stale, and from the first one until all are there, which a series never lets recover. Conclusion: callers are not decided for by what is known to be outdated.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -8,8 +8,9 @@
 //! [`routing`] and, in its connection pools, [`queue`]; these modules speak of a database group and
 //! its primary. The engine uses [`membership`], [`placement`], [`priority`] (built on [`queue`]), [`promotion`],
 //! [`quota`], [`session`] and [`watermark`]; these modules speak of a service and its leader. It replicates
-//! the platform's tables with [`table_source`] and [`transfer_gate`].
+//! the platform's tables with [`table_source`], [`transfer_gate`] and [`document_lag`].
 
+pub mod document_lag;
 pub mod failover;
 pub mod freshness;
 pub mod ledger;
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -23,6 +23,9 @@
 
 /// Bounds the wait for a caller's startup request.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(3);
+/// Explanation of a refusal by an instance whose document is outdated. Others serve a retry at once.
+const OUTDATED_EXPLANATION: &str =
+    "not run: other instances have a newer document; retry after 0 ms";
 /// Bounds the wait of a startup request for the first document; callers give up after 2 s.
 const FIRST_DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Interval at which a startup request checks for the first document.
@@ -349,6 +352,12 @@
 
     /// Returns the route and the team of the caller, or the code and explanation of a refusal.
     fn authorize(&self) -> Result<AuthorizedRoute, (RefusalCode, &'static str)> {
+        // An open transaction goes on under the document that it began with.
+        if self.machine.transaction_state() == TransactionState::Idle
+            && self.instance.is_document_outdated()
+        {
+            return Err((RefusalCode::Busy, OUTDATED_EXPLANATION));
+        }
         let document = self.document();
         let Some(route) = document.route(&self.database) else {
             return Err((RefusalCode::UnknownDatabase, "unknown database"));
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use clock::SharedClock;
+use coord::document_lag::DocumentLag;
 use coord::quota::{LimitWindow, TeamQuotas};
 use coord::validation::{ValidationTracker, key_validation_ttl};
 use telemetry::event::LogEvent;
@@ -83,6 +84,8 @@
     leave_signal: Notify,
     store_reachable: Cell<bool>,
     was_validated: Cell<bool>,
+    document_lag: RefCell<DocumentLag>,
+    was_outdated: Cell<bool>,
     promotion_token: Cell<Option<u64>>,
     next_transaction_id: Cell<u32>,
     next_session_id: Cell<u32>,
@@ -106,6 +109,8 @@
             table_server: RefCell::default(),
             validation: RefCell::default(),
             was_validated: Cell::new(true),
+            document_lag: RefCell::default(),
+            was_outdated: Cell::new(false),
             started_at,
             caller_count: Cell::new(0),
             leaving_since: Cell::new(None),
@@ -140,7 +145,39 @@
 
     /// Returns whether the instance can serve callers and is not leaving.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.directory.borrow().is_loaded() && self.is_document_validated()
+        !self.is_leaving()
+            && self.directory.borrow().is_loaded()
+            && self.is_document_validated()
+            && !self.is_document_outdated()
+    }
+
+    /// Returns whether a newer document must have been in force by now, and is so on another
+    /// instance, which can serve callers instead.
+    pub fn is_document_outdated(&self) -> bool {
+        self.document_lag.borrow().is_outdated(self.settings.document_bound, self.now())
+    }
+
+    /// Returns for how long another instance has had a newer document in force.
+    pub fn document_lag(&self) -> Duration {
+        self.document_lag.borrow().lag(self.now())
+    }
+
+    /// Compares the document in force with those of other instances, and logs when it becomes
+    /// outdated.
+    pub(crate) fn update_document_lag(&self) {
+        let (own, newest) =
+            (self.directory.borrow().document().version, self.newest_peer_document());
+        self.document_lag.borrow_mut().record(own, newest, self.now());
+        let is_outdated = self.is_document_outdated();
+        if self.was_outdated.replace(is_outdated) == is_outdated {
+            return;
+        }
+        let lag = self.document_lag();
+        if is_outdated {
+            log_event!(LogEvent::DocumentOutdated, "version={own} newest={newest} lag={lag:?}");
+        } else {
+            log_event!(LogEvent::DocumentCaughtUp, "version={own} newest={newest}");
+        }
     }
 
     /// Returns whether keys may be accepted, because the document was validated recently enough to
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -193,6 +193,7 @@
                 self.check_link(&link, needs_validation, now);
             }
             self.refresh_status();
+            self.update_document_lag();
         }
     }
 
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -390,4 +390,16 @@
             offers.announced.notify_one();
         }
     }
+
+    /// Returns the newest document that a connected observer or subscriber has in force.
+    pub(crate) fn newest_peer_document(&self) -> u64 {
+        let links = self.peers.links.borrow();
+        let observers = links
+            .values()
+            .filter(|link| link.is_subscription.get() && link.is_open())
+            .map(|link| link.document_version.get());
+        let subscribers = self.peers.subscribers.borrow();
+        let subscribers = subscribers.values().map(|peer| peer.document_version);
+        observers.chain(subscribers).max().unwrap_or_default()
+    }
 }
