Wait for busy sources, leave failed ones, simulate the spread of a document

Change: a failed source is left alone while any sound one is there, a part stalls after 0.5 s instead of 0.8 s, refused receivers ask again within 0.15 s, six holders are named instead of four, and the store waits for sources that answer.

--- a/crates/coord/src/table_source.rs
+++ b/crates/coord/src/table_source.rs
@@ -21,6 +21,8 @@
 const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(4);
 /// Shortest interval between reads of the store by one instance.
 const STORE_INTERVAL: Duration = Duration::from_secs(2);
+/// Part of the delay until the store is read in which a source must have answered to be waited for.
+const ANSWER_FRACTION: f64 = 1.0 / 3.0;
 /// Largest part of a delay by which it is spread over the instances.
 const SPREAD_FRACTION: f64 = 0.5;
 
@@ -58,7 +60,8 @@
 #[derive(Clone, Debug)]
 pub struct SourcePlanner<K> {
     own_name: String,
-    /// Time behind after which the store is read.
+    /// Time behind after which the store is read if no source answers; after twice that time it is
+    /// read in any case.
     store_delay: Duration,
     avoided: HashMap<K, AvoidedSource>,
     /// Peers that a busy source named, with the version that they have.
@@ -67,6 +70,8 @@
     /// A version was announced whose change is not pushed.
     is_offered: bool,
     store_read_at: Option<Instant>,
+    /// Time at which a source last sent something or asked for patience.
+    answered_at: Option<Instant>,
     attempts: u32,
 }
 
@@ -83,6 +88,7 @@
             behind_since: None,
             is_offered: false,
             store_read_at: None,
+            answered_at: None,
             attempts: 0,
         }
     }
@@ -116,15 +122,28 @@
         }
         let is_store_due =
             self.store_read_at.is_none_or(|at| now.saturating_duration_since(at) >= STORE_INTERVAL);
-        if own > 0 && behind >= self.store_delay && is_store_due {
+        let answer_limit = self.store_delay.mul_f64(ANSWER_FRACTION);
+        let was_answered =
+            self.answered_at.is_some_and(|at| now.saturating_duration_since(at) < answer_limit);
+        let patience = if was_answered { 2 * self.store_delay } else { self.store_delay };
+        if own > 0 && behind >= patience && is_store_due {
             self.store_read_at = Some(now);
             return SourceStep::Store;
         }
         self.avoided.retain(|_, source| now < source.until + MAX_FAILURE_BACKOFF);
+        let avoided = |candidate: &SourceCandidate<K>| self.avoided.get(&candidate.key);
+        let has_failed = |candidate: &SourceCandidate<K>| {
+            avoided(candidate).is_some_and(|source| !source.backoff.is_zero())
+        };
+        let is_near = |candidate: &SourceCandidate<K>| {
+            candidate.is_in_zone || own == 0 || behind >= REMOTE_DELAY
+        };
+        // To wait for a busy source costs less than to find a failed one still silent.
+        let has_sound_source =
+            newer.iter().any(|candidate| is_near(candidate) && !has_failed(candidate));
         let may_ask = |candidate: &&SourceCandidate<K>| {
-            let is_avoided =
-                self.avoided.get(&candidate.key).is_some_and(|source| now < source.until);
-            !is_avoided && (candidate.is_in_zone || own == 0 || behind >= REMOTE_DELAY)
+            let is_avoided = avoided(candidate).is_some_and(|source| now < source.until);
+            is_near(candidate) && !is_avoided && !(has_sound_source && has_failed(candidate))
         };
         // The turn changes with each attempt, so that no source is asked by the same ones each time.
         let subject = format!("{} {}", self.own_name, self.attempts);
@@ -163,6 +182,7 @@
         version: u64,
         now: Instant,
     ) {
+        self.answered_at = Some(now);
         let seed = rendezvous::weight(&self.own_name, &self.attempts.to_string());
         let spread = 1.0 - SPREAD_FRACTION + 2.0 * SPREAD_FRACTION * fraction(seed);
         let avoided =
--- a/crates/coord/src/transfer_gate.rs
+++ b/crates/coord/src/transfer_gate.rs
@@ -12,11 +12,11 @@
 /// Time without a request after which a receiver no longer counts as being served.
 const RECEIVER_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Number of receivers that are named to others as sources.
-const MAX_HOLDERS: usize = 4;
+const MAX_HOLDERS: usize = 6;
 /// Shortest time after which a refused receiver asks again.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Longest time after which a refused receiver asks again.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Answer to a receiver's request.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -24,7 +24,7 @@
 /// Free space reserved before each read, in bytes.
 pub(crate) const READ_CHUNK_BYTES: usize = 8_192;
 /// Time without a byte from the peer after which a part of a table is given up.
-const PART_STALL_TIMEOUT: Duration = Duration::from_millis(800);
+const PART_STALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bounds the wait for one part of a table, whatever else the peer sends.
 const MAX_PART_WAIT: Duration = Duration::from_secs(4);
 /// Interval at which the wait for a part checks for progress.
