Do not ask a source again at once that had nothing newer

Cause: found in reading: a source whose known version is outdated answers that it has nothing newer; a subscriber's version was not corrected, so it was asked again every 40 ms. Change: such a source is left alone like a failed one.

--- a/crates/engine/src/table_fetch.rs
+++ b/crates/engine/src/table_fetch.rs
@@ -89,10 +89,8 @@
                                 self.offer_table(table);
                             }
                         }
-                        FetchEnd::UpToDate => {
-                            link.set_table_version(index, own);
-                            planner.succeeded(source);
-                        }
+                        // What was known of the source is outdated, so it need not be asked soon.
+                        FetchEnd::UpToDate => planner.failed(source, now),
                         FetchEnd::Busy { retry_after, holders } => {
                             let version = link.table_versions.get()[index].max(own + 1);
                             planner.busy(source, retry_after, holders, version, now);
