Treat holders by their zone, announce tables only as an observer

Cause: found in reading. A source names the receivers that it has served; those of another zone counted as near, so dear links could be preferred. Every receiver of a large change announced it to the first observer, which knows it from the receiver's report. Change: holders keep their zone; only observers announce what they fetched. Before and after: the planner's test of a remote holder is new (the interface had no zone before); tests of coord, engine and platform pass.

--- a/crates/coord/src/table_source.rs
+++ b/crates/coord/src/table_source.rs
@@ -173,13 +173,12 @@
         self.avoided.insert(source, AvoidedSource { until: now + backoff, backoff });
     }
 
-    /// Records that a source serves others, and who has the table's `version` from it.
+    /// Records that a source serves others, and who has the table from it.
     pub fn busy(
         &mut self,
         source: K,
         retry_after: Duration,
-        holders: impl IntoIterator<Item = K>,
-        version: u64,
+        holders: impl IntoIterator<Item = SourceCandidate<K>>,
         now: Instant,
     ) {
         self.answered_at = Some(now);
@@ -188,9 +187,9 @@
         let avoided =
             AvoidedSource { until: now + retry_after.mul_f64(spread), backoff: Duration::ZERO };
         self.avoided.insert(source, avoided);
-        for key in holders {
-            self.referred.retain(|candidate| candidate.key != key);
-            self.referred.push(SourceCandidate { key, version, is_in_zone: true });
+        for holder in holders {
+            self.referred.retain(|candidate| candidate.key != holder.key);
+            self.referred.push(holder);
         }
     }
 
--- a/crates/coord/tests/table_sources.rs
+++ b/crates/coord/tests/table_sources.rs
@@ -71,7 +71,7 @@
 source_case!(a_failed_source_is_left_alone_while_others_are_busy, planner, at => {
     planner.offered();
     planner.failed(0, at(0));
-    planner.busy(1, Duration::from_millis(100), [], 2, at(0));
+    planner.busy(1, Duration::from_millis(100), [], at(0));
     assert_eq!(next(&mut planner, &[near(0), near(1)], at(10)), SourceStep::Wait);
     assert_eq!(next(&mut planner, &[near(0), near(1)], at(700)), SourceStep::Peer(1));
     assert_eq!(next(&mut planner, &[near(0)], at(800)), SourceStep::Peer(0));
@@ -79,13 +79,22 @@
 
 source_case!(a_busy_source_refers_to_those_it_has_served, planner, at => {
     planner.offered();
-    planner.busy(0, Duration::from_millis(100), [4], 2, at(0));
+    planner.busy(0, Duration::from_millis(100), [near(4)], at(0));
     assert_eq!(next(&mut planner, &[near(0)], at(10)), SourceStep::Peer(4));
     planner.succeeded(4);
     let up_to_date = planner.next_step(2, [near(0)], |key| NAMES[key], at(20));
     assert_eq!(up_to_date, SourceStep::UpToDate);
 });
 
+// A holder in another zone counted as near, and its traffic is expensive.
+source_case!(a_holder_in_another_zone_is_asked_late, planner, at => {
+    planner.offered();
+    planner.busy(0, Duration::from_millis(5_000), [remote(4)], at(0));
+    assert_eq!(next(&mut planner, &[near(0)], at(10)), SourceStep::Wait);
+    let due = at(10) + REMOTE_DELAY;
+    assert_eq!(next(&mut planner, &[near(0)], due), SourceStep::Peer(4));
+});
+
 // Twice the delay is the most by which the store's turn is spread and put off.
 source_case!(the_store_is_read_if_no_source_answers, planner, at => {
     planner.offered();
--- a/crates/coord/tests/table_transfer.rs
+++ b/crates/coord/tests/table_transfer.rs
@@ -243,7 +243,9 @@
                 Some(RunningTransfer { source, part_remaining, progress_at: now + 2 * STEP });
         }
         GateDecision::Busy { retry_after, holders } => {
-            fleet[index].planner.busy(source, retry_after, holders, VERSIONS[1], now);
+            let candidate = |key| SourceCandidate { key, version: VERSIONS[1], is_in_zone: true };
+            let holders = holders.into_iter().map(candidate);
+            fleet[index].planner.busy(source, retry_after, holders, now);
         }
     }
 }
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -332,6 +332,15 @@
         self.push_to_subscribers(ViewScope::Zone, &PeerReply::Offer { table, version });
     }
 
+    /// Does the same if the others of the zone subscribe to this instance.
+    pub(crate) fn offer_as_observer(&self, table: WatchedTable) {
+        let membership = self.peers.membership.borrow();
+        if membership.is_zone_observer(membership.own_key()) {
+            drop(membership);
+            self.offer_table(table);
+        }
+    }
+
     /// Returns the link to the instance that passes changes on, if few subscribe to this one.
     fn relaying_observer(&self) -> Option<Rc<PeerLink>> {
         let membership = self.peers.membership.borrow();
--- a/crates/engine/src/table_fetch.rs
+++ b/crates/engine/src/table_fetch.rs
@@ -86,14 +86,15 @@
                             needs_all = !is_complete;
                             planner.succeeded(source);
                             if is_complete && length > MAX_PUSHED_BYTES {
-                                self.offer_table(table);
+                                self.offer_as_observer(table);
                             }
                         }
                         // What was known of the source is outdated, so it need not be asked soon.
                         FetchEnd::UpToDate => planner.failed(source, now),
                         FetchEnd::Busy { retry_after, holders } => {
                             let version = link.table_versions.get()[index].max(own + 1);
-                            planner.busy(source, retry_after, holders, version, now);
+                            let holders = self.source_candidates(&holders, version);
+                            planner.busy(source, retry_after, holders, now);
                         }
                         FetchEnd::Failed => planner.failed(source, now),
                     }
@@ -102,6 +103,20 @@
         }
     }
 
+    /// Returns instances that are known to have a version of a table as sources of it.
+    fn source_candidates(
+        &self,
+        holders: &[InstanceKey],
+        version: u64,
+    ) -> Vec<SourceCandidate<InstanceKey>> {
+        let membership = self.peers.membership.borrow();
+        let candidate = |key: &InstanceKey| {
+            let is_in_zone = membership.scope_of(*key) == ViewScope::Zone;
+            SourceCandidate { key: *key, version, is_in_zone }
+        };
+        holders.iter().map(candidate).collect()
+    }
+
     fn plan_fetch(
         &self,
         planner: &mut SourcePlanner<InstanceKey>,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -59,7 +59,7 @@
     DocumentCaughtUp = 1108, Info, "document_caught_up";
     /// A table was fetched from another instance.
     TableFetched = 1109, Info, "table_fetched";
-    /// A table could not be fetched from another instance.
+    /// Changes of a table could not be fetched from another instance, packed or unpacked.
     TableFetchFailed = 1110, Info, "table_fetch_failed";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
