Release connections to an unresponsive member when they are closed

Cause: the stand-in. A connection on which an unresponsive member received a statement waited for ever, also after its client had closed it, and counted towards the member's limit. Ruled out: the gateway; it tried again all the time and was refused. Change: such a connection answers nothing any more and ends when its client closes it. Conclusion: no fault of the program; the check stays as it was.

--- a/crates/standin/src/gateway_platform/member.rs
+++ b/crates/standin/src/gateway_platform/member.rs
@@ -78,6 +78,11 @@
     let ready_line = connection.ready_line();
     if writer.write_all(ready_line.as_bytes()).await.is_ok() {
         while let Ok(Some(line)) = lines.next_line().await {
+            if connection.is_unresponsive() {
+                // Answers nothing any more, and ends when the client closes the connection.
+                while let Ok(Some(_)) = lines.next_line().await {}
+                break;
+            }
             let Some(response) = connection.respond(line.trim_end()).await else {
                 break;
             };
@@ -96,12 +101,12 @@
         format!("READY {} {term}.{index}\r\n", self.transaction_state)
     }
 
+    fn is_unresponsive(&self) -> bool {
+        self.group.lock().members[self.member].faults.unresponsive
+    }
+
     /// Executes a line and returns the response, or `None` if the connection is closed instead.
     async fn respond(&mut self, line: &str) -> Option<String> {
-        let unresponsive = self.group.lock().members[self.member].faults.unresponsive;
-        if unresponsive {
-            std::future::pending::<()>().await;
-        }
         let arguments = line.strip_prefix("QUERY ")?;
         let (id, text) = arguments.split_once(' ')?;
         let outcome = self.execute(id, text).await?;
