--- a/crates/standin/src/gateway_platform/group.rs
+++ b/crates/standin/src/gateway_platform/group.rs
@@ -28,6 +28,8 @@
     pub replication_stopped: bool,
     /// Accepts connections and statements but sends no responses to statements.
     pub unresponsive: bool,
+    /// The member opens sessions but answers no statement, and notices closed connections.
+    pub ignores_statements: bool,
     /// Closes the connection instead of responding to commits and to writes outside a transaction.
     pub loses_commit_responses: bool,
     /// Responds to reads with an error while everything else works.
