--- a/crates/coord/src/table_source.rs
+++ b/crates/coord/src/table_source.rs
@@ -70,7 +70,7 @@
     /// A version was announced whose change is not pushed.
     is_offered: bool,
     store_read_at: Option<Instant>,
-    /// Time at which a source last sent something or asked for patience.
+    /// Time at which a source last answered that it serves others.
     answered_at: Option<Instant>,
     attempts: u32,
 }
