Measure as of when cached tables hold all changes of the store

Instances now carry evidence along: a version and a time before which a cache of that version holds all changes. It comes from answers of the store and, in answers to pings, from other instances; its age counts from before the request. `hibiscus_table_age_seconds` shows it, `HB1111` tells who reads. No decision uses it yet.

The answers to pings have a new field, which instances of earlier versions do not understand.

--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -9,9 +9,11 @@
 use clock::SharedClock;
 use coord::document_lag::DocumentLag;
 use coord::evacuation::ZonePhase;
+use coord::membership::InstanceKey;
 use coord::quota::{LimitWindow, TeamQuotas};
 use coord::refusal_cache::RefusalCache;
 use coord::rendezvous;
+use coord::table_currency::TableCurrency;
 use coord::validation::{ValidationTracker, key_validation_ttl};
 use metrics::gauge;
 use rand::rngs::StdRng;
@@ -22,7 +24,7 @@
 
 use crate::connection_owner::ConnectionPools;
 use crate::directory::FleetDirectory;
-use crate::interface::{PlatformApi, RowChange, WireCodec};
+use crate::interface::{PlatformApi, RowChange, WatchedTable, WireCodec};
 use crate::peer::PeerTable;
 use crate::record::InstanceRecord;
 use crate::service_load::ServiceLoads;
@@ -129,7 +131,11 @@
     store_reachable: Cell<bool>,
     was_validated: Cell<bool>,
     document_lag: RefCell<DocumentLag>,
+    /// As of when the table caches hold all changes, in the order of [`WatchedTable::ALL`].
+    currencies: RefCell<[TableCurrency; WatchedTable::ALL.len()]>,
     was_outdated: Cell<bool>,
+    /// Instance that last read the store for the availability zone.
+    pub(crate) last_reader: Cell<Option<InstanceKey>>,
     promotion_token: Cell<Option<u64>>,
     next_transaction_id: Cell<u32>,
     next_session_id: Cell<u32>,
@@ -161,7 +167,9 @@
             validation: RefCell::default(),
             was_validated: Cell::new(true),
             document_lag: RefCell::default(),
+            currencies: RefCell::new(WatchedTable::ALL.map(|_| TableCurrency::new(started_at))),
             was_outdated: Cell::new(false),
+            last_reader: Cell::new(None),
             started_at,
             caller_count: Cell::new(0),
             leaving_since: Cell::new(None),
@@ -232,6 +240,31 @@
         }
     }
 
+    /// Applies a function to what is known of a table's cache, once the evidence for its present
+    /// version is taken into account.
+    pub(crate) fn update_currency<T>(
+        &self,
+        table: WatchedTable,
+        update: impl FnOnce(&mut TableCurrency) -> T,
+    ) -> T {
+        let version = self.tables.borrow().versions()[table.index()];
+        let currency = &mut self.currencies.borrow_mut()[table.index()];
+        currency.advance(version);
+        update(currency)
+    }
+
+    /// Records that a cache of `version` holds all changes of a table before `as_of`.
+    pub(crate) fn record_evidence(&self, table: WatchedTable, version: u64, as_of: Instant) {
+        let own = self.tables.borrow().versions()[table.index()];
+        self.update_currency(table, |currency| currency.record(own, version, as_of));
+    }
+
+    /// Returns for how long the own cache of a table may have missed a change.
+    pub fn table_age(&self, table: WatchedTable) -> Duration {
+        let now = self.now();
+        self.update_currency(table, |currency| currency.age(now))
+    }
+
     /// Returns whether keys may be accepted, because the document was validated recently enough to
     /// rule out a missed revocation.
     pub fn is_document_validated(&self) -> bool {
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -50,6 +50,14 @@
     /// All tables.
     pub const ALL: [Self; 2] = [Self::Document, Self::Endpoints];
 
+    /// Returns the label of the table for metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Document => "document",
+            Self::Endpoints => "endpoints",
+        }
+    }
+
     /// Returns the index of the table in [`Self::ALL`].
     pub fn index(self) -> usize {
         match self {
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -15,7 +15,8 @@
 
 use crate::frame::FrameDecoder;
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::message::{DocumentValidation, PeerReply, PeerRequest};
+use crate::interface::WatchedTable;
+use crate::message::{PeerReply, PeerRequest, TableEvidence};
 use crate::output_queue::OutputQueue;
 use crate::peer_link::{PING_TIMEOUT, PeerLink, READ_CHUNK_BYTES};
 
@@ -195,6 +196,7 @@
             }
             self.refresh_status();
             self.update_document_lag();
+            self.log_reader_change();
         }
     }
 
@@ -277,8 +279,8 @@
 
     fn handle_reply(self: &Rc<Self>, link: &PeerLink, reply: PeerReply) {
         match reply {
-            PeerReply::Pong { ping_id, validation: Some(validation) } => {
-                self.record_validation(link, ping_id, validation);
+            PeerReply::Pong { ping_id, validation, evidence } => {
+                self.record_pong(link, ping_id, validation, evidence);
             }
             PeerReply::View(update) => self.receive_view(link, *update),
             PeerReply::Change { table, change } => self.receive_change(link, table, change),
@@ -297,22 +299,43 @@
         }
     }
 
-    /// Records the document validation of a peer.
+    /// Records what the answer to a ping says about the peer's tables.
     ///
     /// Its age counts from the time the ping was sent, so that the delay of the answer cannot make
     /// it look newer.
-    fn record_validation(&self, link: &PeerLink, ping_id: u32, validation: DocumentValidation) {
-        let Some((_, sent_at)) = link.validation_ping.get().filter(|(sent, _)| *sent == ping_id)
+    fn record_pong(
+        &self,
+        link: &PeerLink,
+        ping_id: u32,
+        validation: Option<TableEvidence>,
+        evidence: [Option<TableEvidence>; WatchedTable::ALL.len()],
+    ) {
+        let Some((_, sent_at)) = link.evidence_ping.get().filter(|(sent, _)| *sent == ping_id)
         else {
             return;
         };
-        link.validation_ping.set(None);
+        link.evidence_ping.set(None);
+        if let Some(validation) = validation {
+            self.record_validation(ping_id, sent_at, validation);
+        }
+        for (table, evidence) in WatchedTable::ALL.into_iter().zip(evidence) {
+            let Some(evidence) = evidence else {
+                continue;
+            };
+            if let Some(as_of) = sent_at.checked_sub(evidence.age()) {
+                self.record_evidence(table, evidence.version, as_of);
+            }
+        }
+    }
+
+    /// Records the document validation of a peer.
+    fn record_validation(&self, ping_id: u32, sent_at: Instant, validation: TableEvidence) {
         let [version, _] = self.tables.borrow().versions();
         let mut tracker = self.validation.borrow_mut();
         tracker.adopt(version);
         let outcome = HeartbeatOutcome::Answered {
             version: validation.version,
-            validation_age: Some(Duration::from_millis(validation.age_ms.into())),
+            validation_age: Some(validation.age()),
             store_down: false,
         };
         tracker.record_peer(ping_id.into(), sent_at, outcome);
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -233,15 +233,27 @@
     pub heads: Option<FleetHeads>,
 }
 
-/// Validation that the document was current at some time.
+/// Evidence that a table's cache held all changes at some time.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct DocumentValidation {
-    /// Validated version of the document table.
+pub struct TableEvidence {
+    /// Version of the cache.
     pub version: u64,
-    /// Time since the request to the store was sent, in milliseconds, rounded up.
+    /// Age of the evidence in milliseconds, rounded up.
     pub age_ms: u32,
 }
 
+impl TableEvidence {
+    /// Creates evidence of this age.
+    pub fn new(version: u64, age: Duration) -> Self {
+        Self { version, age_ms: millis(age).saturating_add(1) }
+    }
+
+    /// Returns the age of the evidence.
+    pub fn age(&self) -> Duration {
+        Duration::from_millis(self.age_ms.into())
+    }
+}
+
 /// Message of the instance that opened the connection.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum PeerRequest {
@@ -326,7 +338,9 @@
         /// Identifier of the ping.
         ping_id: u32,
         /// Validation of the sender's document, if a revocation bound is set.
-        validation: Option<DocumentValidation>,
+        validation: Option<TableEvidence>,
+        /// Evidence about the sender's caches, in the order of [`WatchedTable::ALL`].
+        evidence: [Option<TableEvidence>; WatchedTable::ALL.len()],
     },
     /// Published view, in answer to [`PeerRequest::Subscribe`] and after changes.
     View(Box<ViewUpdate>),
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -20,7 +20,7 @@
 /// Bounds the wait for the answer to a ping. A peer that exceeds it is disconnected.
 pub(crate) const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a newer ping replaces an unanswered one for the validation of the document.
-const VALIDATION_PING_TTL: Duration = Duration::from_millis(1_000);
+const EVIDENCE_PING_TTL: Duration = Duration::from_millis(1_000);
 /// Free space reserved before each read, in bytes.
 pub(crate) const READ_CHUNK_BYTES: usize = 8_192;
 /// Time without a byte from the peer after which a part of a table is given up.
@@ -74,8 +74,8 @@
     pub(crate) last_ping_at: Cell<Option<Instant>>,
     /// Time of the oldest unanswered ping.
     pub(crate) unanswered_since: Cell<Option<Instant>>,
-    /// Identifier and time of the ping whose answer may validate the document.
-    pub(crate) validation_ping: Cell<Option<(u32, Instant)>>,
+    /// Identifier and time of the ping whose answer is evidence about the tables.
+    pub(crate) evidence_ping: Cell<Option<(u32, Instant)>>,
     /// This instance has subscribed to the views of the peer.
     pub(crate) is_subscription: Cell<bool>,
     /// Versions of the peer's table caches, as far as is known.
@@ -104,7 +104,7 @@
             last_used_at: Cell::new(now),
             last_ping_at: Cell::new(None),
             unanswered_since: Cell::new(None),
-            validation_ping: Cell::new(None),
+            evidence_ping: Cell::new(None),
             is_subscription: Cell::new(false),
             table_versions: Cell::new([0; 2]),
             document_version: Cell::new(0),
@@ -152,16 +152,16 @@
         call_id
     }
 
-    /// Sends a ping. Its answer may validate the document.
+    /// Sends a ping. Its answer is evidence about the tables.
     pub(crate) fn send_ping(&self, now: Instant) {
         let ping_id = self.new_call_id();
         self.send(&PeerRequest::Ping { ping_id });
         self.last_ping_at.set(Some(now));
         // Only the answer to the recorded ping is accepted. Recording each newer ping would discard
         // all answers that take longer than the ping interval.
-        let expired = |at: Instant| now.saturating_duration_since(at) > VALIDATION_PING_TTL;
-        if self.validation_ping.get().is_none_or(|(_, at)| expired(at)) {
-            self.validation_ping.set(Some((ping_id, now)));
+        let expired = |at: Instant| now.saturating_duration_since(at) > EVIDENCE_PING_TTL;
+        if self.evidence_ping.get().is_none_or(|(_, at)| expired(at)) {
+            self.evidence_ping.set(Some((ping_id, now)));
         }
         self.unanswered_since.set(self.unanswered_since.get().or(Some(now)));
     }
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -13,7 +13,8 @@
 
 use crate::frame::FrameDecoder;
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::message::{DocumentValidation, PeerReply, PeerRequest, millis};
+use crate::interface::WatchedTable;
+use crate::message::{PeerReply, PeerRequest, TableEvidence};
 use crate::output_queue::OutputQueue;
 use crate::peer_link::READ_CHUNK_BYTES;
 use crate::record::InstanceRecord;
@@ -145,7 +146,8 @@
             }
             PeerRequest::Ping { ping_id } => {
                 let validation = self.document_validation();
-                output.push(&PeerReply::Pong { ping_id, validation });
+                let evidence = WatchedTable::ALL.map(|table| self.table_evidence(table));
+                output.push(&PeerReply::Pong { ping_id, validation, evidence });
             }
             PeerRequest::Subscribe => self.subscribe_peer(connection),
             PeerRequest::Unsubscribe => self.unsubscribe_peer(connection),
@@ -180,10 +182,17 @@
     }
 
     /// Returns the validation of the own document for peers.
-    fn document_validation(&self) -> Option<DocumentValidation> {
+    fn document_validation(&self) -> Option<TableEvidence> {
         self.settings.revocation_bound?;
         let tracker = self.validation.borrow();
         let age = tracker.validation_age(self.now())?;
-        Some(DocumentValidation { version: tracker.version(), age_ms: millis(age) + 1 })
+        Some(TableEvidence::new(tracker.version(), age))
+    }
+
+    /// Returns the evidence about the own cache of a table for peers.
+    fn table_evidence(&self, table: WatchedTable) -> Option<TableEvidence> {
+        let version = self.tables.borrow().versions()[table.index()];
+        let confirmed_at = self.update_currency(table, |currency| currency.confirmed_at())?;
+        Some(TableEvidence::new(version, self.now().saturating_duration_since(confirmed_at)))
     }
 }
--- a/crates/engine/src/table_fetch.rs
+++ b/crates/engine/src/table_fetch.rs
@@ -226,7 +226,7 @@
             Ok(read) => {
                 self.record_store_status(true, "");
                 self.merge_snapshot(table, read.rows, read.version);
-                self.record_up_to_date(table, sent_at);
+                self.record_up_to_date(table, sent_at, Duration::ZERO);
             }
             Err(error) => self.record_store_status(false, &error.to_string()),
         }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -54,7 +54,7 @@
                 Ok(read) => {
                     self.record_store_status(true, "");
                     self.merge_snapshot(table, read.rows, read.version);
-                    self.record_up_to_date(table, sent_at);
+                    self.record_up_to_date(table, sent_at, Duration::ZERO);
                     read.version
                 }
                 Err(error) => {
@@ -112,8 +112,15 @@
                 Ok(read) => {
                     self.record_store_status(true, "");
                     version = read.version.max(version);
+                    // An answer without changes took the whole wait, and includes it.
+                    let waited = self.now().saturating_duration_since(sent_at);
+                    let covers_wait = read.rows.is_empty() && waited >= wait;
                     self.merge_store_changes(table, read.rows);
-                    self.record_up_to_date(table, sent_at);
+                    self.record_up_to_date(
+                        table,
+                        sent_at,
+                        if covers_wait { wait } else { Duration::ZERO },
+                    );
                 }
                 Err(PlatformError::HistoryExpired) => return,
                 Err(error) => {
@@ -132,8 +139,16 @@
         }
     }
 
-    /// Records that the cache of a table included all changes in the store at `sent_at`.
-    pub(crate) fn record_up_to_date(&self, table: WatchedTable, sent_at: Instant) {
+    /// Records that the cache of a table includes the answer of the store to a request sent at
+    /// `sent_at`; the store found no change for the time `waited` after it.
+    pub(crate) fn record_up_to_date(
+        &self,
+        table: WatchedTable,
+        sent_at: Instant,
+        waited: Duration,
+    ) {
+        let version = self.tables.borrow().versions()[table.index()];
+        self.record_evidence(table, version, sent_at + waited);
         match table {
             WatchedTable::Document => self.record_document_validation(sent_at),
             WatchedTable::Endpoints => {}
@@ -147,6 +162,18 @@
         membership.zone_reader() != membership.own_key()
     }
 
+    /// Logs a change of the instance that reads the store for this availability zone.
+    pub(crate) fn log_reader_change(&self) {
+        let membership = self.peers.membership.borrow();
+        let reader = membership.zone_reader();
+        if self.last_reader.replace(Some(reader)) == Some(reader) {
+            return;
+        }
+        let name = membership.record(reader).map_or("", |record| record.name.as_str());
+        let age = self.table_age(WatchedTable::Document);
+        log_event!(LogEvent::StoreReaderChanged, "reader={name} document_age={age:?}");
+    }
+
     /// Merges changes read from the store, and passes them on to the zone.
     fn merge_store_changes(&self, table: WatchedTable, rows: Vec<StoredRow>) {
         let (changed, change) = {
--- a/crates/engine/tests/peer_messages.rs
+++ b/crates/engine/tests/peer_messages.rs
@@ -114,7 +114,7 @@
 fn urgent_messages_pass_between_the_parts_of_a_long_one() {
     let long = encoded(&part());
     let first_part_end = 4 + 8_192;
-    let ping = encoded(&PeerReply::Pong { ping_id: 9, validation: None });
+    let ping = encoded(&PeerReply::Pong { ping_id: 9, validation: None, evidence: [None; 2] });
     let bytes = [&long[..first_part_end], &ping, &long[first_part_end..]].concat();
     let mut decoder = decoder(&bytes);
     let first = decoder.next_message::<PeerReply>().expect("the frames are valid");
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -61,6 +61,8 @@
     TableFetched = 1109, Info, "table_fetched";
     /// Changes of a table could not be fetched from another instance, packed or unpacked.
     TableFetchFailed = 1110, Info, "table_fetch_failed";
+    /// Another instance reads the store for this availability zone.
+    StoreReaderChanged = 1111, Info, "store_reader_changed";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
     /// A caller's connection closed.
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -68,6 +68,8 @@
 pub const PEER_BYTES: &str = "hibiscus_peer_bytes_total";
 /// Seconds for which another instance has had a newer document in force.
 pub const DOCUMENT_LAG_SECONDS: &str = "hibiscus_document_lag_seconds";
+/// Seconds since the cache of a table held all changes of the store, by table.
+pub const TABLE_AGE_SECONDS: &str = "hibiscus_table_age_seconds";
 /// Zones that are or were evacuated, by phase.
 pub const EVACUATED_ZONES: &str = "hibiscus_evacuated_zones";
 /// Requests refused because no member may run them, by reason: evacuated or region.
