Read the store in time whatever the reader of the zone does

What callers saw: requests handled by a document that had been replaced longer ago than the bound (CONFIG), on a site of nine instances with a bound of 3 s.

Cause: all instances of a zone rely on one reader, without evidence that it still passes changes on. Silent readers were noticed one after the other (1.8 s and 0.9 s for each more), and a reader whose link to the store is slow was never noticed, since the answers of the store are bounded by progress. The class of the fault: trust in another instance that ends with its failure, not with the age of what it has said.

Change: evidence that nothing is missing has an age, and each instance acts by it. It asks the reader, then the observers, and reads the store itself at 0.56 to 0.7 of the bound; without evidence for 0.95 of the bound nothing is decided unless the own read of the store failed. The sum of all waits no longer depends on the number of readers that fail. The table of endpoints uses the same rule. A lag of more than 64 documents keeps the time of the first.

--- a/crates/coord/src/document_lag.rs
+++ b/crates/coord/src/document_lag.rs
@@ -30,8 +30,14 @@
         }
         self.has_newer_peer = newest_elsewhere > own;
         let newest_missed = self.missed.back().map_or(own, |(version, _)| *version);
-        if newest_elsewhere > newest_missed && self.missed.len() < MAX_MISSED {
-            self.missed.push_back((newest_elsewhere, now));
+        if newest_elsewhere <= newest_missed {
+            return;
+        }
+        let is_full = self.missed.len() >= MAX_MISSED;
+        match self.missed.back_mut().filter(|_| is_full) {
+            // The newest one takes the time of an earlier one, which can only end decisions sooner.
+            Some((version, _)) => *version = newest_elsewhere,
+            None => self.missed.push_back((newest_elsewhere, now)),
         }
     }
 
--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -330,6 +330,13 @@
         self.own_ranking().iter().find(reads).copied().unwrap_or(self.own)
     }
 
+    /// Returns the number of live instances before the own one in the order in which the instances
+    /// of its zone read the store.
+    pub fn reader_rank(&self) -> usize {
+        let before = self.own_ranking().iter().take_while(|key| **key != self.own);
+        before.filter(|key| self.members[**key].is_live).count()
+    }
+
     /// Returns whether any live instance, the own one included, reports the endpoint as
     /// unreachable.
     pub fn is_endpoint_suspect(&self, endpoint: &str) -> bool {
--- a/crates/coord/tests/document_lag.rs
+++ b/crates/coord/tests/document_lag.rs
@@ -54,3 +54,13 @@
     lag.record(17, 17, at(4_000));
     assert!(!lag.is_outdated(BOUND, at(9_000)));
 });
+
+// What came after many missed documents was not tracked, so the lag began anew.
+lag_case!(many_missed_documents_keep_the_time_of_the_first, lag, at => {
+    for version in 1..=200 {
+        lag.record(0, version, at(version * 10));
+    }
+    assert_eq!(lag.newest_missed(), Some(200));
+    lag.record(100, 200, at(2_100));
+    assert!(lag.lag(at(2_100)) >= Duration::from_millis(1_400), "{:?}", lag.lag(at(2_100)));
+});
--- a/crates/coord/tests/table_currency.rs
+++ b/crates/coord/tests/table_currency.rs
@@ -2,7 +2,18 @@
 
 use std::time::{Duration, Instant};
 
-use coord::table_currency::TableCurrency;
+use coord::table_currency::{
+    EXPIRY_FRACTION, LAST_READ_FRACTION, POLL_FRACTION, ReadRank, RefreshScope, TableCurrency,
+};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Bound on the time until a change is in force.
+const BOUND: Duration = Duration::from_secs(3);
+/// Longest time for which a request to the store waits in addition to what it asked for.
+const ANSWER_MARGIN: Duration = Duration::from_millis(600);
+/// Rank of an instance that reads the store after all others.
+const LAST_RANK: ReadRank = ReadRank { rank: 20, spread: 1.0 };
 
 /// Defines a test with a new tracker and a function that returns a time in milliseconds.
 macro_rules! currency_case {
@@ -62,3 +73,106 @@
     currency.record(1, 1, at(600));
     assert_eq!(currency.age(at(700)), Duration::from_millis(100));
 });
+
+// Each reader that fell silent was noticed only after the one before it, so their waits added up.
+currency_case!(any_number_of_silent_readers_delays_a_read_by_a_part_of_the_bound, currency, at => {
+    for seed in 0..20 {
+        let rank = ReadRank { rank: seed as usize, spread: seed as f64 / 20.0 };
+        let time_to_read = currency.time_to_read(BOUND, rank, at(0));
+        assert!(time_to_read > BOUND.mul_f64(POLL_FRACTION), "readers poll in time: {rank:?}");
+        assert!(time_to_read <= BOUND.mul_f64(LAST_READ_FRACTION), "{rank:?}");
+    }
+    currency.record(1, 1, at(500));
+    assert_eq!(
+        currency.time_to_read(BOUND, LAST_RANK, at(500)),
+        BOUND.mul_f64(LAST_READ_FRACTION)
+    );
+});
+
+// A store that nobody reaches made all instances of a zone ask it without a pause.
+currency_case!(a_failed_read_is_not_repeated_at_once, currency, at => {
+    let due = BOUND.mul_f64(LAST_READ_FRACTION);
+    currency.record_failed_read(at(0) + due, at(0) + due + ANSWER_MARGIN);
+    let time_to_read = currency.time_to_read(BOUND, LAST_RANK, at(0) + due + ANSWER_MARGIN);
+    assert!(time_to_read >= BOUND / 3, "{time_to_read:?}");
+});
+
+// While nobody reaches the store, an old document is better than none.
+currency_case!(an_instance_that_cannot_read_the_store_goes_on, currency, at => {
+    currency.record(1, 1, at(0));
+    let sent_at = at(0) + BOUND.mul_f64(LAST_READ_FRACTION);
+    assert!(sent_at + ANSWER_MARGIN < at(0) + BOUND.mul_f64(EXPIRY_FRACTION));
+    currency.record_failed_read(sent_at, sent_at + ANSWER_MARGIN);
+    assert!(!currency.is_expired(BOUND, at(60_000)));
+    // Evidence from after the failed read shows that the store can be reached.
+    currency.record(1, 1, at(60_000));
+    assert!(currency.is_expired(BOUND, at(60_000) + BOUND));
+});
+
+// An instance that was suspended went on by the document that it had before.
+currency_case!(an_instance_that_wakes_decides_nothing_before_it_has_evidence, currency, at => {
+    currency.record(1, 1, at(0));
+    assert!(!currency.is_expired(BOUND, at(2_000)));
+    assert!(currency.is_expired(BOUND, at(8_000)));
+    assert_eq!(currency.time_to_read(BOUND, LAST_RANK, at(8_000)), Duration::ZERO);
+    assert_eq!(currency.refresh_scope(BOUND, at(8_000)), RefreshScope::Observers);
+    currency.record(1, 1, at(8_010));
+    assert!(!currency.is_expired(BOUND, at(8_020)));
+    assert_eq!(currency.refresh_scope(BOUND, at(8_020)), RefreshScope::Nobody);
+});
+
+/// Instance whose reads of the store succeed, and whose evidence from others comes at random.
+struct SimulatedInstance {
+    currency: TableCurrency,
+    version: u64,
+    rank: ReadRank,
+}
+
+/// Returns the version that the store had at a time; changes are at `written`, in ascending order.
+fn stored_version(written: &[Instant], time: Instant) -> u64 {
+    written.partition_point(|at| *at <= time) as u64
+}
+
+// No order of documents, late news and suspensions lets an instance that reaches the store decide by
+// a document that was replaced longer ago than the bound.
+#[test]
+fn an_instance_that_reaches_the_store_never_decides_by_a_replaced_document() {
+    for seed in 0..500 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let start = Instant::now();
+        let mut written = Vec::new();
+        let mut now = start;
+        let rank = ReadRank { rank: random.random_range(1..8), spread: random.random() };
+        let mut instance =
+            SimulatedInstance { currency: TableCurrency::new(start), version: 0, rank };
+        for _ in 0..400 {
+            now += Duration::from_millis(random.random_range(5..100));
+            match random.random_range(0..20) {
+                0 => written.push(now),
+                1 => now += Duration::from_millis(random.random_range(500..6_000)),
+                // News of another instance, as of some time ago; the document itself may follow later.
+                2..=4 => {
+                    let as_of = now - Duration::from_millis(random.random_range(0..4_000));
+                    let version = stored_version(&written, as_of);
+                    instance.currency.record(instance.version, version, as_of);
+                    if random.random() {
+                        instance.version = instance.version.max(version);
+                        instance.currency.advance(instance.version);
+                    }
+                }
+                _ => {}
+            }
+            if instance.currency.time_to_read(BOUND, instance.rank, now).is_zero()
+                && random.random()
+            {
+                let sent_at = now;
+                now += Duration::from_millis(random.random_range(1..600));
+                instance.version = instance.version.max(stored_version(&written, sent_at));
+                instance.currency.record(instance.version, instance.version, sent_at);
+            }
+            let is_replaced = instance.version < stored_version(&written, now - BOUND);
+            let decides = !instance.currency.is_expired(BOUND, now);
+            assert!(!(decides && is_replaced), "seed {seed} after {:?}", now - start);
+        }
+    }
+}
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -26,7 +26,7 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(3);
 /// Explanation of a refusal by an instance whose document is outdated. Others serve a retry at once.
 const OUTDATED_EXPLANATION: &str =
-    "not run: other instances have a newer document; retry after 0 ms";
+    "not run: the document of this instance is not up to date; retry after 0 ms";
 /// Bounds the wait of a startup request for the first document; callers give up after 2 s.
 const FIRST_DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Interval at which a startup request checks for the first document.
--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -315,7 +315,7 @@
             |cause: &str| RefusalExplanation { cause: cause.to_owned(), retry_after_ms: None };
         let mut refusals = Vec::new();
         if self.is_document_outdated() {
-            refusals.push(refusal("another instance has a newer document, this one is outdated"));
+            refusals.push(refusal("the document of this instance is not up to date"));
         }
         if !is_anonymous && !self.is_document_validated() {
             refusals.push(refusal("the instance cannot confirm that keys are still valid"));
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -139,6 +139,8 @@
     promotion_token: Cell<Option<u64>>,
     next_transaction_id: Cell<u32>,
     next_session_id: Cell<u32>,
+    /// Place of this instance among those that read the store at spread times, from zero to one.
+    pub(crate) read_spread: f64,
     rng: RefCell<StdRng>,
 }
 
@@ -148,6 +150,7 @@
         let started_at = clock.now();
         // Seeded by name and incarnation, so that instances choose differently.
         let seed = rendezvous::weight(&settings.record.name, "") ^ settings.record.incarnation;
+        let mut rng = StdRng::seed_from_u64(seed);
         let mut directory = FleetDirectory::new(settings.drain_timeout);
         directory.set_zones(&settings.zones);
         Rc::new(Self {
@@ -178,7 +181,8 @@
             promotion_token: Cell::new(None),
             next_transaction_id: Cell::new(1),
             next_session_id: Cell::new(1),
-            rng: RefCell::new(StdRng::seed_from_u64(seed)),
+            read_spread: rng.random(),
+            rng: RefCell::new(rng),
         })
     }
 
@@ -211,10 +215,12 @@
             && !self.is_document_outdated()
     }
 
-    /// Returns whether a newer document must have been in force by now, and is so on another
-    /// instance, which can serve callers instead.
+    /// Returns whether a newer document must have been in force by now: another instance has it and
+    /// can serve callers instead, or nothing shows that there is none.
     pub fn is_document_outdated(&self) -> bool {
-        self.document_lag.borrow().is_outdated(self.settings.document_bound, self.now())
+        let (bound, now) = (self.settings.document_bound, self.now());
+        self.document_lag.borrow().is_outdated(bound, now)
+            || self.update_currency(WatchedTable::Document, |table| table.is_expired(bound, now))
     }
 
     /// Returns for how long another instance has had a newer document in force.
@@ -232,9 +238,12 @@
         if self.was_outdated.replace(is_outdated) == is_outdated {
             return;
         }
-        let lag = self.document_lag();
+        let (lag, age) = (self.document_lag(), self.table_age(WatchedTable::Document));
         if is_outdated {
-            log_event!(LogEvent::DocumentOutdated, "version={own} newest={newest} lag={lag:?}");
+            log_event!(
+                LogEvent::DocumentOutdated,
+                "version={own} newest={newest} lag={lag:?} age={age:?}"
+            );
         } else {
             log_event!(LogEvent::DocumentCaughtUp, "version={own} newest={newest}");
         }
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coord::membership::InstanceKey;
+use coord::membership::{InstanceKey, ViewScope};
+use coord::table_currency::RefreshScope;
 use coord::validation::HeartbeatOutcome;
 use metrics::counter;
 use telemetry::event::LogEvent;
@@ -191,8 +192,10 @@
                 let links = self.peers.links.borrow();
                 links.values().filter(|link| link.is_connected.get()).cloned().collect()
             };
+            let refresh_scope = self.refresh_scope(now);
             for link in links {
-                self.check_link(&link, needs_validation, now);
+                let needs_ping = needs_validation || self.is_in_scope(&link, refresh_scope);
+                self.check_link(&link, needs_ping, now);
             }
             self.refresh_status();
             self.update_document_lag();
@@ -200,7 +203,25 @@
         }
     }
 
-    fn check_link(&self, link: &PeerLink, needs_validation: bool, now: Instant) {
+    /// Returns which peers to ask for newer evidence about any table.
+    fn refresh_scope(&self, now: Instant) -> RefreshScope {
+        let scopes = WatchedTable::ALL.map(|table| {
+            let bound = self.table_bound(table);
+            self.update_currency(table, |currency| currency.refresh_scope(bound, now))
+        });
+        scopes.into_iter().max().unwrap_or(RefreshScope::Nobody)
+    }
+
+    fn is_in_scope(&self, link: &PeerLink, scope: RefreshScope) -> bool {
+        let membership = self.peers.membership.borrow();
+        match scope {
+            RefreshScope::Nobody => false,
+            RefreshScope::Reader => membership.zone_reader() == link.key,
+            RefreshScope::Observers => membership.scope_of(link.key) == ViewScope::Zone,
+        }
+    }
+
+    fn check_link(&self, link: &PeerLink, needs_evidence: bool, now: Instant) {
         let older = |at: Option<Instant>, limit: Duration| {
             at.is_some_and(|at| now.saturating_duration_since(at) > limit)
         };
@@ -225,7 +246,7 @@
         let is_ping_due = link.last_ping_at.get().is_none()
             || older(link.last_ping_at.get(), SUBSCRIPTION_PING_INTERVAL);
         if has_calls
-            || (is_subscription && (needs_validation || is_ping_due))
+            || (is_subscription && (needs_evidence || is_ping_due))
             || (is_leased && silent(IDLE_PING_INTERVAL))
         {
             link.send_ping(now);
--- a/crates/engine/src/table_fetch.rs
+++ b/crates/engine/src/table_fetch.rs
@@ -228,7 +228,10 @@
                 self.merge_snapshot(table, read.rows, read.version);
                 self.record_up_to_date(table, sent_at, Duration::ZERO);
             }
-            Err(error) => self.record_store_status(false, &error.to_string()),
+            Err(error) => {
+                self.record_failed_read(table, sent_at);
+                self.record_store_status(false, &error.to_string());
+            }
         }
     }
 }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use coord::table_currency::{POLL_FRACTION, ReadRank};
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::time::sleep;
@@ -12,11 +13,6 @@
 use crate::table_change::PackedChange;
 use crate::tables::StoredRow;
 
-/// Wait of a long poll, as a fraction of the time within which a change must be in force.
-///
-/// The wait bounds how long a partitioned reader goes unnoticed while other instances rely on it;
-/// a shorter one costs more calls. With 8 s, all instances missed three documents for 6 s.
-const LONG_POLL_FRACTION: f64 = 0.4;
 /// Maximum wait of a long poll of the document, as a fraction of the revocation bound: the next
 /// answer must arrive well before the validation by the previous one expires.
 const VALIDATION_POLL_FRACTION: f64 = 0.25;
@@ -40,6 +36,18 @@
 /// have registered by then.
 const FIRST_DISCOVERY_DELAY: Duration = Duration::from_millis(600);
 
+/// Reason why an instance reads the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ReadTurn {
+    /// It reads for its zone, as before.
+    Reader,
+    /// It has begun to read for its zone: it needs evidence at once, and must soon notice whether it
+    /// reaches the store itself.
+    Successor,
+    /// Another instance reads for the zone, without recent evidence.
+    Direct,
+}
+
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Keeps the cache of a table up to date; never returns.
     pub async fn watch_table(self: Rc<Self>, table: WatchedTable) {
@@ -58,6 +66,7 @@
                     read.version
                 }
                 Err(error) => {
+                    self.record_failed_read(table, sent_at);
                     self.record_store_status(false, &error.to_string());
                     sleep(RETRY_BACKOFF).await;
                     continue;
@@ -92,45 +101,83 @@
 
     /// Polls changes of a table until the store no longer has the history after `version`.
     async fn poll_from(&self, table: WatchedTable, mut version: u64) {
-        let mut wait = self.table_bound(table).mul_f64(LONG_POLL_FRACTION);
-        if let (WatchedTable::Document, Some(bound)) = (table, self.settings.revocation_bound) {
-            wait = wait.min(bound.mul_f64(VALIDATION_POLL_FRACTION));
-        }
         loop {
-            let mut takes_over = false;
-            while self.has_zone_reader() {
-                takes_over = true;
-                sleep(DELEGATION_CHECK_INTERVAL).await;
-            }
+            let turn = self.await_read_turn(table).await;
+            version = version.max(self.tables.borrow().versions()[table.index()]);
             let sent_at = self.now();
-            // A successor to a partitioned reader needs a fresh validation at once, and must soon
-            // notice whether it reaches the store itself.
-            let is_stale = table == WatchedTable::Document
-                && self.validation_is_older(wait.mul_f64(STALE_VALIDATION_FACTOR));
-            let wait = if takes_over || is_stale { Duration::ZERO } else { wait };
+            let wait = match turn {
+                ReadTurn::Reader => self.poll_wait(table),
+                ReadTurn::Successor | ReadTurn::Direct => Duration::ZERO,
+            };
             match self.platform.poll_changes(table, version, wait, wait + ANSWER_MARGIN).await {
                 Ok(read) => {
                     self.record_store_status(true, "");
-                    version = read.version.max(version);
                     // An answer without changes took the whole wait, and includes it.
-                    let waited = self.now().saturating_duration_since(sent_at);
-                    let covers_wait = read.rows.is_empty() && waited >= wait;
+                    let elapsed = self.now().saturating_duration_since(sent_at);
+                    let covers_wait = read.rows.is_empty() && elapsed >= wait;
+                    let waited = if covers_wait { wait } else { Duration::ZERO };
+                    version = read.version.max(version);
                     self.merge_store_changes(table, read.rows);
-                    self.record_up_to_date(
-                        table,
-                        sent_at,
-                        if covers_wait { wait } else { Duration::ZERO },
-                    );
+                    self.record_up_to_date(table, sent_at, waited);
                 }
                 Err(PlatformError::HistoryExpired) => return,
                 Err(error) => {
-                    self.record_store_status(false, &error.to_string());
+                    self.record_failed_read(table, sent_at);
+                    // The status tells others whether to rely on this instance, which they do not.
+                    if turn != ReadTurn::Direct {
+                        self.record_store_status(false, &error.to_string());
+                    }
                     sleep(RETRY_BACKOFF).await;
                 }
             }
         }
     }
 
+    /// Waits until this instance has to read the store: for its zone, or since it has no recent
+    /// evidence from the instance that does.
+    async fn await_read_turn(&self, table: WatchedTable) -> ReadTurn {
+        let mut turn = ReadTurn::Reader;
+        while self.has_zone_reader() {
+            turn = ReadTurn::Successor;
+            let time_to_read = self.time_to_read(table);
+            if time_to_read.is_zero() {
+                let age = self.table_age(table);
+                log_event!(LogEvent::StoreReadDirectly, "table={table:?} age={age:?}");
+                return ReadTurn::Direct;
+            }
+            sleep(DELEGATION_CHECK_INTERVAL.min(time_to_read)).await;
+        }
+        turn
+    }
+
+    fn time_to_read(&self, table: WatchedTable) -> Duration {
+        let rank = ReadRank {
+            rank: self.peers.membership.borrow().reader_rank(),
+            spread: self.read_spread,
+        };
+        let (bound, now) = (self.table_bound(table), self.now());
+        self.update_currency(table, |currency| currency.time_to_read(bound, rank, now))
+    }
+
+    /// Returns for how long a request for changes waits, so that the evidence that it gives replaces
+    /// the last one in time.
+    fn poll_wait(&self, table: WatchedTable) -> Duration {
+        let mut longest = self.table_bound(table).mul_f64(POLL_FRACTION);
+        if let (WatchedTable::Document, Some(bound)) = (table, self.settings.revocation_bound) {
+            longest = longest.min(bound.mul_f64(VALIDATION_POLL_FRACTION));
+            if self.validation_is_older(longest.mul_f64(STALE_VALIDATION_FACTOR)) {
+                return Duration::ZERO;
+            }
+        }
+        longest.saturating_sub(self.table_age(table))
+    }
+
+    /// Records that a read of the store, sent at `sent_at`, failed.
+    pub(crate) fn record_failed_read(&self, table: WatchedTable, sent_at: Instant) {
+        let now = self.now();
+        self.update_currency(table, |currency| currency.record_failed_read(sent_at, now));
+    }
+
     /// Returns the bound on the time until a change of a table is in force.
     pub(crate) fn table_bound(&self, table: WatchedTable) -> Duration {
         match table {
