Return the tokens of requests that did not run

Cause: a request takes its token before a member takes it, and kept it when it was refused as not run. The token now goes back to the bucket that it came from. Buckets are numbered, so that it reaches no other one; the bucket holds at most what it would hold if the token had not been taken. Only where the deployment is prepared for uneven or contended load. Ruled out: taking the token last, which holds a connection and a permit for a round trip.

--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -138,6 +138,8 @@
 /// Token bucket of a team and the claims of its priorities on it.
 #[derive(Clone, Debug)]
 struct TeamBucket {
+    /// Number that no earlier bucket had. Tokens are returned to the bucket that they came from only.
+    number: u32,
     limit: TeamLimit,
     tokens: TokenBucket,
     /// Initial tokens that the bucket has had so far.
@@ -163,6 +165,8 @@
     reachable_fraction: f64,
     instance_fraction: f64,
     recorded_at: Option<Instant>,
+    /// Number of the newest bucket.
+    last_number: u32,
 }
 
 impl TeamQuotas {
@@ -174,6 +178,7 @@
             reachable_fraction: 0.0,
             instance_fraction: 0.0,
             recorded_at: None,
+            last_number: 0,
         }
     }
 
@@ -212,6 +217,34 @@
         bucket.reserve(1.0, reserved_tokens, request.max_wait, now)
     }
 
+    /// Returns the number of the bucket that a team's tokens come from; zero without one.
+    pub fn bucket_number(&self, team: &str, share: LimitShare) -> u32 {
+        let bucket = self.buckets.get(&share).and_then(|buckets| buckets.get(team));
+        bucket.map_or(0, |bucket| bucket.number)
+    }
+
+    /// Takes back the token of an operation that did not run; returns false if the bucket that it came
+    /// from is gone.
+    ///
+    /// Load: members refuse for a moment, as after a loss of power, and the retries of a team within
+    /// its limit found no tokens left.
+    ///
+    /// The bucket then holds at most what it would hold if the token had not been taken.
+    pub fn return_token(
+        &mut self,
+        team: &str,
+        share: LimitShare,
+        bucket_number: u32,
+        now: Instant,
+    ) -> bool {
+        let bucket = self.buckets.get_mut(&share).and_then(|buckets| buckets.get_mut(team));
+        let Some(bucket) = bucket.filter(|bucket| bucket.number == bucket_number) else {
+            return false;
+        };
+        bucket.tokens.add_tokens(1.0, now);
+        true
+    }
+
     /// Does the same as [`Self::take`], with a floor for each lower priority.
     ///
     /// `refused_before` is the number of requests of the same team and priority that the asking
@@ -257,6 +290,8 @@
             let initial = bucket.limit.initial_tokens(self.window) * self.reachable_fraction;
             let excess = bucket.tokens.available(now) - initial;
             bucket.tokens.take_up_to(excess, now);
+            self.last_number += 1;
+            bucket.number = self.last_number;
             if let Some(state) = &mut bucket.floors {
                 state.floors.reset_limit(now);
             }
@@ -306,8 +341,10 @@
         if !buckets.contains_key(team) {
             let mut tokens = TokenBucket::empty(rate, burst, now);
             tokens.add_tokens(if request.starts_full { burst } else { initial_tokens }, now);
+            self.last_number += 1;
+            let number = self.last_number;
             let bucket =
-                TeamBucket { limit, tokens, initial_tokens, was_owner: true, floors: None };
+                TeamBucket { number, limit, tokens, initial_tokens, was_owner: true, floors: None };
             buckets.insert(team.to_owned(), bucket);
         }
         let bucket = buckets.get_mut(team).expect("the bucket was inserted");
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::message::AdmissionDecision;
+use crate::message::{AdmissionDecision, PeerRequest};
 use crate::peer_link::PeerLink;
 
 /// Bounds the wait for the answer of a quota owner.
@@ -19,6 +19,23 @@
 /// Shortest retry delay stated in a refusal.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Token that an operation took from the limit of its team.
+#[derive(Clone, Debug)]
+pub struct AdmissionToken {
+    origin: TokenOrigin,
+    /// Number of the bucket that the token came from; zero if the team has no limit.
+    bucket_number: u32,
+}
+
+/// Quota owner that a token came from.
+#[derive(Clone, Debug)]
+enum TokenOrigin {
+    /// This instance.
+    Own(LimitShare),
+    /// Another instance.
+    Peer(Rc<PeerLink>),
+}
+
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Admits an operation of a team, or returns the delay after which a retry may be admitted.
     ///
@@ -28,16 +45,18 @@
         team: &str,
         priority: PriorityLevel,
         max_wait: Duration,
-    ) -> Result<(), Duration> {
+    ) -> Result<Option<AdmissionToken>, Duration> {
         let max_wait = max_wait.min(TOKEN_TIMEOUT);
         if self.directory.borrow().document().team_limit(team).is_none() {
-            return Ok(());
+            return Ok(None);
         }
-        match self.request_admission(team, priority, max_wait).await {
-            AdmissionDecision::Admitted { delay } if delay.is_zero() => Ok(()),
-            AdmissionDecision::Admitted { delay } => {
-                sleep(delay).await;
-                Ok(())
+        let (origin, decision) = self.request_admission(team, priority, max_wait).await;
+        match decision {
+            AdmissionDecision::Admitted { delay, bucket_number } => {
+                if !delay.is_zero() {
+                    sleep(delay).await;
+                }
+                Ok(Some(AdmissionToken { origin, bucket_number }))
             }
             AdmissionDecision::Refused { retry_after, .. } => {
                 Err(self.retry_delay(retry_after.max(MIN_RETRY_DELAY)))
@@ -45,6 +64,23 @@
         }
     }
 
+    /// Returns the token of an operation that certainly did not run to where it came from.
+    pub(crate) fn return_token(&self, team: &str, token: AdmissionToken) {
+        let bucket_number = token.bucket_number;
+        counter!(meter::RETURNED_TOKENS).increment(1);
+        match token.origin {
+            TokenOrigin::Own(share) => self.take_back_token(team, share, bucket_number),
+            TokenOrigin::Peer(link) => {
+                link.send(&PeerRequest::ReturnToken { team: team.to_owned(), bucket_number });
+            }
+        }
+    }
+
+    /// Takes back a token as the quota owner of its team.
+    pub(crate) fn take_back_token(&self, team: &str, share: LimitShare, bucket_number: u32) {
+        self.quotas.borrow_mut().return_token(team, share, bucket_number, self.now());
+    }
+
     /// Decides about an operation as the quota owner of its team.
     ///
     /// `refused_before` is the number of operations of the same priority that the asking instance
@@ -126,7 +162,7 @@
     ) -> AdmissionDecision {
         let document = self.directory.borrow().document();
         let Some(limit) = document.team_limit(team) else {
-            return AdmissionDecision::Admitted { delay: Duration::ZERO };
+            return AdmissionDecision::Admitted { delay: Duration::ZERO, bucket_number: 0 };
         };
         let request = TokenRequest {
             priority_rank: document.priority_rank(priority),
@@ -135,21 +171,19 @@
             is_starting: self.is_starting(),
             share,
         };
-        if self.settings.load_profile.is_contended {
-            return match quotas.take_with_floors(team, limit, request, refused_before, self.now()) {
-                Ok(delay) => AdmissionDecision::Admitted { delay },
-                Err(refusal) => AdmissionDecision::Refused {
-                    retry_after: refusal.retry_after,
-                    hold: refusal.hold,
-                },
-            };
-        }
-        match quotas.take(team, limit, request, self.now()) {
-            Ok(delay) => AdmissionDecision::Admitted { delay },
-            Err(insufficient) => AdmissionDecision::Refused {
-                retry_after: insufficient.retry_after,
-                hold: Duration::ZERO,
-            },
+        let taken = if self.settings.load_profile.is_contended {
+            let taken = quotas.take_with_floors(team, limit, request, refused_before, self.now());
+            taken.map_err(|refusal| (refusal.retry_after, refusal.hold))
+        } else {
+            let taken = quotas.take(team, limit, request, self.now());
+            taken.map_err(|insufficient| (insufficient.retry_after, Duration::ZERO))
+        };
+        match taken {
+            Ok(delay) => {
+                let bucket_number = quotas.bucket_number(team, share);
+                AdmissionDecision::Admitted { delay, bucket_number }
+            }
+            Err((retry_after, hold)) => AdmissionDecision::Refused { retry_after, hold },
         }
     }
 
@@ -199,7 +233,7 @@
         }
     }
 
-    /// Asks the quota owner of a team for a decision.
+    /// Asks the quota owner of a team for a decision; returns it with the owner.
     ///
     /// Decides locally if this instance is the owner or no candidate answers.
     async fn request_admission(
@@ -207,23 +241,24 @@
         team: &str,
         priority: PriorityLevel,
         max_wait: Duration,
-    ) -> AdmissionDecision {
+    ) -> (TokenOrigin, AdmissionDecision) {
         for name in self.peers.fleet_owners(team).iter() {
             if name == self.name() {
                 let decision = self.admit_locally(team, priority, max_wait, 0);
                 if let AdmissionDecision::Refused { .. } = decision {
                     counter!(meter::LIMIT_REFUSALS, "by" => "local").increment(1);
                 }
-                return decision;
+                return (TokenOrigin::Own(LimitShare::Reachable), decision);
             }
             let Some(link) = self.open_link(name) else {
                 continue;
             };
             if let Some(answer) = self.ask_quota_owner(&link, team, priority, max_wait).await {
-                return answer;
+                return (TokenOrigin::Peer(link), answer);
             }
         }
-        self.admit_own_share(team, priority, max_wait)
+        let decision = self.admit_own_share(team, priority, max_wait);
+        (TokenOrigin::Own(LimitShare::OneInstance), decision)
     }
 
     /// Asks a peer for a decision, unless its last refusal is still valid.
--- a/crates/engine/src/attempt_history.rs
+++ b/crates/engine/src/attempt_history.rs
@@ -27,6 +27,8 @@
     pub(crate) retries: u16,
     /// A member took the statement, and did not run it.
     pub(crate) was_taken: bool,
+    /// A member may have run the statement, or ran it without success.
+    pub(crate) may_have_run: bool,
     /// Some attempt of this round failed for another reason than a full queue or an evacuation.
     pub(crate) has_other_failures: bool,
     /// Endpoints in `failed` whose connection owner learned of an evacuation before this instance.
@@ -42,6 +44,7 @@
             last_failure: (RefusalCode::Busy, "no endpoint is available", MIN_RETRY_DELAY),
             retries: 0,
             was_taken: false,
+            may_have_run: false,
             has_other_failures: false,
             evacuated_count: 0,
             queue_wait: None,
@@ -58,6 +61,7 @@
         origin: RetryOrigin,
     ) {
         self.last_failure = (code, cause, backoff);
+        self.may_have_run |= may_have_run(code);
         match origin {
             RetryOrigin::Queue => {
                 let shortest = self.queue_wait.map_or(backoff, |wait| wait.min(backoff));
@@ -97,6 +101,11 @@
     }
 }
 
+/// Returns whether a member that answers with this code may have run the statement.
+fn may_have_run(code: RefusalCode) -> bool {
+    matches!(code, RefusalCode::Failed | RefusalCode::Timeout | RefusalCode::Aborted)
+}
+
 /// Returns whether a retry after this answer adds to the load of a member, and does not only
 /// correct the choice of the member.
 pub(crate) fn adds_load(code: RefusalCode) -> bool {
--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -337,7 +337,7 @@
         let (quota_owner, decision) = self.preview_admission(team, route.priority, max_wait);
         let (outcome, wait_ms) = match decision {
             None => (LimitOutcome::Unknown, None),
-            Some(AdmissionDecision::Admitted { delay }) => {
+            Some(AdmissionDecision::Admitted { delay, .. }) => {
                 (LimitOutcome::Admitted, Some(to_ms(delay)))
             }
             Some(AdmissionDecision::Refused { retry_after, .. }) => {
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -180,6 +180,8 @@
     Admitted {
         /// Time to wait before the start.
         delay: Duration,
+        /// Number of the bucket that the token came from; zero if the team has no limit.
+        bucket_number: u32,
     },
     /// The operation exceeds the limit of the team.
     Refused {
@@ -296,6 +298,13 @@
         /// request.
         refused_before: u32,
     },
+    /// Returns the token of an operation that did not run.
+    ReturnToken {
+        /// Team.
+        team: String,
+        /// Number of the bucket that the token came from.
+        bucket_number: u32,
+    },
     /// Requests an indirect probe: whether the receiver reaches an endpoint on a new connection.
     Probe {
         /// Identifier of the call, repeated in the answer.
@@ -438,7 +447,7 @@
             Self::Report(_) => "report",
             Self::Execute { .. } => "execute",
             Self::Release { .. } => "release",
-            Self::Admit { .. } => "admit",
+            Self::Admit { .. } | Self::ReturnToken { .. } => "admit",
             Self::Probe { .. } => "probe",
             Self::Change { .. } => "change",
             Self::Offer { .. } => "offer",
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coord::quota::LimitShare;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::io::AsyncReadExt;
@@ -164,6 +165,9 @@
                 let answer = self.admit_locally(&team, priority, max_wait, refused_before);
                 output.push(&PeerReply::Admit { call_id, decision: answer });
             }
+            PeerRequest::ReturnToken { team, bucket_number } => {
+                self.take_back_token(&team, LimitShare::Reachable, bucket_number);
+            }
             PeerRequest::Probe { call_id, endpoint } => {
                 tokio::task::spawn_local(async move {
                     let reached = instance.probe_member(&endpoint).await.is_some();
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -99,6 +99,13 @@
     },
 }
 
+impl StatementResult {
+    /// Returns whether the caller is told that the statement did not run.
+    fn is_not_run(&self) -> bool {
+        matches!(self, Self::Failure { content, code: RefusalCode::Busy, .. } if content.is_empty())
+    }
+}
+
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Runs a statement and returns its result.
     pub async fn run_statement(
@@ -114,20 +121,40 @@
         let (arrived_at, route) = (context.arrived_at, context.route);
         let latest_start = arrived_at + route.target_latency.mul_f64(START_TIMEOUT_FRACTION);
         let deadline = arrived_at + route.statement_timeout;
-        let mut times = CallTimes { latest_start, deadline, reach_limit: latest_start };
-        let sheds_load = self.settings.load_profile.is_uneven;
+        let times = CallTimes { latest_start, deadline, reach_limit: latest_start };
         // Refused before it waits for the limit of its team, and without taking a token.
         if let Some(refusal) = self.refuse_before_admission(context, times) {
             return refusal;
         }
         let max_wait = route.target_latency.mul_f64(ADMISSION_TIMEOUT_FRACTION);
-        if let Err(retry_after) = self.admit(context.team, route.priority, max_wait).await {
-            return not_run("over the limit of the team", retry_after);
+        let token = match self.admit(context.team, route.priority, max_wait).await {
+            Ok(token) => token,
+            Err(retry_after) => return not_run("over the limit of the team", retry_after),
+        };
+        let mut history = AttemptHistory::default();
+        let result = self.run_admitted(context, times, &mut history).await;
+        let profile = self.settings.load_profile;
+        if (profile.is_contended || profile.is_uneven)
+            && result.is_not_run()
+            && !history.may_have_run
+            && let Some(token) = token
+        {
+            self.return_token(context.team, token);
         }
+        result
+    }
+
+    /// Runs a statement that was admitted, at one member after the other as long as it did not run.
+    async fn run_admitted(
+        self: &Rc<Self>,
+        context: &StatementContext<'_>,
+        mut times: CallTimes,
+        history: &mut AttemptHistory,
+    ) -> StatementResult {
+        let (route, sheds_load) = (context.route, self.settings.load_profile.is_uneven);
         // The document may have changed while the statement waited for a token.
         let document = self.directory.borrow().document();
         let scope = request_scope(context, &document);
-        let mut history = AttemptHistory::default();
         for attempt in 0..MAX_ATTEMPTS {
             let now = self.now();
             if sheds_load {
@@ -173,10 +200,10 @@
                 AttemptOutcome::InDoubt { is_owner_lost } => {
                     history.last_failure =
                         (RefusalCode::Aborted, "the answer of the member is lost", MIN_RETRY_DELAY);
-                    history.was_taken = true;
+                    (history.was_taken, history.may_have_run) = (true, true);
                     self.log_retry(context, &endpoint, "answer_lost", attempt);
                     history.failed.push(endpoint);
-                    if sheds_load && !is_owner_lost && !self.take_retry(context, &mut history) {
+                    if sheds_load && !is_owner_lost && !self.take_retry(context, history) {
                         break;
                     }
                 }
@@ -191,7 +218,7 @@
                         }
                         if origin == RetryOrigin::Member
                             && adds_load(code)
-                            && !self.take_retry(context, &mut history)
+                            && !self.take_retry(context, history)
                         {
                             break;
                         }
@@ -215,7 +242,7 @@
             _ if sheds_load && history.has_only_evacuated() => {
                 self.refuse_unavailable(context, Unavailability::Evacuated)
             }
-            _ if sheds_load => not_run(cause, self.expected_capacity(context, &history)),
+            _ if sheds_load => not_run(cause, self.expected_capacity(context, history)),
             _ => not_run(cause, backoff),
         }
     }
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -70,6 +70,8 @@
 pub const DOCUMENT_LAG_SECONDS: &str = "hibiscus_document_lag_seconds";
 /// Seconds since the cache of a table held all changes of the store, by table.
 pub const TABLE_AGE_SECONDS: &str = "hibiscus_table_age_seconds";
+/// Tokens that were returned for operations that did not run.
+pub const RETURNED_TOKENS: &str = "hibiscus_returned_tokens_total";
 /// Zones that are or were evacuated, by phase.
 pub const EVACUATED_ZONES: &str = "hibiscus_evacuated_zones";
 /// Requests refused because no member may run them, by reason: evacuated or region.
