Move ownership away from instances that fall behind

It is the class of the incident in docs/incidents/document-behind-its-reader.md: trust that ends with a failure.

Change: an instance whose timers are late for a third of the time says that it is congested. Others choose it last as an owner, as promotion coordinator and as the reader of its zone, and it is not ready until it keeps up. It gets its work back after 4 s, later ones up to 32 s. If more than a third of the live instances are congested nothing moves.

Peers do not judge owners yet.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -13,6 +13,7 @@
 //! [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and [`retry_budget`].
 
 pub mod cold_budget;
+pub mod congestion;
 pub mod connection_reuse;
 pub mod document_lag;
 pub mod endpoint_health;
--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{SecondaryMap, SlotMap, new_key_type};
 
-use crate::rendezvous;
+use crate::{congestion, rendezvous};
 
 /// Observers of one availability zone to which an instance subscribes.
 pub const OBSERVERS_PER_ZONE: usize = 3;
@@ -98,6 +98,8 @@
     pub unreachable_endpoints: Vec<String>,
     /// The instance reaches none of the endpoints that it tried.
     pub is_cut_off: bool,
+    /// The instance falls behind its own work.
+    pub is_congested: bool,
 }
 
 impl MemberStatus {
@@ -289,11 +291,13 @@
 
     /// Returns the first `count` candidates to own the connections of an endpoint in `zone`.
     ///
-    /// Instances that report the endpoint as unreachable come last.
+    /// Instances that report the endpoint as unreachable come last, and before them congested ones.
     pub fn connection_owners(&self, endpoint: &str, zone: &str, count: usize) -> Vec<InstanceKey> {
+        let avoids_congested = self.avoids_congested();
         self.best_active(count, |member| {
             (
                 member.status.misses(endpoint),
+                avoids_congested && member.status.is_congested,
                 member.record.zone != zone,
                 member.record.owner_rank(endpoint),
             )
@@ -302,7 +306,17 @@
 
     /// Returns the first `count` candidates to decide about `subject` for the whole fleet.
     pub fn fleet_owners(&self, subject: &str, count: usize) -> Vec<InstanceKey> {
-        self.best_active(count, |member| member.record.owner_rank(subject))
+        let avoids_congested = self.avoids_congested();
+        self.best_active(count, |member| {
+            (avoids_congested && member.status.is_congested, member.record.owner_rank(subject))
+        })
+    }
+
+    /// Returns whether congested instances are chosen last; not if there are too many.
+    pub fn avoids_congested(&self) -> bool {
+        let is_congested = |member: &&MemberState| member.is_live && member.status.is_congested;
+        let congested_count = self.members.values().filter(is_congested).count();
+        congested_count > 0 && congestion::may_move(congested_count, self.live_count)
     }
 
     /// Returns the first `count` active instances by rank, the lowest one first.
@@ -327,7 +341,10 @@
             let is_own = **key == self.own;
             is_own || (member.is_live && member.status.store_reachable && !member.status.leaving)
         };
-        self.own_ranking().iter().find(reads).copied().unwrap_or(self.own)
+        let keeps_up = |key: &&InstanceKey| reads(key) && !self.members[**key].status.is_congested;
+        let ranking = self.own_ranking();
+        let first = ranking.iter().find(keeps_up).or_else(|| ranking.iter().find(reads));
+        first.copied().unwrap_or(self.own)
     }
 
     /// Returns the number of live instances before the own one in the order in which the instances
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use clock::SharedClock;
+use coord::congestion::CongestionDetector;
 use coord::document_lag::DocumentLag;
 use coord::evacuation::ZonePhase;
 use coord::membership::InstanceKey;
@@ -134,6 +135,7 @@
     /// As of when the table caches hold all changes, in the order of [`WatchedTable::ALL`].
     currencies: RefCell<[TableCurrency; WatchedTable::ALL.len()]>,
     was_outdated: Cell<bool>,
+    congestion: Cell<CongestionDetector>,
     /// Instance that last read the store for the availability zone.
     pub(crate) last_reader: Cell<Option<InstanceKey>>,
     promotion_token: Cell<Option<u64>>,
@@ -172,6 +174,7 @@
             document_lag: RefCell::default(),
             currencies: RefCell::new(WatchedTable::ALL.map(|_| TableCurrency::new(started_at))),
             was_outdated: Cell::new(false),
+            congestion: Cell::default(),
             last_reader: Cell::new(None),
             started_at,
             caller_count: Cell::new(0),
@@ -213,6 +216,30 @@
             && self.directory.borrow().is_loaded()
             && self.is_document_validated()
             && !self.is_document_outdated()
+            && !(self.congestion.get().avoids_callers(self.now()) && self.peers.avoids_congested())
+    }
+
+    /// Returns whether the instance falls behind its own work.
+    pub fn is_congested(&self) -> bool {
+        self.congestion.get().is_congested()
+    }
+
+    /// Records that a timer of `interval` took `elapsed`, and logs when the instance becomes congested.
+    pub(crate) fn record_timer(&self, interval: Duration, elapsed: Duration) {
+        let mut detector = self.congestion.get();
+        let was_congested = detector.is_congested();
+        detector.record(interval, elapsed, self.now());
+        self.congestion.set(detector);
+        let late_share = detector.late_share();
+        match (was_congested, detector.is_congested()) {
+            (false, true) => {
+                log_event!(LogEvent::InstanceCongested, "late_share={late_share:.2}");
+            }
+            (true, false) => {
+                log_event!(LogEvent::InstanceKeepsUp, "late_share={late_share:.2}");
+            }
+            _ => {}
+        }
     }
 
     /// Returns whether a newer document must have been in force by now: another instance has it and
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -184,8 +184,10 @@
         loop {
             self.update_reachable_fraction();
             self.update_member_limits();
+            let slept_at = self.now();
             sleep(PING_INTERVAL).await;
             let now = self.now();
+            self.record_timer(PING_INTERVAL, now.saturating_duration_since(slept_at));
             let needs_validation =
                 self.max_validation_age().is_some_and(|limit| self.validation_is_older(limit / 2));
             let links: Vec<Rc<PeerLink>> = {
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -109,6 +109,11 @@
         self.membership.borrow().generation()
     }
 
+    /// Returns whether congested instances are chosen last.
+    pub fn avoids_congested(&self) -> bool {
+        self.membership.borrow().avoids_congested()
+    }
+
     /// Returns the number of live instances, this one included.
     pub fn live_count(&self) -> usize {
         self.membership.borrow().live_count()
--- a/crates/engine/src/status.rs
+++ b/crates/engine/src/status.rs
@@ -22,6 +22,8 @@
     pub document_version: u64,
     /// Another instance has a newer document, which must have been in force here by now.
     pub is_document_outdated: bool,
+    /// The instance falls behind its own work.
+    pub is_congested: bool,
     /// Instances that are live, this one included.
     pub live_instances: usize,
     /// Instances that are registered, this one included.
@@ -124,6 +126,7 @@
             is_ready: self.is_ready(),
             document_version: directory.document().version,
             is_document_outdated: self.is_document_outdated(),
+            is_congested: self.is_congested(),
             live_instances,
             known_instances,
             zones,
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -57,6 +57,7 @@
             leaving: self.is_leaving(),
             store_reachable: self.is_store_reachable(),
             promotion_token: self.promotion_token(),
+            is_congested: self.is_congested(),
             ..MemberStatus::default()
         };
         status.set_unreachable(self.pools.unreachable_endpoints(), self.pools.reachable_count());
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -65,6 +65,10 @@
     StoreReaderChanged = 1111, Info, "store_reader_changed";
     /// An instance read the store itself, as it had no recent evidence from the one that reads for its zone.
     StoreReadDirectly = 1112, Info, "store_read_directly";
+    /// This instance falls behind its own work, and others own what it owned as long as few do.
+    InstanceCongested = 1113, Warn, "instance_congested";
+    /// This instance keeps up with its work again.
+    InstanceKeepsUp = 1114, Info, "instance_keeps_up";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
     /// A caller's connection closed.
