Name the age of a cached table as such

It tells the age of a table's cache, so the module, the type and the functions of the instance say that. No behaviour changes; the tests of the tracker and of silent readers pass.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,7 +7,7 @@
 //! [`rendezvous`] and [`validation`]. The proxy uses [`failover`], [`freshness`], [`ledger`],
 //! [`routing`] and, in its connection pools, [`queue`]; these modules speak of a database group and
 //! its primary. The engine uses the others, which speak of a service and its leader. It replicates
-//! the platform's tables with [`table_source`], [`transfer_gate`], [`table_currency`] and
+//! the platform's tables with [`table_source`], [`transfer_gate`], [`table_age`] and
 //! [`document_lag`], keeps
 //! work out of zones and regions with [`evacuation`] and [`regions`], and sheds load with
 //! [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and [`retry_budget`].
@@ -36,7 +36,7 @@
 pub mod routing;
 pub mod service_time;
 pub mod session;
-pub mod table_currency;
+pub mod table_age;
 pub mod table_source;
 pub mod transfer_gate;
 pub mod turn_meter;
--- a/crates/coord/src/table_currency.rs
+++ b/crates/coord/src/table_age.rs
@@ -40,7 +40,7 @@
 
 /// Evidence about a version of a table.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct CurrencyEvidence {
+struct VersionEvidence {
     version: u64,
     as_of: Instant,
 }
@@ -80,17 +80,17 @@
 
 /// Evidence about the cache of one table.
 #[derive(Clone, Debug)]
-pub struct TableCurrency {
+pub struct TableAge {
     started_at: Instant,
     /// Time up to which the cache holds all changes.
     confirmed_at: Option<Instant>,
     /// Evidence for versions that the cache has not reached, both values ascending.
-    pending: VecDeque<CurrencyEvidence>,
+    pending: VecDeque<VersionEvidence>,
     /// Time at which the last failed read of the store was sent, and when it failed.
     failed_read: Option<(Instant, Instant)>,
 }
 
-impl TableCurrency {
+impl TableAge {
     /// Creates the tracker of an empty cache.
     pub fn new(started_at: Instant) -> Self {
         Self { started_at, confirmed_at: None, pending: VecDeque::new(), failed_read: None }
@@ -100,7 +100,7 @@
     /// the own cache.
     pub fn record(&mut self, own: u64, version: u64, as_of: Instant) {
         if version > own {
-            self.insert_pending(CurrencyEvidence { version, as_of });
+            self.insert_pending(VersionEvidence { version, as_of });
         } else {
             self.confirm(as_of);
         }
@@ -122,7 +122,7 @@
     /// Returns for how long the cache may have missed a change: the time since it held all of them.
     ///
     /// Without any evidence it counts from the start of the instance.
-    pub fn age(&self, now: Instant) -> Duration {
+    pub fn elapsed(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.confirmed_at.unwrap_or(self.started_at))
     }
 
@@ -133,7 +133,7 @@
 
     /// Returns who should be asked for newer evidence.
     pub fn refresh_scope(&self, bound: Duration, now: Instant) -> RefreshScope {
-        let age = self.age(now);
+        let age = self.elapsed(now);
         if age >= bound.mul_f64(WIDE_REFRESH_FRACTION) {
             RefreshScope::Observers
         } else if age >= bound.mul_f64(REFRESH_FRACTION) {
@@ -146,7 +146,7 @@
     /// Returns the time until this instance has to read the store itself, although another one reads
     /// for its zone.
     pub fn time_to_read(&self, bound: Duration, rank: ReadRank, now: Instant) -> Duration {
-        let by_age = bound.mul_f64(rank.read_fraction()).saturating_sub(self.age(now));
+        let by_age = bound.mul_f64(rank.read_fraction()).saturating_sub(self.elapsed(now));
         let by_failure = self.failed_read.map_or(Duration::ZERO, |(_, failed_at)| {
             (failed_at + bound.mul_f64(RETRY_FRACTION)).saturating_duration_since(now)
         });
@@ -160,7 +160,7 @@
         let is_out_of_reach = self.failed_read.is_some_and(|(sent_at, _)| {
             self.confirmed_at.is_none_or(|confirmed_at| sent_at > confirmed_at)
         });
-        !is_out_of_reach && self.age(now) > bound.mul_f64(EXPIRY_FRACTION)
+        !is_out_of_reach && self.elapsed(now) > bound.mul_f64(EXPIRY_FRACTION)
     }
 
     fn confirm(&mut self, as_of: Instant) {
@@ -169,8 +169,8 @@
         }
     }
 
-    fn insert_pending(&mut self, evidence: CurrencyEvidence) {
-        let is_implied = |known: &CurrencyEvidence| {
+    fn insert_pending(&mut self, evidence: VersionEvidence) {
+        let is_implied = |known: &VersionEvidence| {
             known.version <= evidence.version && known.as_of >= evidence.as_of
         };
         if self.pending.iter().any(is_implied) {
--- a/crates/coord/tests/table_currency.rs
+++ b/crates/coord/tests/table_age.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use coord::table_currency::{
-    EXPIRY_FRACTION, LAST_READ_FRACTION, POLL_FRACTION, ReadRank, RefreshScope, TableCurrency,
+use coord::table_age::{
+    EXPIRY_FRACTION, LAST_READ_FRACTION, POLL_FRACTION, ReadRank, RefreshScope, TableAge,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -16,114 +16,114 @@
 const LAST_RANK: ReadRank = ReadRank { rank: 20, spread: 1.0 };
 
 /// Defines a test with a new tracker and a function that returns a time in milliseconds.
-macro_rules! currency_case {
-    ($name:ident, $currency:ident, $at:ident => $body:block) => {
+macro_rules! age_case {
+    ($name:ident, $age:ident, $at:ident => $body:block) => {
         #[test]
         fn $name() {
             let start = Instant::now();
             let $at = |millis: u64| start + Duration::from_millis(millis);
-            let mut $currency = TableCurrency::new(start);
+            let mut $age = TableAge::new(start);
             $body
         }
     };
 }
 
 // A cache that lacks a version looked as new as that version.
-currency_case!(evidence_for_a_newer_version_counts_once_the_cache_has_it, currency, at => {
-    currency.record(17, 17, at(100));
-    currency.record(17, 20, at(900));
-    assert_eq!(currency.confirmed_at(), Some(at(100)));
-    currency.advance(20);
-    assert_eq!(currency.confirmed_at(), Some(at(900)));
-    assert_eq!(currency.age(at(1_000)), Duration::from_millis(100));
+age_case!(evidence_for_a_newer_version_counts_once_the_cache_has_it, age, at => {
+    age.record(17, 17, at(100));
+    age.record(17, 20, at(900));
+    assert_eq!(age.confirmed_at(), Some(at(100)));
+    age.advance(20);
+    assert_eq!(age.confirmed_at(), Some(at(900)));
+    assert_eq!(age.elapsed(at(1_000)), Duration::from_millis(100));
 });
 
 // While documents follow each other quickly, the cache is always one behind its evidence.
-currency_case!(a_series_of_versions_keeps_the_evidence_for_each, currency, at => {
+age_case!(a_series_of_versions_keeps_the_evidence_for_each, age, at => {
     for step in 1..500 {
-        currency.record(step - 1, step, at(10 * step));
-        currency.advance(step - 1);
-        assert!(currency.age(at(10 * step)) <= Duration::from_millis(10), "step {step}");
+        age.record(step - 1, step, at(10 * step));
+        age.advance(step - 1);
+        assert!(age.elapsed(at(10 * step)) <= Duration::from_millis(10), "step {step}");
     }
 });
 
-currency_case!(too_much_evidence_makes_the_cache_look_older, currency, at => {
+age_case!(too_much_evidence_makes_the_cache_look_older, age, at => {
     for step in 1..=200 {
-        currency.record(0, step, at(10 * step));
+        age.record(0, step, at(10 * step));
     }
-    currency.advance(100);
-    assert!(currency.confirmed_at().is_none_or(|confirmed_at| confirmed_at <= at(1_000)));
-    currency.advance(200);
-    assert_eq!(currency.confirmed_at(), Some(at(2_000)));
+    age.advance(100);
+    assert!(age.confirmed_at().is_none_or(|confirmed_at| confirmed_at <= at(1_000)));
+    age.advance(200);
+    assert_eq!(age.confirmed_at(), Some(at(2_000)));
 });
 
-currency_case!(later_evidence_for_a_lower_version_replaces_that_for_a_higher_one, currency, at => {
-    currency.record(1, 5, at(100));
-    currency.record(1, 3, at(400));
-    currency.advance(3);
-    assert_eq!(currency.confirmed_at(), Some(at(400)));
-    currency.record(3, 5, at(200));
-    currency.advance(5);
-    assert_eq!(currency.confirmed_at(), Some(at(400)));
+age_case!(later_evidence_for_a_lower_version_replaces_that_for_a_higher_one, age, at => {
+    age.record(1, 5, at(100));
+    age.record(1, 3, at(400));
+    age.advance(3);
+    assert_eq!(age.confirmed_at(), Some(at(400)));
+    age.record(3, 5, at(200));
+    age.advance(5);
+    assert_eq!(age.confirmed_at(), Some(at(400)));
 });
 
-currency_case!(without_evidence_the_age_counts_from_the_start, currency, at => {
-    assert_eq!(currency.confirmed_at(), None);
-    assert_eq!(currency.age(at(700)), Duration::from_millis(700));
-    currency.record(1, 1, at(600));
-    assert_eq!(currency.age(at(700)), Duration::from_millis(100));
+age_case!(without_evidence_the_age_counts_from_the_start, age, at => {
+    assert_eq!(age.confirmed_at(), None);
+    assert_eq!(age.elapsed(at(700)), Duration::from_millis(700));
+    age.record(1, 1, at(600));
+    assert_eq!(age.elapsed(at(700)), Duration::from_millis(100));
 });
 
 // Each reader that fell silent was noticed only after the one before it, so their waits added up.
-currency_case!(any_number_of_silent_readers_delays_a_read_by_a_part_of_the_bound, currency, at => {
+age_case!(any_number_of_silent_readers_delays_a_read_by_a_part_of_the_bound, age, at => {
     for seed in 0..20 {
         let rank = ReadRank { rank: seed as usize, spread: seed as f64 / 20.0 };
-        let time_to_read = currency.time_to_read(BOUND, rank, at(0));
+        let time_to_read = age.time_to_read(BOUND, rank, at(0));
         assert!(time_to_read > BOUND.mul_f64(POLL_FRACTION), "readers poll in time: {rank:?}");
         assert!(time_to_read <= BOUND.mul_f64(LAST_READ_FRACTION), "{rank:?}");
     }
-    currency.record(1, 1, at(500));
+    age.record(1, 1, at(500));
     assert_eq!(
-        currency.time_to_read(BOUND, LAST_RANK, at(500)),
+        age.time_to_read(BOUND, LAST_RANK, at(500)),
         BOUND.mul_f64(LAST_READ_FRACTION)
     );
 });
 
 // A store that nobody reaches made all instances of a zone ask it without a pause.
-currency_case!(a_failed_read_is_not_repeated_at_once, currency, at => {
+age_case!(a_failed_read_is_not_repeated_at_once, age, at => {
     let due = BOUND.mul_f64(LAST_READ_FRACTION);
-    currency.record_failed_read(at(0) + due, at(0) + due + ANSWER_MARGIN);
-    let time_to_read = currency.time_to_read(BOUND, LAST_RANK, at(0) + due + ANSWER_MARGIN);
+    age.record_failed_read(at(0) + due, at(0) + due + ANSWER_MARGIN);
+    let time_to_read = age.time_to_read(BOUND, LAST_RANK, at(0) + due + ANSWER_MARGIN);
     assert!(time_to_read >= BOUND / 3, "{time_to_read:?}");
 });
 
 // While nobody reaches the store, an old document is better than none.
-currency_case!(an_instance_that_cannot_read_the_store_goes_on, currency, at => {
-    currency.record(1, 1, at(0));
+age_case!(an_instance_that_cannot_read_the_store_goes_on, age, at => {
+    age.record(1, 1, at(0));
     let sent_at = at(0) + BOUND.mul_f64(LAST_READ_FRACTION);
     assert!(sent_at + ANSWER_MARGIN < at(0) + BOUND.mul_f64(EXPIRY_FRACTION));
-    currency.record_failed_read(sent_at, sent_at + ANSWER_MARGIN);
-    assert!(!currency.is_expired(BOUND, at(60_000)));
+    age.record_failed_read(sent_at, sent_at + ANSWER_MARGIN);
+    assert!(!age.is_expired(BOUND, at(60_000)));
     // Evidence from after the failed read shows that the store can be reached.
-    currency.record(1, 1, at(60_000));
-    assert!(currency.is_expired(BOUND, at(60_000) + BOUND));
+    age.record(1, 1, at(60_000));
+    assert!(age.is_expired(BOUND, at(60_000) + BOUND));
 });
 
 // An instance that was suspended went on by the document that it had before.
-currency_case!(an_instance_that_wakes_decides_nothing_before_it_has_evidence, currency, at => {
-    currency.record(1, 1, at(0));
-    assert!(!currency.is_expired(BOUND, at(2_000)));
-    assert!(currency.is_expired(BOUND, at(8_000)));
-    assert_eq!(currency.time_to_read(BOUND, LAST_RANK, at(8_000)), Duration::ZERO);
-    assert_eq!(currency.refresh_scope(BOUND, at(8_000)), RefreshScope::Observers);
-    currency.record(1, 1, at(8_010));
-    assert!(!currency.is_expired(BOUND, at(8_020)));
-    assert_eq!(currency.refresh_scope(BOUND, at(8_020)), RefreshScope::Nobody);
+age_case!(an_instance_that_wakes_decides_nothing_before_it_has_evidence, age, at => {
+    age.record(1, 1, at(0));
+    assert!(!age.is_expired(BOUND, at(2_000)));
+    assert!(age.is_expired(BOUND, at(8_000)));
+    assert_eq!(age.time_to_read(BOUND, LAST_RANK, at(8_000)), Duration::ZERO);
+    assert_eq!(age.refresh_scope(BOUND, at(8_000)), RefreshScope::Observers);
+    age.record(1, 1, at(8_010));
+    assert!(!age.is_expired(BOUND, at(8_020)));
+    assert_eq!(age.refresh_scope(BOUND, at(8_020)), RefreshScope::Nobody);
 });
 
 /// Instance whose reads of the store succeed, and whose evidence from others comes at random.
 struct SimulatedInstance {
-    currency: TableCurrency,
+    age: TableAge,
     version: u64,
     rank: ReadRank,
 }
@@ -143,8 +143,7 @@
         let mut written = Vec::new();
         let mut now = start;
         let rank = ReadRank { rank: random.random_range(1..8), spread: random.random() };
-        let mut instance =
-            SimulatedInstance { currency: TableCurrency::new(start), version: 0, rank };
+        let mut instance = SimulatedInstance { age: TableAge::new(start), version: 0, rank };
         for _ in 0..400 {
             now += Duration::from_millis(random.random_range(5..100));
             match random.random_range(0..20) {
@@ -154,24 +153,22 @@
                 2..=4 => {
                     let as_of = now - Duration::from_millis(random.random_range(0..4_000));
                     let version = stored_version(&written, as_of);
-                    instance.currency.record(instance.version, version, as_of);
+                    instance.age.record(instance.version, version, as_of);
                     if random.random() {
                         instance.version = instance.version.max(version);
-                        instance.currency.advance(instance.version);
+                        instance.age.advance(instance.version);
                     }
                 }
                 _ => {}
             }
-            if instance.currency.time_to_read(BOUND, instance.rank, now).is_zero()
-                && random.random()
-            {
+            if instance.age.time_to_read(BOUND, instance.rank, now).is_zero() && random.random() {
                 let sent_at = now;
                 now += Duration::from_millis(random.random_range(1..600));
                 instance.version = instance.version.max(stored_version(&written, sent_at));
-                instance.currency.record(instance.version, instance.version, sent_at);
+                instance.age.record(instance.version, instance.version, sent_at);
             }
             let is_replaced = instance.version < stored_version(&written, now - BOUND);
-            let decides = !instance.currency.is_expired(BOUND, now);
+            let decides = !instance.age.is_expired(BOUND, now);
             assert!(!(decides && is_replaced), "seed {seed} after {:?}", now - start);
         }
     }
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -14,7 +14,7 @@
 use coord::quota::{LimitWindow, TeamQuotas};
 use coord::refusal_cache::RefusalCache;
 use coord::rendezvous;
-use coord::table_currency::TableCurrency;
+use coord::table_age::TableAge;
 use coord::validation::{ValidationTracker, key_validation_ttl};
 use metrics::gauge;
 use rand::rngs::StdRng;
@@ -133,7 +133,7 @@
     was_validated: Cell<bool>,
     document_lag: RefCell<DocumentLag>,
     /// As of when the table caches hold all changes, in the order of [`WatchedTable::ALL`].
-    currencies: RefCell<[TableCurrency; WatchedTable::ALL.len()]>,
+    table_ages: RefCell<[TableAge; WatchedTable::ALL.len()]>,
     was_outdated: Cell<bool>,
     congestion: Cell<CongestionDetector>,
     /// Instance that last read the store for the availability zone.
@@ -172,7 +172,7 @@
             validation: RefCell::default(),
             was_validated: Cell::new(true),
             document_lag: RefCell::default(),
-            currencies: RefCell::new(WatchedTable::ALL.map(|_| TableCurrency::new(started_at))),
+            table_ages: RefCell::new(WatchedTable::ALL.map(|_| TableAge::new(started_at))),
             was_outdated: Cell::new(false),
             congestion: Cell::default(),
             last_reader: Cell::new(None),
@@ -247,7 +247,7 @@
     pub fn is_document_outdated(&self) -> bool {
         let (bound, now) = (self.settings.document_bound, self.now());
         self.document_lag.borrow().is_outdated(bound, now)
-            || self.update_currency(WatchedTable::Document, |table| table.is_expired(bound, now))
+            || self.update_table_age(WatchedTable::Document, |age| age.is_expired(bound, now))
     }
 
     /// Returns for how long another instance has had a newer document in force.
@@ -278,27 +278,27 @@
 
     /// Applies a function to what is known of a table's cache, once the evidence for its present
     /// version is taken into account.
-    pub(crate) fn update_currency<T>(
+    pub(crate) fn update_table_age<T>(
         &self,
         table: WatchedTable,
-        update: impl FnOnce(&mut TableCurrency) -> T,
+        update: impl FnOnce(&mut TableAge) -> T,
     ) -> T {
         let version = self.tables.borrow().versions()[table.index()];
-        let currency = &mut self.currencies.borrow_mut()[table.index()];
-        currency.advance(version);
-        update(currency)
+        let age = &mut self.table_ages.borrow_mut()[table.index()];
+        age.advance(version);
+        update(age)
     }
 
     /// Records that a cache of `version` holds all changes of a table before `as_of`.
     pub(crate) fn record_evidence(&self, table: WatchedTable, version: u64, as_of: Instant) {
         let own = self.tables.borrow().versions()[table.index()];
-        self.update_currency(table, |currency| currency.record(own, version, as_of));
+        self.update_table_age(table, |age| age.record(own, version, as_of));
     }
 
     /// Returns for how long the own cache of a table may have missed a change.
     pub fn table_age(&self, table: WatchedTable) -> Duration {
         let now = self.now();
-        self.update_currency(table, |currency| currency.age(now))
+        self.update_table_age(table, |age| age.elapsed(now))
     }
 
     /// Returns whether keys may be accepted, because the document was validated recently enough to
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use coord::membership::{InstanceKey, ViewScope};
-use coord::table_currency::RefreshScope;
+use coord::table_age::RefreshScope;
 use coord::validation::HeartbeatOutcome;
 use metrics::counter;
 use telemetry::event::LogEvent;
@@ -209,7 +209,7 @@
     fn refresh_scope(&self, now: Instant) -> RefreshScope {
         let scopes = WatchedTable::ALL.map(|table| {
             let bound = self.table_bound(table);
-            self.update_currency(table, |currency| currency.refresh_scope(bound, now))
+            self.update_table_age(table, |age| age.refresh_scope(bound, now))
         });
         scopes.into_iter().max().unwrap_or(RefreshScope::Nobody)
     }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coord::table_currency::{POLL_FRACTION, ReadRank};
+use coord::table_age::{POLL_FRACTION, ReadRank};
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::time::sleep;
@@ -156,7 +156,7 @@
             spread: self.read_spread,
         };
         let (bound, now) = (self.table_bound(table), self.now());
-        self.update_currency(table, |currency| currency.time_to_read(bound, rank, now))
+        self.update_table_age(table, |age| age.time_to_read(bound, rank, now))
     }
 
     /// Returns for how long a request for changes waits, so that the evidence that it gives replaces
@@ -175,7 +175,7 @@
     /// Records that a read of the store, sent at `sent_at`, failed.
     pub(crate) fn record_failed_read(&self, table: WatchedTable, sent_at: Instant) {
         let now = self.now();
-        self.update_currency(table, |currency| currency.record_failed_read(sent_at, now));
+        self.update_table_age(table, |age| age.record_failed_read(sent_at, now));
     }
 
     /// Returns the bound on the time until a change of a table is in force.
