Return no tokens to teams that are over their limit

Cause, inferred: a team over its limit uses each returned token at once, and reads that fail at one member run again at another for the same token. Before tokens were returned, those of refused requests left room for that.

Change: the quota owner takes tokens back only while the team is within its limit, counted without the requests that did not run, and only where teams compete. a_team_over_its_limit_gets_no_tokens_back is new, the tests of the return pass as before.

--- a/crates/coord/src/priority_floors.rs
+++ b/crates/coord/src/priority_floors.rs
@@ -116,6 +116,12 @@
         self.demand.iter().sum::<f64>() / DEMAND_PERIOD.as_secs_f64()
     }
 
+    /// Forgets a request that did not run, which shows no demand beyond the limit.
+    pub fn withdraw_request(&mut self, rank: usize) {
+        let demand = &mut self.demand[rank.min(RANK_COUNT - 1)];
+        *demand = (*demand - 1.0).max(0.0);
+    }
+
     /// Drops what was derived from an earlier limit of the team.
     pub fn reset_limit(&mut self, now: Instant) {
         self.credits = [0.0; RANK_COUNT];
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -223,24 +223,32 @@
         bucket.map_or(0, |bucket| bucket.number)
     }
 
-    /// Takes back the token of an operation that did not run; returns false if the bucket that it came
-    /// from is gone.
+    /// Takes back the token of an operation that did not run, taken by [`Self::take_with_floors`];
+    /// returns false if the bucket that it came from is gone or the team is over its limit.
     ///
     /// Load: members refuse for a moment, as after a loss of power, and the retries of a team within
     /// its limit found no tokens left.
     ///
-    /// The bucket then holds at most what it would hold if the token had not been taken.
+    /// The bucket then holds at most what it would hold if the token had not been taken. A team over
+    /// its limit would use each returned token at once, and reads that are repeated at another member
+    /// run more than once for a token, so it would run more than its limit.
     pub fn return_token(
         &mut self,
         team: &str,
         share: LimitShare,
         bucket_number: u32,
+        rank: usize,
         now: Instant,
     ) -> bool {
         let bucket = self.buckets.get_mut(&share).and_then(|buckets| buckets.get_mut(team));
         let Some(bucket) = bucket.filter(|bucket| bucket.number == bucket_number) else {
             return false;
         };
+        let Some(state) = bucket.floors.as_mut().filter(|state| !state.floors.is_over_limit())
+        else {
+            return false;
+        };
+        state.floors.withdraw_request(rank);
         bucket.tokens.add_tokens(1.0, now);
         true
     }
--- a/crates/coord/tests/returned_tokens.rs
+++ b/crates/coord/tests/returned_tokens.rs
@@ -45,12 +45,12 @@
             is_starting: false,
             share: LimitShare::Reachable,
         };
-        self.quotas.take(TEAM, LIMIT, request, self.now).ok()?;
+        self.quotas.take_with_floors(TEAM, LIMIT, request, 0, self.now).ok()?;
         Some(self.quotas.bucket_number(TEAM, LimitShare::Reachable))
     }
 
     fn give_back(&mut self, bucket_number: u32) -> bool {
-        self.quotas.return_token(TEAM, LimitShare::Reachable, bucket_number, self.now)
+        self.quotas.return_token(TEAM, LimitShare::Reachable, bucket_number, 0, self.now)
     }
 }
 
@@ -82,6 +82,19 @@
     assert!(!owner.give_back(number));
 }
 
+// A team over its limit used each returned token at once, and ran more than its limit where reads are
+// repeated.
+#[test]
+fn a_team_over_its_limit_gets_no_tokens_back() {
+    let mut owner = TestOwner::new();
+    let mut number = 0;
+    for _ in 0..400 {
+        number = owner.take().unwrap_or(number);
+        owner.advance(Duration::from_millis(10));
+    }
+    assert!(!owner.give_back(number));
+}
+
 // Returned tokens must not add up to a second burst.
 #[test]
 fn operations_that_run_stay_within_the_limit_whatever_is_returned() {
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -65,20 +65,29 @@
     }
 
     /// Returns the token of an operation that certainly did not run to where it came from.
-    pub(crate) fn return_token(&self, team: &str, token: AdmissionToken) {
+    pub(crate) fn return_token(&self, team: &str, token: AdmissionToken, priority: PriorityLevel) {
         let bucket_number = token.bucket_number;
         counter!(meter::RETURNED_TOKENS).increment(1);
         match token.origin {
-            TokenOrigin::Own(share) => self.take_back_token(team, share, bucket_number),
+            TokenOrigin::Own(share) => self.take_back_token(team, share, bucket_number, priority),
             TokenOrigin::Peer(link) => {
-                link.send(&PeerRequest::ReturnToken { team: team.to_owned(), bucket_number });
+                let team = team.to_owned();
+                link.send(&PeerRequest::ReturnToken { team, bucket_number, priority });
             }
         }
     }
 
     /// Takes back a token as the quota owner of its team.
-    pub(crate) fn take_back_token(&self, team: &str, share: LimitShare, bucket_number: u32) {
-        self.quotas.borrow_mut().return_token(team, share, bucket_number, self.now());
+    pub(crate) fn take_back_token(
+        &self,
+        team: &str,
+        share: LimitShare,
+        bucket_number: u32,
+        priority: PriorityLevel,
+    ) {
+        let rank = self.directory.borrow().document().priority_rank(priority);
+        let now = self.now();
+        self.quotas.borrow_mut().return_token(team, share, bucket_number, rank, now);
     }
 
     /// Decides about an operation as the quota owner of its team.
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -304,6 +304,8 @@
         team: String,
         /// Number of the bucket that the token came from.
         bucket_number: u32,
+        /// Priority of the operation.
+        priority: PriorityLevel,
     },
     /// Requests an indirect probe: whether the receiver reaches an endpoint on a new connection.
     Probe {
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -165,8 +165,8 @@
                 let answer = self.admit_locally(&team, priority, max_wait, refused_before);
                 output.push(&PeerReply::Admit { call_id, decision: answer });
             }
-            PeerRequest::ReturnToken { team, bucket_number } => {
-                self.take_back_token(&team, LimitShare::Reachable, bucket_number);
+            PeerRequest::ReturnToken { team, bucket_number, priority } => {
+                self.take_back_token(&team, LimitShare::Reachable, bucket_number, priority);
             }
             PeerRequest::Probe { call_id, endpoint } => {
                 tokio::task::spawn_local(async move {
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -133,13 +133,12 @@
         };
         let mut history = AttemptHistory::default();
         let result = self.run_admitted(context, times, &mut history).await;
-        let profile = self.settings.load_profile;
-        if (profile.is_contended || profile.is_uneven)
+        if self.settings.load_profile.is_contended
             && result.is_not_run()
             && !history.may_have_run
             && let Some(token) = token
         {
-            self.return_token(context.team, token);
+            self.return_token(context.team, token, route.priority);
         }
         result
     }
