Advance the age of a table once for each evidence

record_evidence looked up the version of the table and advanced its tracker through update_table_age, and TableAge::record advances it again with the same version. It calls record directly now.

--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -292,7 +292,7 @@
     /// Records that a cache of `version` holds all changes of a table before `as_of`.
     pub(crate) fn record_evidence(&self, table: WatchedTable, version: u64, as_of: Instant) {
         let own = self.tables.borrow().versions()[table.index()];
-        self.update_table_age(table, |age| age.record(own, version, as_of));
+        self.table_ages.borrow_mut()[table.index()].record(own, version, as_of);
     }
 
     /// Returns for how long the own cache of a table may have missed a change.
