Record metrics without calibrating a processor clock

Cause: the recorder of the metrics exporter calibrates the processor's time stamp counter when it is created, for up to 200 ms. Ruled out: reading the settings, binding addresses. Change: a recorder over the registry of metrics-util, which takes no time stamps, counts samples in their buckets at once and so needs no upkeep. The text format is as before.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod logging;
 pub mod meter;
 pub mod program;
+pub mod recorder;
 pub mod stdout;
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -3,7 +3,8 @@
 use std::sync::OnceLock;
 
 use clap::Args;
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::recorder::MetricRecorder;
 
 /// Requests, by class in the engine and by instance in the proxy.
 pub const REQUESTS: &str = "hibiscus_requests_total";
@@ -81,7 +82,7 @@
 const REQUEST_SECONDS_BUCKETS: &[f64] =
     &[0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0];
 
-static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+static RECORDER: OnceLock<MetricRecorder> = OnceLock::new();
 
 /// Settings of the metrics endpoint.
 #[derive(Args, Clone, Debug, Default)]
@@ -91,19 +92,13 @@
     pub metrics_listen: Option<std::net::SocketAddr>,
 }
 
-/// Installs the process-wide recorder once and returns a handle that renders its metrics.
-pub fn install() -> PrometheusHandle {
+/// Installs the process-wide recorder once, and returns it.
+pub fn install() -> MetricRecorder {
     let recorder = RECORDER.get_or_init(|| {
-        let builder = PrometheusBuilder::new();
-        let recorder = match builder.set_buckets(REQUEST_SECONDS_BUCKETS) {
-            Ok(builder) => builder.build_recorder(),
-            // `set_buckets` fails only on an empty list.
-            Err(_) => PrometheusBuilder::new().build_recorder(),
-        };
-        let handle = recorder.handle();
+        let recorder = MetricRecorder::new(REQUEST_SECONDS_BUCKETS);
         // Fails if an embedding program has installed a recorder; that one stays in use.
-        let _ = metrics::set_global_recorder(recorder);
-        handle
+        let _ = metrics::set_global_recorder(recorder.clone());
+        recorder
     });
     recorder.clone()
 }
