--- a/crates/coord/src/connection_reuse.rs
+++ b/crates/coord/src/connection_reuse.rs
@@ -19,6 +19,8 @@
 const USE_TIME: Duration = Duration::from_millis(10);
 /// Expected time until the next use from which a connection is closed although there is room.
 const MAX_EXPECTED_NEXT_USE: Duration = Duration::from_secs(30);
+/// The same for a connection that its team uses only while another one is in use.
+const MAX_SURPLUS_NEXT_USE: Duration = Duration::from_secs(4);
 /// Interval of a team up to which it is frequent, so that its reads may stay in the caller's zone: each
 /// replica still gets one often enough to keep its connection. A limit of 1 s saved 4% more reads from
 /// leaving their zone than 300 ms and opened 9% more connections.
@@ -94,20 +96,34 @@
         Duration::from_secs_f64((interval * ratio.powi(rank)).min(TEAM_TTL.as_secs_f64()))
     }
 
-    /// Returns the index of the idle connection with the latest expected next use, and that time.
+    /// Returns the expected next uses of idle connections.
     ///
     /// `teams` are the teams of the idle connections in the order of their return.
-    pub fn least_useful(
+    fn expected_uses(
         &self,
         teams: impl DoubleEndedIterator<Item = u64> + ExactSizeIterator + Clone,
         now: Instant,
-    ) -> Option<(usize, Duration)> {
-        let expected = teams.clone().enumerate().map(|(index, team)| {
+    ) -> impl Iterator<Item = ExpectedUse> {
+        teams.clone().enumerate().map(move |(index, team)| {
             let later = teams.clone().skip(index + 1);
             let rank = later.filter(|other| *other == team).count() as i32;
-            (index, self.expected_next_use(team, rank, now))
+            let next_use = self.expected_next_use(team, rank, now);
+            ExpectedUse { index, next_use, is_surplus: rank > 0 }
+        })
+    }
+
+    /// Returns the index of the idle connection with the latest expected next use.
+    ///
+    /// `teams` are the teams of the idle connections in the order of their return.
+    pub fn least_useful(
+        &self,
+        teams: impl DoubleEndedIterator<Item = u64> + ExactSizeIterator + Clone,
+        now: Instant,
+    ) -> Option<usize> {
+        let latest = self.expected_uses(teams, now).max_by(|left, right| {
+            left.next_use.cmp(&right.next_use).then(right.index.cmp(&left.index))
         });
-        expected.max_by(|left, right| left.1.cmp(&right.1).then(right.0.cmp(&left.0)))
+        latest.map(|found| found.index)
     }
 
     /// Returns the index of the idle connection to close, or `None` if all are worth keeping.
@@ -120,8 +136,27 @@
         kept: usize,
         now: Instant,
     ) -> Option<usize> {
-        let (index, next_use) = self.least_useful(teams, now)?;
-        (open_count > kept || next_use > MAX_EXPECTED_NEXT_USE).then_some(index)
+        if open_count > kept {
+            return self.least_useful(teams, now);
+        }
+        let unneeded = self.expected_uses(teams, now).find(ExpectedUse::is_too_late);
+        unneeded.map(|found| found.index)
+    }
+}
+
+/// Expected next use of an idle connection.
+#[derive(Clone, Copy, Debug)]
+struct ExpectedUse {
+    index: usize,
+    next_use: Duration,
+    /// The team uses it only while another connection is in use.
+    is_surplus: bool,
+}
+
+impl ExpectedUse {
+    fn is_too_late(&self) -> bool {
+        let latest = if self.is_surplus { MAX_SURPLUS_NEXT_USE } else { MAX_EXPECTED_NEXT_USE };
+        self.next_use > latest
     }
 }
 
--- a/crates/coord/src/placement.rs
+++ b/crates/coord/src/placement.rs
@@ -13,8 +13,6 @@
 
 /// Time for which an endpoint is tried last after it failed.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(400);
-/// Time after which a reported queue delay is ignored.
-const QUEUE_DELAY_TTL: Duration = Duration::from_millis(250);
 /// Time for which a member is tried last for writes after it refused to lead.
 const NOT_LEADER_TTL: Duration = Duration::from_millis(250);
 /// Cost of a hop to another availability zone beyond its latency, because cross-zone traffic is
@@ -39,7 +37,7 @@
     pub failed_at: Option<Instant>,
     /// Time at which the endpoint last refused to lead.
     pub not_leader_at: Option<Instant>,
-    /// Speed and failures, if the deployment's load is uneven.
+    /// Speed and failures; `None` until a connection owner has reported them.
     pub health: Option<HealthView>,
     /// Replication lag assumed after the endpoint refused a read for lack of its position, and the
     /// time of that.
@@ -56,29 +54,6 @@
     pub fn refused_to_lead_recently(&self, now: Instant) -> bool {
         happened_within(self.not_leader_at, NOT_LEADER_TTL, now)
     }
-
-    /// Returns the last reported queue delay less half of the time since then, or zero once
-    /// expired.
-    pub fn expected_queue_delay(&self, now: Instant) -> Duration {
-        let Some((wait, at)) = self.queue_delay else {
-            return Duration::ZERO;
-        };
-        wait.saturating_sub(now.saturating_duration_since(at).mul_f64(0.5)).min(
-            if now.saturating_duration_since(at) > QUEUE_DELAY_TTL { Duration::ZERO } else { wait },
-        )
-    }
-
-    /// Returns the expected wait until the endpoint's reads reach `required`.
-    pub fn catch_up_wait(&self, required: Option<LogPosition>, now: Instant) -> Duration {
-        let Some(required) = required else {
-            return Duration::ZERO;
-        };
-        match self.position {
-            Some((position, _)) if position >= required => Duration::ZERO,
-            Some((_, at)) if now.saturating_duration_since(at) < POSITION_TTL => UNKNOWN_LAG_WAIT,
-            _ => Duration::ZERO,
-        }
-    }
 }
 
 fn happened_within(at: Option<Instant>, span: Duration, now: Instant) -> bool {
@@ -96,36 +71,6 @@
     pub leads: bool,
 }
 
-/// Returns the indices of the candidates from best to worst for a read that requires the
-/// position `required`.
-///
-/// Without a required position only the leader can serve the read, because only it can show that
-/// its data is current.
-pub fn order_for_read(
-    candidates: &[ReadCandidate],
-    required: Option<LogPosition>,
-    now: Instant,
-) -> Vec<usize> {
-    let cost = |candidate: &ReadCandidate| {
-        let zone_cost = if candidate.same_zone { Duration::ZERO } else { CROSS_ZONE_COST };
-        // Writes run only on the leader, so reads leave its slots to them.
-        let leader_cost = if candidate.leads { 2 * CROSS_ZONE_COST } else { Duration::ZERO };
-        let lag = if candidate.leads {
-            Duration::ZERO
-        } else {
-            candidate.view.catch_up_wait(required, now)
-        };
-        (
-            candidate.view.failed_recently(now),
-            candidate.view.expected_queue_delay(now) + zone_cost + leader_cost + lag,
-        )
-    };
-    let can_serve = |index: &usize| candidates[*index].leads || required.is_some();
-    let mut order: Vec<usize> = (0..candidates.len()).filter(can_serve).collect();
-    order.sort_by_key(|index| cost(&candidates[*index]));
-    order
-}
-
 /// Latency and slot time of a new connection: 12 ms of each.
 const CONNECTION_COST: Duration = Duration::from_millis(24);
 /// Expected share of that cost at an endpoint that usually has a connection of the team: the
@@ -137,9 +82,9 @@
 const FAILED_ATTEMPT_COST: Duration = Duration::from_millis(100);
 /// Largest share of failures that is counted; the cost grows without bound towards 1.
 const MAX_FAILURE_SHARE: f64 = 0.9;
-/// Age from which a reported queue delay is ignored under an uneven load. Over 80 instances send one
-/// or two requests a second each to a service, so a younger report is rare.
-const UNEVEN_QUEUE_DELAY_TTL: Duration = Duration::from_secs(1);
+/// Age from which a reported queue delay is ignored. Over 80 instances send one or two requests a second
+/// each to a service, so a younger report is rare.
+const QUEUE_DELAY_TTL: Duration = Duration::from_secs(1);
 /// Largest penalty for slowness and failures of the members that must not be left out: about the
 /// cost of reading from the leader instead, so that they share the load with it.
 const MAX_KEPT_PENALTY: Duration = Duration::from_millis(30);
@@ -178,7 +123,7 @@
     }
 
     /// Returns the expected wait until the endpoint's reads reach `required`, from the assumed lag.
-    pub fn expected_catch_up_wait(&self, required: Option<LogPosition>, now: Instant) -> Duration {
+    pub fn catch_up_wait(&self, required: Option<LogPosition>, now: Instant) -> Duration {
         let (Some(required), Some((position, reported_at))) = (required, self.position) else {
             return Duration::ZERO;
         };
@@ -194,18 +139,18 @@
     }
 
     /// Returns the last reported queue delay in seconds, less the more the older the report is.
-    pub fn uneven_queue_delay(&self, now: Instant) -> f64 {
+    pub fn expected_queue_delay(&self, now: Instant) -> f64 {
         let Some((wait, at)) = self.queue_delay else {
             return 0.0;
         };
         let age = now.saturating_duration_since(at).as_secs_f64();
-        wait.as_secs_f64() * (1.0 - age / UNEVEN_QUEUE_DELAY_TTL.as_secs_f64()).max(0.0)
+        wait.as_secs_f64() * (1.0 - age / QUEUE_DELAY_TTL.as_secs_f64()).max(0.0)
     }
 }
 
-/// Endpoint that may serve a read under an uneven load.
+/// Endpoint that may serve a read, with what counts for its rank.
 #[derive(Clone, Copy, Debug)]
-pub struct UnevenCandidate {
+pub struct RankedCandidate {
     /// Endpoint.
     pub candidate: ReadCandidate,
     /// Rendezvous weight of the team and the endpoint; the replica with the highest is preferred.
@@ -215,7 +160,7 @@
     expected: ExpectedTime,
 }
 
-impl UnevenCandidate {
+impl RankedCandidate {
     /// Creates a candidate.
     pub fn new(candidate: ReadCandidate, affinity: u64, connection: ConnectionHint) -> Self {
         Self { candidate, affinity, connection, expected: ExpectedTime::default() }
@@ -245,9 +190,9 @@
     }
 }
 
-/// Read that is to be placed under an uneven load.
+/// Read that is to be placed.
 #[derive(Clone, Copy, Debug)]
-pub struct UnevenRead {
+pub struct PlacedRead {
     /// Position that a replica must have reached; `None` if only the leader can serve the read.
     pub required: Option<LogPosition>,
     /// Usual service time of the read's class.
@@ -265,8 +210,8 @@
 /// two the choice is random by their expected times, so that instances which all know the same do
 /// not all choose the same.
 pub fn order_by_expected_time(
-    candidates: &mut [UnevenCandidate],
-    read: &UnevenRead,
+    candidates: &mut [RankedCandidate],
+    read: &PlacedRead,
     now: Instant,
 ) -> Vec<usize> {
     let replicas = candidates.iter().filter(|candidate| !candidate.candidate.leads);
@@ -294,9 +239,9 @@
 }
 
 fn expected_time(
-    candidate: &UnevenCandidate,
+    candidate: &RankedCandidate,
     preferred: Option<u64>,
-    read: &UnevenRead,
+    read: &PlacedRead,
     now: Instant,
 ) -> ExpectedTime {
     let ReadCandidate { view, same_zone, leads } = candidate.candidate;
@@ -318,7 +263,7 @@
         // Writes run only on the leader, so reads leave its slots and connections to them.
         2 * CROSS_ZONE_COST
     } else {
-        view.expected_catch_up_wait(read.required, now)
+        view.catch_up_wait(read.required, now)
     };
     let mut penalty = 0.0;
     if let Some(health) = view.health {
@@ -331,7 +276,7 @@
     }
     ExpectedTime {
         base: base.as_secs_f64(),
-        queue: view.uneven_queue_delay(now),
+        queue: view.expected_queue_delay(now),
         penalty,
         is_avoidable: false,
     }
@@ -339,9 +284,9 @@
 
 /// Caps the penalties of all but the worst candidates, at most half of them. Those that failed
 /// recently count as avoided.
-fn cap_penalties(candidates: &mut [UnevenCandidate], now: Instant) {
+fn cap_penalties(candidates: &mut [RankedCandidate], now: Instant) {
     let is_unreachable =
-        |candidate: &UnevenCandidate| candidate.candidate.view.failed_recently(now);
+        |candidate: &RankedCandidate| candidate.candidate.view.failed_recently(now);
     let unreachable = candidates.iter().filter(|candidate| is_unreachable(candidate)).count();
     let avoidable = (candidates.len() / 2).saturating_sub(unreachable);
     for _ in 0..avoidable {
@@ -364,13 +309,13 @@
 
 /// Returns whether the second best candidate is chosen instead of the best.
 fn chooses_second(
-    first: &UnevenCandidate,
-    second: &UnevenCandidate,
-    read: &UnevenRead,
+    first: &RankedCandidate,
+    second: &RankedCandidate,
+    read: &PlacedRead,
     now: Instant,
 ) -> bool {
     let view = &second.candidate.view;
-    if view.failed_recently(now) || !view.expected_catch_up_wait(read.required, now).is_zero() {
+    if view.failed_recently(now) || !view.catch_up_wait(read.required, now).is_zero() {
         return false;
     }
     let (first_time, second_time) = (first.expected.total(), second.expected.total());
@@ -401,37 +346,6 @@
     ((usable as f64 * reachable_fraction) as usize).max(1)
 }
 
-/// Kind of an idle connection, which decides how long it is kept.
-///
-/// When all instances lose power at once, the endpoint counts their connections for seconds until
-/// it notices, and the new owners work with what was left free. A team that briefly needed several
-/// connections therefore soon keeps only one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum IdleConnectionKind {
-    /// The only connection of its team, or the one that the team used last.
-    LastUsed,
-    /// The team has used another connection since.
-    Surplus,
-    /// Another instance now owns the connections of the endpoint.
-    Moved,
-}
-
-/// Idle timeout of a team's last connection; opening one occupies a slot for as long as two
-/// statements do.
-const LAST_USED_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Idle timeout of a connection that its team does not need besides the last one.
-const SURPLUS_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle timeout after the endpoint moved to another owner, which needs the connection's part of the
-/// endpoint's connection limit but may lose the ownership again soon.
-const MOVED_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-impl IdleConnectionKind {
-    /// Returns the idle time after which the connection is closed.
-    pub fn idle_timeout(self) -> Duration {
-        match self {
-            Self::LastUsed => LAST_USED_IDLE_TIMEOUT,
-            Self::Surplus => SURPLUS_IDLE_TIMEOUT,
-            Self::Moved => MOVED_IDLE_TIMEOUT,
-        }
-    }
-}
+/// Idle timeout of a connection after the endpoint moved to another owner, which needs the connection's
+/// part of the endpoint's connection limit but may lose the ownership again soon.
+pub const MOVED_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/crates/coord/src/priority.rs
+++ b/crates/coord/src/priority.rs
@@ -5,7 +5,7 @@
 //! to start in time is refused on arrival or, if its answer still has a value, queued in the late
 //! band, which is served when no request waits that can be in time.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::hash::Hash;
 use std::time::{Duration, Instant};
 
@@ -163,6 +163,12 @@
         weighted * (-age / period).exp() / weight
     }
 
+    /// Returns whether the last arrival still counts for the recent rate.
+    fn is_recent(&self, now: Instant) -> bool {
+        let age = |(_, last_at): (Instant, Instant)| now.saturating_duration_since(last_at);
+        self.span.is_some_and(|span| age(span).as_secs_f64() < 4.0 * DEMAND_PERIOD_SECONDS)
+    }
+
     fn recent_rate(&self, now: Instant) -> f64 {
         self.rate(self.recent, DEMAND_PERIOD_SECONDS, now)
     }
@@ -216,6 +222,8 @@
     /// Late requests in the order of their latest start.
     late: VecDeque<QueuedRequest<T, R>>,
     demand: DemandMeter,
+    /// Part of `demand` of each team that used the queue lately.
+    team_demand: HashMap<T, DemandMeter>,
 }
 
 impl<T: Copy + Eq + Hash, R> QueueLevel<T, R> {
@@ -224,6 +232,7 @@
             in_time: FairQueue::new(usize::MAX),
             late: VecDeque::new(),
             demand: DemandMeter::default(),
+            team_demand: HashMap::new(),
         }
     }
 
@@ -346,7 +355,11 @@
         let mut demand = self.demand_above(kind.level, now);
         if let Some(queue) = self.levels.get(&kind.level) {
             let round = queue.in_time.waiting_of(kind.team);
-            demand += queue.demand.recent_rate(now) * overtaking_fraction(round);
+            // Requests of the same team do not overtake each other.
+            let own = queue.team_demand.get(&kind.team);
+            let own_rate = own.map_or(0.0, |own| own.recent_rate(now));
+            let others = (queue.demand.recent_rate(now) - own_rate).max(0.0);
+            demand += others * overtaking_fraction(round);
         }
         self.pace(now).wait(self.team_work(kind, now), demand)
     }
@@ -634,6 +647,8 @@
         let hold_seconds = self.service_times.estimate(kind.class, now).mean;
         let queue = self.levels.entry(kind.level).or_insert_with(QueueLevel::new);
         queue.demand.record(hold_seconds, now);
+        queue.team_demand.retain(|_, demand| demand.is_recent(now));
+        queue.team_demand.entry(kind.team).or_default().record(hold_seconds, now);
     }
 
     fn start(&mut self, kind: RequestKind<T>, now: Instant) -> PermitKey {
--- a/crates/coord/tests/common/fleet_model.rs
+++ b/crates/coord/tests/common/fleet_model.rs
@@ -9,8 +9,8 @@
     EndpointHealth, HealthView, ServiceBaseline, TeamConnections, sample_duration,
 };
 use coord::placement::{
-    EndpointView, IdleConnectionKind, ReadCandidate, UnevenCandidate, UnevenRead, connection_limit,
-    order_by_expected_time, order_for_read,
+    EndpointView, PlacedRead, RankedCandidate, ReadCandidate, connection_limit,
+    order_by_expected_time,
 };
 use coord::rendezvous::{pair_weight, weight_of};
 use coord::service_time::ServiceClass;
@@ -40,7 +40,7 @@
 
 /// Load and faults of a run.
 pub struct FleetLoad {
-    pub uneven_rule: bool,
+    pub by_expected_time: bool,
     pub instances: usize,
     pub requests_per_second: f64,
     /// Share of the requests that arrive in each zone.
@@ -57,7 +57,7 @@
 impl Default for FleetLoad {
     fn default() -> Self {
         Self {
-            uneven_rule: true,
+            by_expected_time: true,
             instances: 84,
             requests_per_second: 134.0,
             zone_shares: [1.0 / 3.0; 3],
@@ -124,7 +124,13 @@
 
 impl ModelPool {
     /// Takes a connection; returns whether the team had one.
-    fn acquire(&mut self, uneven_rule: bool, max_open: usize, team: u64, now: Instant) -> bool {
+    fn acquire(
+        &mut self,
+        by_expected_time: bool,
+        max_open: usize,
+        team: u64,
+        now: Instant,
+    ) -> bool {
         self.reuse.record_use(team, now);
         if let Some(index) = self.idle.iter().rposition(|idle| idle.0 == team) {
             self.idle.remove(index);
@@ -132,8 +138,8 @@
         }
         if self.open_count >= max_open && !self.idle.is_empty() {
             let teams = self.idle.iter().map(|idle| idle.0);
-            let least_useful = self.reuse.least_useful(teams, now).filter(|_| uneven_rule);
-            self.idle.remove(least_useful.map_or(0, |(index, _)| index));
+            let least_useful = self.reuse.least_useful(teams, now).filter(|_| by_expected_time);
+            self.idle.remove(least_useful.unwrap_or(0));
             self.open_count -= 1;
         }
         self.open_count += 1;
@@ -141,18 +147,13 @@
     }
 
     /// Closes idle connections as the upkeep of an instance does.
-    fn close_idle(&mut self, uneven_rule: bool, max_open: usize, now: Instant) {
-        if !uneven_rule {
+    fn close_idle(&mut self, by_expected_time: bool, max_open: usize, now: Instant) {
+        if !by_expected_time {
             let last_use: HashMap<u64, Instant> = self.idle.iter().copied().collect();
             let before = self.idle.len();
             self.idle.retain(|(team, since)| {
                 let is_surplus = last_use[team] > *since;
-                let kind = if is_surplus {
-                    IdleConnectionKind::Surplus
-                } else {
-                    IdleConnectionKind::LastUsed
-                };
-                now - *since <= kind.idle_timeout()
+                now - *since <= Duration::from_secs(if is_surplus { 1 } else { 4 })
             });
             self.open_count -= before - self.idle.len();
             return;
@@ -244,17 +245,17 @@
                 if let Some(max_open) = max_open {
                     pools
                         .iter_mut()
-                        .for_each(|pool| pool.close_idle(load.uneven_rule, max_open, now));
+                        .for_each(|pool| pool.close_idle(load.by_expected_time, max_open, now));
                 }
                 result.open_counts.push(std::array::from_fn(|member| pools[member].open_count));
                 continue;
             }
             Step::Place(mut request) => {
                 let instance = &instances[request.instance];
-                let member = place(load.uneven_rule, instance, &request, &mut rng, now);
+                let member = place(load.by_expected_time, instance, &request, &mut rng, now);
                 if let Some(max_open) = max_open {
                     request.had_connection =
-                        pools[member].acquire(load.uneven_rule, max_open, request.team, now);
+                        pools[member].acquire(load.by_expected_time, max_open, request.team, now);
                     result.opened[member] += usize::from(!request.had_connection);
                 }
                 let opening = if request.had_connection { Duration::ZERO } else { OPEN_TIME };
@@ -291,7 +292,7 @@
                 let view = &mut instance.views[member];
                 view.queue_delay = Some((free_at.saturating_sub(at), now));
                 view.position = Some((LogPosition::new(1, 1), now));
-                if load.uneven_rule {
+                if load.by_expected_time {
                     let class = class_of(request.kind);
                     let sample = {
                         let is_frequent = pools[member].reuse.is_frequent(request.team);
@@ -349,7 +350,7 @@
 
 /// Returns the member that an instance sends a read to.
 fn place(
-    uneven_rule: bool,
+    by_expected_time: bool,
     instance: &FleetInstance,
     request: &Request,
     rng: &mut StdRng,
@@ -361,22 +362,43 @@
         same_zone: instance.zone == member,
         leads: member == 0,
     };
-    let order = if uneven_rule {
+    let order = if by_expected_time {
         let uneven = |member| {
             let key = connection_key(request.team, member);
-            UnevenCandidate::new(candidate(member), key, instance.hints.get(key, request.team, now))
+            RankedCandidate::new(candidate(member), key, instance.hints.get(key, request.team, now))
         };
-        let mut candidates: [UnevenCandidate; MEMBER_COUNT] = std::array::from_fn(uneven);
+        let mut candidates: [RankedCandidate; MEMBER_COUNT] = std::array::from_fn(uneven);
         let service_time = instance.baseline.service_time(class_of(request.kind));
-        let read = UnevenRead { required, service_time, draw: rng.random() };
+        let read = PlacedRead { required, service_time, draw: rng.random() };
         order_by_expected_time(&mut candidates, &read, now)
     } else {
         let candidates: [ReadCandidate; MEMBER_COUNT] = std::array::from_fn(candidate);
-        order_for_read(&candidates, required, now)
+        order_by_queue_and_zone(&candidates, required, now)
     };
     order.into_iter().find(|member| !request.tried[*member]).unwrap_or(0)
 }
 
+/// Orders the candidates of a read by reported queue delay and zone only, the leader last, for
+/// comparison.
+fn order_by_queue_and_zone(
+    candidates: &[ReadCandidate],
+    required: Option<LogPosition>,
+    now: Instant,
+) -> Vec<usize> {
+    let cost = |index: &usize| {
+        let ReadCandidate { view, same_zone, leads } = candidates[*index];
+        let report = view.queue_delay.filter(|(_, at)| now - *at <= Duration::from_millis(250));
+        let delay = report.map_or(Duration::ZERO, |(wait, at)| wait.saturating_sub((now - at) / 2));
+        let zone_ms = if same_zone { 0 } else { 6 };
+        let leader_ms = if leads { 12 } else { 0 };
+        (view.failed_recently(now), delay + Duration::from_millis(zone_ms + leader_ms))
+    };
+    let can_serve = |index: &usize| candidates[*index].leads || required.is_some();
+    let mut order: Vec<usize> = (0..candidates.len()).filter(can_serve).collect();
+    order.sort_by_key(cost);
+    order
+}
+
 /// Returns a random time from an exponential distribution with this mean in seconds.
 pub fn exponential(rng: &mut StdRng, mean_seconds: f64) -> Duration {
     let draw: f64 = rng.random();
--- a/crates/coord/tests/load_patterns.rs
+++ b/crates/coord/tests/load_patterns.rs
@@ -7,7 +7,11 @@
 use std::time::{Duration, Instant};
 
 use common::{Choices, check_cases};
-use coord::placement::{EndpointView, ReadCandidate, connection_limit, order_for_read};
+use coord::connection_reuse::ConnectionHint;
+use coord::placement::{
+    EndpointView, PlacedRead, RankedCandidate, ReadCandidate, connection_limit,
+    order_by_expected_time,
+};
 use coord::priority::{PermitKey, PriorityQueue, RequestKind, StartWindow};
 use coord::queue::QueueRefusal;
 use coord::quota::{LimitShare, LimitWindow, TOKEN_TIMEOUT, TeamLimit, TeamQuotas, TokenRequest};
@@ -96,7 +100,7 @@
 // Guards against refusing a request because another team's slow statements fill the queue: teams
 // are served round robin, so the request is next to start.
 load_case!(flooding_team_does_not_cause_refusals_of_another, start => {
-    let mut queue = PriorityQueue::new(4);
+    let mut queue = PriorityQueue::new(4).with_anticipation(true);
     teach_hold_time(&mut queue, millis(100), start);
     let permits: Vec<PermitKey> = (0..4).filter_map(|_| queue.try_acquire(request_kind(1, 1), start)).collect();
     assert_eq!(permits.len(), 4);
@@ -312,6 +316,20 @@
     ReadCandidate { view, same_zone, leads }
 }
 
+/// Orders the candidates of a read by expected time, the better of the best two first.
+fn order_for_read(
+    candidates: &[ReadCandidate],
+    required: Option<LogPosition>,
+    now: Instant,
+) -> Vec<usize> {
+    let ranked = candidates.iter().enumerate().map(|(index, candidate)| {
+        RankedCandidate::new(*candidate, index as u64, ConnectionHint::Open)
+    });
+    let mut ranked: Vec<RankedCandidate> = ranked.collect();
+    let read = PlacedRead { required, service_time: millis(10), draw: 1.0 };
+    order_by_expected_time(&mut ranked, &read, now)
+}
+
 load_case!(reads_avoid_a_saturated_replica_in_the_same_zone, start => {
     let required = Some(LogPosition::new(1, 10));
     let saturated_same_zone = candidate(true, false, 80, 10, start);
--- a/crates/coord/tests/placement_load.rs
+++ b/crates/coord/tests/placement_load.rs
@@ -10,7 +10,7 @@
 use coord::connection_reuse::{ConnectionHint, ConnectionReuse};
 use coord::endpoint_health::{EndpointHealth, EndpointSample, HealthView, ServiceBaseline};
 use coord::placement::{
-    EndpointView, ReadCandidate, UnevenCandidate, UnevenRead, order_by_expected_time,
+    EndpointView, PlacedRead, RankedCandidate, ReadCandidate, order_by_expected_time,
 };
 use coord::service_time::ServiceClass;
 use rand::rngs::StdRng;
@@ -23,8 +23,8 @@
 
 /// Runs a load with the rule for an even load and with the rule for an uneven one.
 fn compare(name: &str, load: impl Fn() -> FleetLoad) -> (FleetResult, FleetResult) {
-    let [even, uneven] =
-        [false, true].map(|uneven_rule| run_fleet(&FleetLoad { uneven_rule, ..load() }, 7));
+    let [even, uneven] = [false, true]
+        .map(|by_expected_time| run_fleet(&FleetLoad { by_expected_time, ..load() }, 7));
     for (rule, result) in [("even", &even), ("uneven", &uneven)] {
         println!(
             "{name}, {rule} rule: {:.4} in time, mean {:?}, failed {}, attempts {:?}, cross-zone {}, longest wait {:?}",
@@ -165,12 +165,12 @@
             let view = EndpointView { queue_delay: Some((queue, now)), ..EndpointView::default() };
             let candidate =
                 ReadCandidate { view, same_zone: index == instance % 3, leads: index == 0 };
-            UnevenCandidate::new(candidate, index as u64, ConnectionHint::Open)
+            RankedCandidate::new(candidate, index as u64, ConnectionHint::Open)
         };
-        let mut candidates: [UnevenCandidate; 3] = std::array::from_fn(candidate);
+        let mut candidates: [RankedCandidate; 3] = std::array::from_fn(candidate);
         let required = Some(LogPosition::new(1, 1));
         let service_time = Duration::from_millis(9);
-        let read = UnevenRead { required, service_time, draw: rng.random() };
+        let read = PlacedRead { required, service_time, draw: rng.random() };
         chosen[order_by_expected_time(&mut candidates, &read, now)[0]] += 1;
     }
     println!("free member: {chosen:?} of 84 instances");
@@ -193,11 +193,11 @@
         let candidate = |index: usize| {
             let candidate =
                 ReadCandidate { view: views[index], same_zone: index == 1, leads: index == 0 };
-            UnevenCandidate::new(candidate, index as u64, ConnectionHint::Open)
+            RankedCandidate::new(candidate, index as u64, ConnectionHint::Open)
         };
-        let mut candidates: [UnevenCandidate; 3] = std::array::from_fn(candidate);
+        let mut candidates: [RankedCandidate; 3] = std::array::from_fn(candidate);
         let service_time = Duration::from_millis(9);
-        let read = UnevenRead { required: Some(required), service_time, draw: 0.99 };
+        let read = PlacedRead { required: Some(required), service_time, draw: 0.99 };
         let chosen = order_by_expected_time(&mut candidates, &read, now)[0];
         let reached = if chosen == 1 { position_at(at - lag) } else { required };
         views[chosen].position = Some((reached, now));
@@ -229,15 +229,15 @@
             };
             HealthView::update(&mut view.health, &mut baseline, class, sample, Duration::ZERO, now);
             let candidate = ReadCandidate { view, same_zone: true, leads: index == 0 };
-            candidates.push(UnevenCandidate::new(candidate, index as u64, ConnectionHint::Open));
+            candidates.push(RankedCandidate::new(candidate, index as u64, ConnectionHint::Open));
         }
         let service_time = Duration::from_millis(10);
-        let read = UnevenRead { required: Some(LogPosition::new(1, 1)), service_time, draw: 0.9 };
+        let read = PlacedRead { required: Some(LogPosition::new(1, 1)), service_time, draw: 0.9 };
         let order = order_by_expected_time(&mut candidates, &read, now);
         assert_eq!(order.len(), count, "each candidate can still be tried");
         // The cap of the penalty over the service time, and for the leader its reserve and connection.
         let bound = |leads: bool| Duration::from_millis(10 + 30 + if leads { 12 + 18 } else { 0 });
-        let is_kept = |candidate: &&UnevenCandidate| {
+        let is_kept = |candidate: &&RankedCandidate| {
             candidate.expected_time() <= bound(candidate.candidate.leads)
         };
         let kept = candidates.iter().filter(is_kept).count();
@@ -287,11 +287,10 @@
     reuse.record_use(2, at(20_050));
     reuse.record_use(3, at(20_060));
     let teams = [1, 2, 3].into_iter();
-    let (evicted, _) = reuse.least_useful(teams, at(20_100)).expect("some are idle");
+    let evicted = reuse.least_useful(teams, at(20_100)).expect("some are idle");
     assert_eq!(evicted, 1, "the team that comes every 20 s");
     // A second connection of the same team is used only while the first one is in use.
-    let (evicted, _) =
-        reuse.least_useful([1, 1, 1].into_iter(), at(20_100)).expect("some are idle");
+    let evicted = reuse.least_useful([1, 1, 1].into_iter(), at(20_100)).expect("some are idle");
     assert_eq!(evicted, 0);
     assert_eq!(reuse.to_close([1, 1].into_iter(), 2, 2, at(20_100)), None, "there is room");
     assert!(reuse.to_close([1].into_iter(), 1, 2, at(200_000)).is_some(), "nobody uses it");
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use coord::priority::PriorityLevel;
+use coord::priority_floors::TokenRefusal;
 use coord::quota::{LimitShare, TOKEN_TIMEOUT, TeamQuotas, TokenRequest, spread_retry};
 use metrics::counter;
 use telemetry::event::LogEvent;
@@ -124,9 +125,7 @@
         refused_before: u32,
         share: LimitShare,
     ) -> AdmissionDecision {
-        if self.settings.load_profile.is_contended {
-            self.update_quota_ownership();
-        }
+        self.update_quota_ownership();
         let quotas = &mut self.quotas.borrow_mut();
         self.decide_admission(quotas, team, priority, max_wait, refused_before, share)
     }
@@ -180,19 +179,14 @@
             is_starting: self.is_starting(),
             share,
         };
-        let taken = if self.settings.load_profile.is_contended {
-            let taken = quotas.take_with_floors(team, limit, request, refused_before, self.now());
-            taken.map_err(|refusal| (refusal.retry_after, refusal.hold))
-        } else {
-            let taken = quotas.take(team, limit, request, self.now());
-            taken.map_err(|insufficient| (insufficient.retry_after, Duration::ZERO))
-        };
-        match taken {
+        match quotas.take_with_floors(team, limit, request, refused_before, self.now()) {
             Ok(delay) => {
                 let bucket_number = quotas.bucket_number(team, share);
                 AdmissionDecision::Admitted { delay, bucket_number }
             }
-            Err((retry_after, hold)) => AdmissionDecision::Refused { retry_after, hold },
+            Err(TokenRefusal { retry_after, hold }) => {
+                AdmissionDecision::Refused { retry_after, hold }
+            }
         }
     }
 
@@ -210,9 +204,6 @@
 
     /// Returns the delay that a refused caller is told, spread where many are refused together.
     fn retry_delay(&self, retry_after: Duration) -> Duration {
-        if !self.settings.load_profile.is_contended {
-            return retry_after;
-        }
         spread_retry(retry_after, self.random_fraction())
     }
 
@@ -222,9 +213,6 @@
     pub(crate) fn update_reachable_fraction(&self) {
         let (live, known) = self.peers.counts();
         self.quotas.borrow_mut().record_reachable(live, known, self.now());
-        if !self.settings.load_profile.is_contended {
-            return;
-        }
         self.update_quota_ownership();
         for change in self.quotas.borrow_mut().take_load_changes(self.now()) {
             let (event, label) = match change.is_over_limit {
@@ -278,9 +266,6 @@
         priority: PriorityLevel,
         max_wait: Duration,
     ) -> Option<AdmissionDecision> {
-        if !self.settings.load_profile.is_contended {
-            return link.request_admission(team, priority, max_wait, 0, ADMISSION_TIMEOUT).await;
-        }
         let (owner, sent_at) = (link.record.incarnation, self.now());
         let version = self.directory.borrow().document().version;
         let refused_before = {
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -133,7 +133,6 @@
             priority: context.route.priority,
             service_class: context.route.service_class(),
             start_timeout_ms: 0,
-            may_be_late: self.settings.load_profile.is_uneven,
             answer_timeout_ms: 0,
             setup_id,
             setup_bytes,
--- a/crates/engine/src/candidates.rs
+++ b/crates/engine/src/candidates.rs
@@ -3,9 +3,7 @@
 use std::time::{Duration, Instant};
 
 use coord::evacuation::{WorkKind, ZonePhase};
-use coord::placement::{
-    ReadCandidate, UnevenCandidate, UnevenRead, order_by_expected_time, order_for_read,
-};
+use coord::placement::{PlacedRead, RankedCandidate, ReadCandidate, order_by_expected_time};
 use coord::regions::RegionScope;
 use coord::rendezvous;
 use coord::service_time::ServiceClass;
@@ -31,7 +29,7 @@
     Region,
 }
 
-/// Read whose endpoint is chosen by the expected time to its answer.
+/// Read whose endpoint is to be chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadPlacement {
     /// Service class of the read.
@@ -205,27 +203,9 @@
         order
     }
 
-    /// Returns the endpoints to try for a read, best first, each with whether it is the leader.
+    /// Returns the endpoints to try for a read, by the expected time to its answer, each with whether
+    /// it is the leader.
     pub fn read_candidates(
-        &self,
-        service: &str,
-        zone: &str,
-        scope: &RequestScope<'_>,
-        required: Option<LogPosition>,
-        now: Instant,
-    ) -> Vec<(String, bool)> {
-        let leader = self.leader(service, now);
-        let members = self.read_members(service, scope, leader.as_ref(), now);
-        let candidate = |name: &&String| self.read_candidate(name, leader.as_ref(), zone);
-        let candidates: Vec<ReadCandidate> = members.iter().map(candidate).collect();
-        let mut order = order_for_read(&candidates, required, now);
-        self.move_evacuated_last(&members, &mut order, now);
-        order.into_iter().map(|index| (members[index].clone(), candidates[index].leads)).collect()
-    }
-
-    /// Returns the endpoints to try for a read under an uneven load, by the expected time to its
-    /// answer, each with whether it is the leader.
-    pub fn uneven_read_candidates(
         &self,
         service: &str,
         zone: &str,
@@ -235,14 +215,14 @@
         now: Instant,
     ) -> Vec<(String, bool)> {
         let candidates = self.expect_reads(service, zone, scope, required, read, now);
-        let result = |(name, candidate): (&String, UnevenCandidate)| {
+        let result = |(name, candidate): (&String, RankedCandidate)| {
             (name.clone(), candidate.candidate.leads)
         };
         candidates.into_iter().map(result).collect()
     }
 
-    /// Returns the endpoints to try for a read under an uneven load, best first, with what is known
-    /// of each and its expected time.
+    /// Returns the endpoints to try for a read, best first, with what is known of each and its
+    /// expected time.
     pub fn expect_reads(
         &self,
         service: &str,
@@ -251,7 +231,7 @@
         required: Option<LogPosition>,
         read: ReadPlacement,
         now: Instant,
-    ) -> Vec<(&String, UnevenCandidate)> {
+    ) -> Vec<(&String, RankedCandidate)> {
         let leader = self.leader(service, now);
         let members = self.read_members(service, scope, leader.as_ref(), now);
         let name_hash = self.services.get(service).map_or(0, |state| state.name_hash);
@@ -260,11 +240,11 @@
             let key = rendezvous::pair_weight(read.team_hash, self.endpoints[*name].name_hash);
             let connection = self.connection_hints.get(key, service_key, now);
             let candidate = self.read_candidate(name, leader.as_ref(), zone);
-            UnevenCandidate::new(candidate, key, connection)
+            RankedCandidate::new(candidate, key, connection)
         };
-        let mut candidates: Vec<UnevenCandidate> = members.iter().map(candidate).collect();
+        let mut candidates: Vec<RankedCandidate> = members.iter().map(candidate).collect();
         let service_time = self.usual_service_time(service, read.service_class);
-        let read = UnevenRead { required, service_time, draw: read.draw };
+        let read = PlacedRead { required, service_time, draw: read.draw };
         let mut order = order_by_expected_time(&mut candidates, &read, now);
         self.move_evacuated_last(&members, &mut order, now);
         order.into_iter().map(|index| (members[index], candidates[index])).collect()
--- a/crates/engine/src/connection_acquire.rs
+++ b/crates/engine/src/connection_acquire.rs
@@ -98,20 +98,17 @@
         }
         let in_time = received_at + Duration::from_millis(call.start_timeout_ms.into());
         let deadline = received_at + Duration::from_millis(call.answer_timeout_ms.into());
-        let answer_deadline = call.may_be_late.then_some(deadline);
         let (sender, mut receiver) = oneshot::channel();
-        let window = StartWindow { in_time, answer_deadline };
+        let window = StartWindow { in_time, answer_deadline: Some(deadline) };
         let pushed = queue.borrow_mut().push(kind, sender, window, now);
-        if call.may_be_late {
-            self.measure_turns(pool, queue_of);
-            // Refuses queued calls that can no longer be served, also while no permit is released.
-            grant_queued(queue, now);
-        }
+        self.measure_turns(pool, queue_of);
+        // Refuses queued calls that can no longer be served, also while no permit is released.
+        grant_queued(queue, now);
         let expected = || queue.borrow().drain_time(&kind, self.now());
         if pushed.is_err() {
             return Err(expected());
         }
-        let wait = answer_deadline.unwrap_or(in_time).saturating_duration_since(now);
+        let wait = deadline.saturating_duration_since(now);
         match timeout(wait, &mut receiver).await {
             Ok(granted) => granted.map_err(|_| expected()),
             Err(_) => {
@@ -141,9 +138,7 @@
         call: &ExecuteCall,
         latest_start: Instant,
     ) -> Result<EndpointConnection, AcquireError> {
-        if let Some(reuse) = &pool.reuse {
-            reuse.borrow_mut().record_use(team_hash(&call.team), self.now());
-        }
+        pool.reuse.borrow_mut().record_use(team_hash(&call.team), self.now());
         let mut has_made_room = false;
         loop {
             let now = self.now();
@@ -173,7 +168,7 @@
                 match self.open_connection(pool, call, open_timeout).await {
                     // The endpoint counts connections of instances that are gone: one of this owner's
                     // is exchanged.
-                    Err(AcquireError::Full) if call.may_be_late && !has_made_room => continue,
+                    Err(AcquireError::Full) if !has_made_room => continue,
                     result => return result,
                 }
             }
@@ -182,34 +177,26 @@
                 counter!(meter::CONNECTIONS_EVICTED, "reason" => "full").increment(1);
                 // The endpoint has room for the connection that replaces the closed one. Closing all
                 // others while the endpoint's refusal is recent would not make it accept more.
-                has_made_room = call.may_be_late;
+                has_made_room = true;
                 continue;
             }
             let remaining = latest_start.saturating_duration_since(now);
-            if call.may_be_late {
-                // With room, the next attempt is made when the pause after the refusal ends: the
-                // endpoint may accept a connection before one is returned here. An endpoint that
-                // counts the connections of lost instances does so for seconds, so a call stakes
-                // only a third of its time on the next attempt.
-                let next_attempt =
-                    refusal_ends_at.filter(|ends_at| has_room && 3 * (*ends_at - now) <= remaining);
-                let cannot_connect_in_time = next_attempt.is_none()
-                    && (pool.open_count.get() == 0 || pool.return_wait(now) > remaining);
-                if remaining.is_zero() || cannot_connect_in_time {
-                    return Err(AcquireError::Full);
-                }
-                let pause = next_attempt.map_or(remaining, |ends_at| ends_at - now);
-                pool.connection_waiters.set(pool.connection_waiters.get() + 1);
-                let freed = timeout(pause, pool.connection_freed.notified()).await;
-                pool.connection_waiters.set(pool.connection_waiters.get().saturating_sub(1));
-                if freed.is_err() && next_attempt.is_none() {
-                    return Err(AcquireError::Full);
-                }
-                continue;
+            // With room, the next attempt is made when the pause after the refusal ends: the endpoint
+            // may accept a connection before one is returned here. An endpoint that counts the
+            // connections of lost instances does so for seconds, so a call stakes only a third of its
+            // time on the next attempt.
+            let next_attempt =
+                refusal_ends_at.filter(|ends_at| has_room && 3 * (*ends_at - now) <= remaining);
+            let cannot_connect_in_time = next_attempt.is_none()
+                && (pool.open_count.get() == 0 || pool.return_wait(now) > remaining);
+            if remaining.is_zero() || cannot_connect_in_time {
+                return Err(AcquireError::Full);
             }
-            if remaining.is_zero()
-                || timeout(remaining, pool.connection_freed.notified()).await.is_err()
-            {
+            let pause = next_attempt.map_or(remaining, |ends_at| ends_at - now);
+            pool.connection_waiters.set(pool.connection_waiters.get() + 1);
+            let freed = timeout(pause, pool.connection_freed.notified()).await;
+            pool.connection_waiters.set(pool.connection_waiters.get().saturating_sub(1));
+            if freed.is_err() && next_attempt.is_none() {
                 return Err(AcquireError::Full);
             }
         }
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -132,16 +132,10 @@
         let mut had_connection = true;
         let outcome = self.execute_in_pool(&pool, origin, &call, &mut had_connection).await;
         let now = self.now();
-        let sample = self.settings.load_profile.is_uneven.then(|| {
-            let handling_time = now.saturating_duration_since(received_at);
-            let health = pool.health.borrow();
-            let is_frequent = pool
-                .reuse
-                .as_ref()
-                .is_some_and(|reuse| reuse.borrow().is_frequent(team_hash(&call.team)));
-            let team = TeamConnections { had_connection, is_frequent };
-            health.sample(call.service_class, team, handling_time, now)
-        });
+        let handling_time = now.saturating_duration_since(received_at);
+        let is_frequent = pool.reuse.borrow().is_frequent(team_hash(&call.team));
+        let team = TeamConnections { had_connection, is_frequent };
+        let sample = pool.health.borrow().sample(call.service_class, team, handling_time, now);
         let queue_wait = pool.expected_wait(&call, now);
         let floor = pool.queue.borrow().wait_floor(call.priority, now);
         let directory = self.directory.borrow();
@@ -154,7 +148,7 @@
             queue_wait_ms: millis(queue_wait),
             wait_floor_ms: Some((call.priority, millis(floor.in_time), millis(floor.late))),
             watermark: newest.map(with_age),
-            sample,
+            sample: Some(sample),
         }
     }
 
@@ -236,16 +230,12 @@
             }
             // Without a connection the call would wait for one to an endpoint that may not answer; a
             // probe finds out without holding a call.
-            if call.may_be_late
-                && pool.unreachable_since.get().is_some()
-                && !pool.has_idle(&call.team)
-            {
+            if pool.unreachable_since.get().is_some() && !pool.has_idle(&call.team) {
                 self.spawn_probe(pool);
                 return not_sent(NotSentReason::Unreachable, RECONNECT_BACKOFF);
             }
             // Waiting for a connection holds a permit that calls with a connection could use.
-            if call.may_be_late
-                && let Some(wait) = pool.connection_wait(received_at)
+            if let Some(wait) = pool.connection_wait(received_at)
                 && wait > Duration::from_millis(call.start_timeout_ms.into())
             {
                 return not_sent(NotSentReason::NoConnection, wait);
@@ -257,7 +247,7 @@
         };
         // A call of the late band got its permit after its latest start, when no call waited that
         // can be in time.
-        let is_late = call.may_be_late && self.now() > latest_start;
+        let is_late = self.now() > latest_start;
         let latest_send = if call.pinned || is_late { deadline } else { latest_start };
         // The zone may have been closed during the wait.
         if !call.pinned && !self.may_send(call) {
@@ -307,7 +297,7 @@
             return not_sent(NotSentReason::Evacuated, Duration::ZERO);
         }
         let sent_at = self.now();
-        if call.may_be_late && !call.pinned && sent_at >= deadline {
+        if !call.pinned && sent_at >= deadline {
             // The instance was suspended while the call waited.
             self.recycle_unsent(pool, call, connection);
             return not_sent(NotSentReason::QueueDelay, Duration::ZERO);
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -31,8 +31,7 @@
 /// Times that bound a call.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTimes {
-    /// The statements start in time before this, and otherwise not at all, or late where the
-    /// deployment serves late requests.
+    /// The statements are in time if they start before this, and otherwise late.
     pub latest_start: Instant,
     /// Their answers are awaited until this time.
     pub deadline: Instant,
@@ -42,9 +41,8 @@
 
 impl CallTimes {
     /// Returns the window in which the statements start.
-    pub fn start_window(&self, may_be_late: bool) -> StartWindow {
-        let answer_deadline = may_be_late.then_some(self.deadline);
-        StartWindow { in_time: self.latest_start, answer_deadline }
+    pub fn start_window(&self) -> StartWindow {
+        StartWindow { in_time: self.latest_start, answer_deadline: Some(self.deadline) }
     }
 
     /// Sets the timeouts of a call that is sent at `now`.
@@ -95,11 +93,8 @@
                 continue;
             }
             times.apply(&mut call, now);
-            let confirm_timeout = if self.settings.load_profile.is_uneven {
-                times.reach_limit.saturating_duration_since(now).max(MIN_CONFIRM_TIMEOUT)
-            } else {
-                Duration::MAX
-            };
+            let confirm_timeout =
+                times.reach_limit.saturating_duration_since(now).max(MIN_CONFIRM_TIMEOUT);
             let reply = self.dispatch_to(owner, call.clone(), confirm_timeout).await;
             let try_next_owner = matches!(
                 reply.outcome,
@@ -148,11 +143,12 @@
         confirm_timeout: Duration,
     ) -> ExecuteReply {
         let endpoint = call.endpoint.clone();
-        let call_key = self.sampled_call(&call);
+        let sampled_call =
+            SampledCall { service_class: call.service_class, team_hash: team_hash(&call.team) };
         let sent_at = self.now();
         if owner == self.name() {
             let reply = self.execute_locally(0, call).await;
-            self.record_reply(&endpoint, &reply, call_key, sent_at);
+            self.record_reply(&endpoint, &reply, sampled_call, sent_at);
             return reply;
         }
         let Some(link) = self.open_link(owner) else {
@@ -166,8 +162,7 @@
         }
         let sent_at = self.now();
         // A call that opens a transaction is awaited: its connection would stay pinned at the owner.
-        let is_abandoned =
-            self.settings.load_profile.is_uneven && call.retryable && !call.keep_pinned;
+        let is_abandoned = call.retryable && !call.keep_pinned;
         let silence_timeout = call
             .service_class
             .target_latency()
@@ -184,7 +179,7 @@
         } else {
             execution.await
         };
-        self.record_reply(&endpoint, &reply, call_key, sent_at);
+        self.record_reply(&endpoint, &reply, sampled_call, sent_at);
         let Some((position, age_ms)) = reply.watermark else {
             return reply;
         };
@@ -232,12 +227,12 @@
         &self,
         endpoint: &str,
         reply: &ExecuteReply,
-        call_key: Option<SampledCall>,
+        call: SampledCall,
         sent_at: Instant,
     ) {
         let now = self.now();
         let mut directory = self.directory.borrow_mut();
-        if let (Some(sample), Some(call)) = (reply.sample, call_key) {
+        if let Some(sample) = reply.sample {
             let elapsed = now.saturating_duration_since(sent_at);
             directory.record_sample(
                 endpoint,
@@ -264,9 +259,7 @@
                     {
                         view.position = Some((position, now));
                     }
-                    if call_key.is_some() {
-                        record_lag(view, answers, now);
-                    }
+                    record_lag(view, answers, now);
                 }
                 ExecuteOutcome::InDoubt
                 | ExecuteOutcome::NotSent { reason: NotSentReason::Unreachable, .. } => {
@@ -277,15 +270,6 @@
         });
     }
 
-    /// Returns what a sample in the reply to a call is recorded for, or `None` if the deployment's
-    /// load is even.
-    fn sampled_call(&self, call: &ExecuteCall) -> Option<SampledCall> {
-        self.settings.load_profile.is_uneven.then(|| SampledCall {
-            service_class: call.service_class,
-            team_hash: team_hash(&call.team),
-        })
-    }
-
     /// Records whether the endpoint leads, from its answer to a statement that only leaders accept.
     ///
     /// `sent_at` is the time before the statement was sent.
--- a/crates/engine/src/endpoint_choice.rs
+++ b/crates/engine/src/endpoint_choice.rs
@@ -29,8 +29,7 @@
         now: Instant,
     ) -> Result<Option<ChosenEndpoint>, Unavailability> {
         let chosen = self.find_endpoint(context, scope, failed, || self.random_fraction(), now)?;
-        if self.settings.load_profile.is_uneven
-            && context.plan.read_only
+        if context.plan.read_only
             && let Some((endpoint, leads, _)) = &chosen
         {
             let directory = self.directory.borrow();
@@ -101,16 +100,12 @@
             Some(WatermarkRing::required_position(watermark, last_commit))
         });
         let zone = &self.settings.record.zone;
-        let order = if self.settings.load_profile.is_uneven {
-            let read = ReadPlacement {
-                service_class: context.route.service_class(),
-                team_hash: team_hash(context.team),
-                draw: draw(),
-            };
-            directory.uneven_read_candidates(service, zone, scope, required, read, now)
-        } else {
-            directory.read_candidates(service, zone, scope, required, now)
+        let read = ReadPlacement {
+            service_class: context.route.service_class(),
+            team_hash: team_hash(context.team),
+            draw: draw(),
         };
+        let order = directory.read_candidates(service, zone, scope, required, read, now);
         (order, required)
     }
 }
--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use coord::evacuation::{WorkKind, ZonePhase};
-use coord::placement::UnevenCandidate;
+use coord::placement::RankedCandidate;
 use coord::regions::RegionScope;
 use coord::session::{ForwardPlan, SessionMachine, StatementAction, StatementClass};
 use serde::{Deserialize, Serialize};
@@ -272,17 +272,11 @@
         let (candidates, random_choice, required) =
             self.explain_candidates(&context, &scope, chosen.as_ref().map(|chosen| &chosen.0), now);
         let first = candidates.first().filter(|candidate| candidate.rank == Some(1));
-        let is_uneven = self.settings.load_profile.is_uneven;
         let directory = self.directory.borrow();
         let view =
             first.and_then(|first| directory.endpoint(&first.endpoint)).map(|entry| entry.view);
-        let reported = view.filter(|view| view.queue_delay.is_some()).map(|view| {
-            if is_uneven {
-                Duration::from_secs_f64(view.uneven_queue_delay(now))
-            } else {
-                view.expected_queue_delay(now)
-            }
-        });
+        let reported = view.filter(|view| view.queue_delay.is_some());
+        let reported = reported.map(|view| Duration::from_secs_f64(view.expected_queue_delay(now)));
         let owned = first.and_then(|first| first.owned.as_ref());
         let slowness = view.and_then(|view| view.health).map_or(1.0, |health| health.slowness(now));
         let usual = directory.usual_service_time(&route.service, route.service_class());
@@ -300,8 +294,7 @@
             expected_wait_ms: owned
                 .map(|owned| owned.expected_wait_ms)
                 .or_else(|| reported.map(to_ms)),
-            service_time_ms: (is_uneven && first.is_some())
-                .then(|| to_ms(usual.mul_f64(slowness.max(0.0)))),
+            service_time_ms: first.is_some().then(|| to_ms(usual.mul_f64(slowness.max(0.0)))),
             random_choice,
             candidates,
             refusals,
@@ -379,12 +372,11 @@
             draw: BEST_DRAW,
         };
         let zone = &self.settings.record.zone;
-        let expected: Vec<(&String, UnevenCandidate)> =
-            if self.settings.load_profile.is_uneven && context.plan.read_only {
-                directory.expect_reads(service, zone, scope, required, read, now)
-            } else {
-                Vec::new()
-            };
+        let expected: Vec<(&String, RankedCandidate)> = if context.plan.read_only {
+            directory.expect_reads(service, zone, scope, required, read, now)
+        } else {
+            Vec::new()
+        };
         let others = directory.members(service).iter();
         let others = others.filter(|name| !order.iter().any(|(ranked, _)| ranked == *name));
         let mut excluded: Vec<&String> = others.collect();
@@ -393,14 +385,14 @@
         let ranked = ranked.map(|(index, (name, leads))| (name, *leads, Some(index + 1)));
         let excluded = excluded.into_iter().map(|name| (name, false, None));
         let explain = |(name, leads, rank): (&String, bool, Option<usize>)| {
-            let uneven = expected.iter().find(|(other, _)| *other == name);
-            let uneven = uneven.map(|(_, candidate)| candidate);
-            let is_preferred = uneven.is_some_and(|candidate| {
+            let ranked = expected.iter().find(|(other, _)| *other == name);
+            let ranked = ranked.map(|(_, candidate)| candidate);
+            let is_preferred = ranked.is_some_and(|candidate| {
                 let replicas = expected.iter().filter(|(_, other)| !other.candidate.leads);
                 let best = replicas.map(|(_, other)| other.affinity).max();
                 !candidate.candidate.leads && best == Some(candidate.affinity)
             });
-            let mut reasons = self.candidate_reasons(context, name, uneven, required, now);
+            let mut reasons = self.candidate_reasons(context, name, ranked, required, now);
             if is_preferred {
                 reasons.push("preferred replica of the team".to_owned());
             }
@@ -420,7 +412,7 @@
                 rank,
                 leads,
                 reasons,
-                expected_ms: uneven.map(|candidate| to_ms(candidate.expected_time())),
+                expected_ms: ranked.map(|candidate| to_ms(candidate.expected_time())),
                 owners,
                 owned: pool.filter(|_| is_owner).map(|pool| owned_endpoint(&pool, &call, now)),
             }
@@ -452,7 +444,7 @@
         &self,
         context: &StatementContext<'_>,
         endpoint: &str,
-        uneven: Option<&UnevenCandidate>,
+        ranked: Option<&RankedCandidate>,
         required: Option<LogPosition>,
         now: Instant,
     ) -> Vec<String> {
@@ -474,20 +466,15 @@
         let zone = &self.settings.record.zone;
         let relation = if entry.record.zone == *zone { "same zone" } else { "another zone" };
         add(true, relation.to_owned());
-        let (queue_delay, lag) = match uneven {
-            Some(_) => (
-                Duration::from_secs_f64(view.uneven_queue_delay(now)),
-                view.expected_catch_up_wait(required, now),
-            ),
-            None => (view.expected_queue_delay(now), view.catch_up_wait(required, now)),
-        };
+        let queue_delay = Duration::from_secs_f64(view.expected_queue_delay(now));
+        let lag = view.catch_up_wait(required, now);
         add(!queue_delay.is_zero(), format!("queue delay {} ms", to_ms(queue_delay)));
         add(!leads && !lag.is_zero(), format!("lags, expected for {} ms", to_ms(lag)));
         if let Some(health) = view.health {
             let (slowness, failed) = (health.slowness(now), health.failure_share(now));
             add(true, format!("slowness {slowness:.2}, failure share {failed:.2}"));
         }
-        if let Some(candidate) = uneven {
+        if let Some(candidate) = ranked {
             let connection = format!("{:?}", candidate.connection).to_lowercase();
             add(true, format!("connection of the team: {connection}"));
         }
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -39,16 +39,6 @@
     /// Codec of the protocol that callers and endpoints speak.
     type Codec: WireCodec;
 }
-
-/// Kinds of load that a deployment is to be prepared for.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct LoadProfile {
-    /// Callers compete for less capacity than they ask for.
-    pub is_contended: bool,
-    /// Demand and the speed of members are uneven.
-    pub is_uneven: bool,
-}
-
 /// Zones of a deployment and the bounds that hold for them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ZoneSettings {
@@ -83,8 +73,6 @@
     pub revocation_bound: Option<Duration>,
     /// Window over which team limits hold, with the tolerated overage.
     pub limit_window: LimitWindow,
-    /// Kinds of load that the deployment is to be prepared for.
-    pub load_profile: LoadProfile,
     /// Zones and the bounds that hold for them.
     pub zones: ZoneSettings,
 }
--- a/crates/engine/src/member_load.rs
+++ b/crates/engine/src/member_load.rs
@@ -317,11 +317,8 @@
         }
     }
 
-    /// Creates or updates the adaptive limits of an endpoint, if the load is uneven.
+    /// Creates or updates the adaptive limits of an endpoint.
     pub(crate) fn update_pace(&self, pool: &EndpointPool, entry: &EndpointEntry) {
-        if !self.settings.load_profile.is_uneven {
-            return;
-        }
         let now = self.now();
         let max = entry.record.slots.max(1) + EXTRA_PERMITS;
         let is_recent = |at: Instant| now.saturating_duration_since(at) < NEW_PROCESS_PERIOD;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -56,11 +56,10 @@
     pub priority: PriorityLevel,
     /// Service class, which groups calls with similar hold times.
     pub service_class: ServiceClass,
-    /// Maximum wait before the statements start, in milliseconds.
+    /// Maximum wait before the statements start, in milliseconds. They may start later
+    /// if they are expected to be answered within `answer_timeout_ms`, after all calls that can start in
+    /// time.
     pub start_timeout_ms: u32,
-    /// The statements may start later than `start_timeout_ms` if they are expected to be answered
-    /// within `answer_timeout_ms`, after all calls that can start in time.
-    pub may_be_late: bool,
     /// Maximum time until the last answer, in milliseconds.
     pub answer_timeout_ms: u32,
     /// Identifier of the session settings and prepared statements that the connection must have;
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -80,15 +80,14 @@
     pub(crate) cold: RefCell<Option<ColdBudget>>,
     /// This instance was the connection owner when the limits were last updated.
     pub(crate) is_owned: Cell<bool>,
-    /// Adaptive limits; `None` if the deployment has no uneven load.
+    /// Adaptive limits; `None` until the registration of the endpoint was applied.
     pub(crate) pace: RefCell<Option<MemberPace>>,
     /// Permits for what only a leader runs, used while its limit is below that of all work.
     pub(crate) leader_queue: RefCell<PermitQueue>,
     /// The endpoint was logged as degraded.
     pub(crate) is_degraded: Cell<bool>,
-    /// Intervals at which the teams use connections, if idle connections are evicted by their
-    /// expected next use.
-    pub(crate) reuse: Option<RefCell<ConnectionReuse>>,
+    /// Intervals at which the teams use connections.
+    pub(crate) reuse: RefCell<ConnectionReuse>,
 }
 
 /// Permit of [`EndpointPool::leader_queue`]. Dropping it releases it.
@@ -254,24 +253,19 @@
     }
 }
 
-/// Takes the connection that is least worth keeping: the one with the latest expected next use, or
-/// the one that has been idle for the longest time if that is not tracked.
+/// Takes the connection that is least worth keeping: the one with the latest expected next use.
 pub(crate) fn remove_least_useful(pool: &EndpointPool, now: Instant) -> Option<IdleConnection> {
     let mut idle = pool.idle.borrow_mut();
-    let index = match &pool.reuse {
-        Some(reuse) => reuse.borrow().least_useful(idle.iter().map(|idle| idle.team_hash), now)?.0,
-        None if idle.is_empty() => return None,
-        None => 0,
-    };
+    let teams = idle.iter().map(|idle| idle.team_hash);
+    let index = pool.reuse.borrow().least_useful(teams, now)?;
     Some(idle.remove(index))
 }
 
-/// Takes an idle connection that is not worth keeping, if connections are evicted by their expected
-/// next use.
+/// Takes an idle connection that is not worth keeping.
 pub(crate) fn remove_unneeded(pool: &EndpointPool, now: Instant) -> Option<IdleConnection> {
     let mut idle = pool.idle.borrow_mut();
     let kept = kept_connections(pool.max_open.get());
     let teams = idle.iter().map(|idle| idle.team_hash);
-    let index = pool.reuse.as_ref()?.borrow().to_close(teams, pool.open_count.get(), kept, now)?;
+    let index = pool.reuse.borrow().to_close(teams, pool.open_count.get(), kept, now)?;
     Some(idle.remove(index))
 }
--- a/crates/engine/src/pool_upkeep.rs
+++ b/crates/engine/src/pool_upkeep.rs
@@ -1,12 +1,11 @@
 //! Creation, resizing and eviction of the connection pools of an instance.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Instant;
 
 use coord::endpoint_health::is_degraded;
-use coord::placement::{IdleConnectionKind, connection_limit};
+use coord::placement::{MOVED_IDLE_TIMEOUT, connection_limit};
 use coord::priority::PriorityQueue;
 use metrics::{counter, gauge};
 use telemetry::event::LogEvent;
@@ -21,8 +20,8 @@
     /// Evicts connections that were idle for too long or that are broken, and removes the pools of
     /// unregistered and restarted endpoints.
     ///
-    /// Connections to endpoints that another instance owns have a shorter idle timeout. The limits of
-    /// all pools are updated and unreachable endpoints are probed.
+    /// Connections to endpoints that this instance owns are kept by their expected next use, others for
+    /// a short time. The limits of all pools are updated and unreachable endpoints are probed.
     pub fn evict_idle_connections(self: &Rc<Self>) {
         let now = self.now();
         let pools: Vec<Rc<EndpointPool>> =
@@ -47,17 +46,10 @@
                     .connection_owners(&pool.endpoint)
                     .first()
                     .is_some_and(|name| name == self.name());
-            let last_use = last_use_by_team(&pool);
             let mut evicted = Vec::new();
             pool.idle.borrow_mut().retain_mut(|idle| {
-                let kind = match last_use.get(&idle.team) {
-                    _ if !owned_here => IdleConnectionKind::Moved,
-                    Some(used_at) if *used_at > idle.idle_since => IdleConnectionKind::Surplus,
-                    _ => IdleConnectionKind::LastUsed,
-                };
                 let idle_time = now.saturating_duration_since(idle.idle_since);
-                let by_use = owned_here && pool.reuse.is_some();
-                let expired = !by_use && idle_time > kind.idle_timeout();
+                let expired = !owned_here && idle_time > MOVED_IDLE_TIMEOUT;
                 if expired || idle.connection.is_broken() {
                     evicted.push(());
                     return false;
@@ -72,9 +64,7 @@
                     counter!(meter::CONNECTIONS_EVICTED, "reason" => "unneeded").increment(1);
                 }
             }
-            if let Some(reuse) = &pool.reuse {
-                reuse.borrow_mut().remove_expired(now);
-            }
+            pool.reuse.borrow_mut().remove_expired(now);
             while pool.open_count.get() > pool.max_open.get()
                 && let Some(idle) = remove_least_useful(&pool, now)
             {
@@ -93,9 +83,6 @@
     /// Exports slowness and failures of an endpoint whose connections this instance owns, and logs when
     /// it becomes degraded or recovers.
     fn report_health(&self, pool: &EndpointPool, now: Instant) {
-        if !self.settings.load_profile.is_uneven {
-            return;
-        }
         let view =
             self.directory.borrow().endpoint(&pool.endpoint).and_then(|entry| entry.view.health);
         let slowness = view.map_or(1.0, |view| view.slowness(now));
@@ -144,8 +131,7 @@
         {
             return Some(pool.clone());
         }
-        let anticipates = self.settings.load_profile.is_uneven;
-        let new_queue = || PriorityQueue::new(1).with_anticipation(anticipates);
+        let new_queue = || PriorityQueue::new(1).with_anticipation(true);
         let pool = Rc::new(EndpointPool {
             endpoint: endpoint.to_owned(),
             service: entry.record.service.clone(),
@@ -171,7 +157,7 @@
             pace: RefCell::default(),
             leader_queue: RefCell::new(new_queue()),
             is_degraded: Cell::new(false),
-            reuse: self.settings.load_profile.is_uneven.then(RefCell::default),
+            reuse: RefCell::default(),
         });
         self.update_cold_budget(&pool, entry, directory.document().service(&pool.service));
         self.update_pace(&pool, entry);
@@ -181,10 +167,3 @@
         Some(pool)
     }
 }
-
-/// Returns the time at which each team last returned a connection to a pool.
-fn last_use_by_team(pool: &EndpointPool) -> HashMap<String, Instant> {
-    // Connections are ordered by the time of their return, so the latest one overwrites the others.
-    let idle = pool.idle.borrow();
-    idle.iter().map(|idle| (idle.team.clone(), idle.idle_since)).collect()
-}
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -133,8 +133,7 @@
         };
         let mut history = AttemptHistory::default();
         let result = self.run_admitted(context, times, &mut history).await;
-        if self.settings.load_profile.is_contended
-            && result.is_not_run()
+        if result.is_not_run()
             && !history.may_have_run
             && let Some(token) = token
         {
@@ -150,17 +149,14 @@
         mut times: CallTimes,
         history: &mut AttemptHistory,
     ) -> StatementResult {
-        let (route, sheds_load) = (context.route, self.settings.load_profile.is_uneven);
+        let route = context.route;
         // The document may have changed while the statement waited for a token.
         let document = self.directory.borrow().document();
         let scope = request_scope(context, &document);
         for attempt in 0..MAX_ATTEMPTS {
             let now = self.now();
-            if sheds_load {
-                times.reach_limit = self.reach_limit(context, times, now);
-            }
-            let retry_limit =
-                if sheds_load && history.was_taken { times.deadline } else { times.reach_limit };
+            times.reach_limit = self.reach_limit(context, times, now);
+            let retry_limit = if history.was_taken { times.deadline } else { times.reach_limit };
             if attempt > 0 && now >= retry_limit {
                 break;
             }
@@ -172,24 +168,18 @@
                 if history.has_only_evacuated() {
                     return self.refuse_unavailable(context, Unavailability::Evacuated);
                 }
-                if sheds_load {
-                    let pause = history.pause();
-                    if history.has_only_full_queues() || now + pause >= retry_limit {
-                        break;
-                    }
-                    sleep(pause).await;
-                } else if history.failed.is_empty() {
-                    sleep(NO_LEADER_BACKOFF).await;
+                let pause = history.pause();
+                if history.has_only_full_queues() || now + pause >= retry_limit {
+                    break;
                 }
+                sleep(pause).await;
                 history.start_round();
                 continue;
             };
             match self.execute_attempt(context, &scope, &endpoint, leads, required, times).await {
                 AttemptOutcome::Done(result) => {
-                    if sheds_load {
-                        let (service, read_only) = (&route.service, context.plan.read_only);
-                        self.service_loads.record_answer(service, read_only, history.retries);
-                    }
+                    let (service, read_only) = (&route.service, context.plan.read_only);
+                    self.service_loads.record_answer(service, read_only, history.retries);
                     return result;
                 }
                 AttemptOutcome::InDoubt { .. } if context.plan.changes_data() => {
@@ -202,7 +192,7 @@
                     (history.was_taken, history.may_have_run) = (true, true);
                     self.log_retry(context, &endpoint, "answer_lost", attempt);
                     history.failed.push(endpoint);
-                    if sheds_load && !is_owner_lost && !self.take_retry(context, history) {
+                    if !is_owner_lost && !self.take_retry(context, history) {
                         break;
                     }
                 }
@@ -210,39 +200,28 @@
                     history.record(code, cause, backoff, origin);
                     self.log_retry(context, &endpoint, cause, attempt);
                     history.failed.push(endpoint);
-                    if sheds_load {
-                        if history.was_taken {
-                            let read_only = context.plan.read_only;
-                            self.service_loads.record_reached(&route.service, read_only);
-                        }
-                        if origin == RetryOrigin::Member
-                            && adds_load(code)
-                            && !self.take_retry(context, history)
-                        {
-                            break;
-                        }
-                        continue;
+                    if history.was_taken {
+                        let read_only = context.plan.read_only;
+                        self.service_loads.record_reached(&route.service, read_only);
                     }
-                    let tried = history.failed.len();
-                    let no_leader = code == RefusalCode::ReadOnly;
-                    let backoff = if no_leader && tried >= 2 { NO_LEADER_BACKOFF } else { backoff };
-                    if tried >= 2 || !context.plan.read_only {
-                        let remaining = times.latest_start.saturating_duration_since(self.now());
-                        sleep(backoff.min(remaining)).await;
+                    if origin == RetryOrigin::Member
+                        && adds_load(code)
+                        && !self.take_retry(context, history)
+                    {
+                        break;
                     }
                 }
             }
         }
-        let (code, cause, backoff) = history.last_failure;
+        let (code, cause, _) = history.last_failure;
         match code {
             RefusalCode::Aborted | RefusalCode::Failed | RefusalCode::Timeout => {
                 failure(code, cause.to_owned())
             }
-            _ if sheds_load && history.has_only_evacuated() => {
+            _ if history.has_only_evacuated() => {
                 self.refuse_unavailable(context, Unavailability::Evacuated)
             }
-            _ if sheds_load => not_run(cause, self.expected_capacity(context, history)),
-            _ => not_run(cause, backoff),
+            _ => not_run(cause, self.expected_capacity(context, history)),
         }
     }
 
@@ -260,9 +239,6 @@
         {
             return Some(self.refuse_unavailable(context, unavailability));
         }
-        if !self.settings.load_profile.is_uneven {
-            return None;
-        }
         self.service_loads.record_request(&context.route.service);
         self.refuse_on_arrival(context, &scope, times)
     }
@@ -323,7 +299,7 @@
         times: CallTimes,
     ) -> Option<StatementResult> {
         let (now, service, level) = (self.now(), &context.route.service, context.route.priority);
-        let window = times.start_window(true);
+        let window = times.start_window();
         let directory = self.directory.borrow();
         let view = |name: &String| directory.endpoint(name).map(|entry| &entry.view);
         // While no member is overloaded, the candidates need not be determined here.
