Place reads by the observed lag of replicas, and presume overtaken answers lost

Cause 1: the lag of a replica was guessed, doubled after each refusal and halved after each read. Change: the lag follows from the position that a member reports and from the watermarks of the leader; a read goes to a replica once that has caught up, waits for it if no other is expected to answer first, and is refused at once if that ends after its deadline. Cause 2: a call whose answer is lost held a permit until its deadline of 800 ms. Change: once three later calls are answered, and the call has taken three times the usual maximum of its class, its answer is presumed lost: its permit is free, and a read is repeated at once. While all permits are held by such calls one of them gives up its permit, with doubling pauses, so that a silent member gets few calls.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -12,6 +12,7 @@
 //! work out of zones and regions with [`evacuation`] and [`regions`], and sheds load with
 //! [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and [`retry_budget`].
 
+pub mod answer_order;
 pub mod cold_budget;
 pub mod congestion;
 pub mod connection_reuse;
@@ -32,6 +33,7 @@
 pub mod refusal_cache;
 pub mod regions;
 pub mod rendezvous;
+pub mod replica_lag;
 pub mod retry_budget;
 pub mod routing;
 pub mod service_time;
--- a/crates/coord/src/placement.rs
+++ b/crates/coord/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::connection_reuse::ConnectionHint;
 use crate::endpoint_health::HealthView;
 use crate::priority::WaitFloorView;
+use crate::replica_lag::{ReplicaLag, RequiredPosition};
 
 /// Time for which an endpoint is tried last after it failed.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(400);
@@ -18,11 +19,6 @@
 /// Cost of a hop to another availability zone beyond its latency, because cross-zone traffic is
 /// expensive.
 const CROSS_ZONE_COST: Duration = Duration::from_millis(6);
-/// Wait assumed for a replica that lacks the required position, as its lag is not known.
-const UNKNOWN_LAG_WAIT: Duration = Duration::from_millis(60);
-/// Age from which a reported position is ignored, because the replica is assumed to have caught up
-/// since.
-const POSITION_TTL: Duration = Duration::from_millis(40);
 
 /// View that an instance has of one endpoint.
 #[derive(Clone, Copy, Debug, Default)]
@@ -39,9 +35,8 @@
     pub not_leader_at: Option<Instant>,
     /// Speed and failures; `None` until a connection owner has reported them.
     pub health: Option<HealthView>,
-    /// Replication lag assumed after the endpoint refused a read for lack of its position, and the
-    /// time of that.
-    pub lag: Option<(Duration, Instant)>,
+    /// Replication lag when the endpoint last reported its position.
+    pub lag: Option<ReplicaLag>,
 }
 
 impl EndpointView {
@@ -95,46 +90,16 @@
 /// The same where they consist of queue delays only: all instances that know of a free member use it
 /// at once, so the difference is gone before they learn of each other.
 const QUEUE_CHOICE_EXPONENT: f64 = 0.5;
-/// Replication lag assumed after the first refusal for lack of a position.
-const MIN_LAG_ESTIMATE: Duration = Duration::from_millis(60);
-/// Largest replication lag assumed.
-const MAX_LAG_ESTIMATE: Duration = Duration::from_secs(2);
-/// Age from which an assumed replication lag is ignored.
-const LAG_TTL: Duration = Duration::from_secs(8);
 
 impl EndpointView {
-    /// Records that the endpoint refused a read because it lacks its position: twice the lag assumed
-    /// so far.
-    pub fn record_lagging(&mut self, now: Instant) {
-        let estimate = self.lag_estimate(now).map_or(MIN_LAG_ESTIMATE, |lag| lag * 2);
-        self.lag = Some((estimate.min(MAX_LAG_ESTIMATE), now));
-    }
-
-    /// Records that the endpoint served a read that required a position: half the lag assumed so far.
-    pub fn record_caught_up(&mut self) {
-        if let Some((lag, at)) = self.lag {
-            self.lag = (lag > MIN_LAG_ESTIMATE).then_some((lag / 2, at));
-        }
-    }
-
-    fn lag_estimate(&self, now: Instant) -> Option<Duration> {
-        let (lag, at) = self.lag?;
-        (now.saturating_duration_since(at) < LAG_TTL).then_some(lag)
-    }
-
-    /// Returns the expected wait until the endpoint's reads reach `required`, from the assumed lag.
-    pub fn catch_up_wait(&self, required: Option<LogPosition>, now: Instant) -> Duration {
-        let (Some(required), Some((position, reported_at))) = (required, self.position) else {
+    /// Returns the expected wait until the endpoint's reads reach `required`.
+    pub fn catch_up_wait(&self, required: Option<RequiredPosition>, now: Instant) -> Duration {
+        let (Some(required), Some(lag)) = (required, self.lag) else {
             return Duration::ZERO;
         };
-        if position >= required {
-            return Duration::ZERO;
-        }
-        let age = now.saturating_duration_since(reported_at);
-        match self.lag_estimate(now) {
-            Some(lag) => lag.saturating_sub(age),
-            None if age < POSITION_TTL => UNKNOWN_LAG_WAIT,
-            None => Duration::ZERO,
+        match self.position {
+            Some((position, _)) if position >= required.position => Duration::ZERO,
+            _ => lag.catch_up_wait(required.reached_at, now),
         }
     }
 
@@ -166,6 +131,12 @@
         Self { candidate, affinity, connection, expected: ExpectedTime::default() }
     }
 
+    /// Returns the expected wait until the endpoint has the position that a read requires.
+    pub fn catch_up_wait(&self, required: Option<RequiredPosition>, now: Instant) -> Duration {
+        let ReadCandidate { view, leads, .. } = &self.candidate;
+        if *leads { Duration::ZERO } else { view.catch_up_wait(required, now) }
+    }
+
     /// Returns the expected time to the answer that the last ordering computed.
     pub fn expected_time(&self) -> Duration {
         Duration::from_secs_f64(self.expected.total())
@@ -194,7 +165,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PlacedRead {
     /// Position that a replica must have reached; `None` if only the leader can serve the read.
-    pub required: Option<LogPosition>,
+    pub required: Option<RequiredPosition>,
     /// Usual service time of the read's class.
     pub service_time: Duration,
     /// Random number from 0 to 1, of a seeded generator.
--- a/crates/coord/src/watermark.rs
+++ b/crates/coord/src/watermark.rs
@@ -78,6 +78,34 @@
         self.watermarks.iter().find(is_fresh).copied()
     }
 
+    /// Returns the time up to which a member at `position` has what the leader had, interpolated between
+    /// watermarks; an error with the time of the oldest one if the member lacks that, and `None` without
+    /// watermarks.
+    pub fn covered_until(
+        &self,
+        position: LogPosition,
+        now: Instant,
+    ) -> Option<Result<Instant, Instant>> {
+        let next = self.watermarks.partition_point(|known| known.position <= position);
+        let Some(after) = self.watermarks.get(next) else {
+            return self.newest().map(|_| Ok(now));
+        };
+        let Some(before) = next.checked_sub(1).and_then(|index| self.watermarks.get(index)) else {
+            return Some(Err(after.as_of));
+        };
+        // All watermarks are of one term.
+        let entries = after.position.index - before.position.index;
+        let applied = position.index - before.position.index;
+        let span = after.as_of - before.as_of;
+        Some(Ok(before.as_of + span.mul_f64(applied as f64 / entries as f64)))
+    }
+
+    /// Returns the time at which the leader had reached `position`, or `None` if no watermark shows it.
+    pub fn reached_at(&self, position: LogPosition) -> Option<Instant> {
+        let first = self.watermarks.partition_point(|known| known.position < position);
+        self.watermarks.get(first).map(|known| known.as_of)
+    }
+
     /// Returns the position that a read requires: the later of the watermark and the session's last
     /// commit.
     ///
--- a/crates/coord/tests/common/fleet_model.rs
+++ b/crates/coord/tests/common/fleet_model.rs
@@ -13,6 +13,7 @@
     order_by_expected_time,
 };
 use coord::rendezvous::{pair_weight, weight_of};
+use coord::replica_lag::RequiredPosition;
 use coord::service_time::ServiceClass;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -369,6 +370,7 @@
         };
         let mut candidates: [RankedCandidate; MEMBER_COUNT] = std::array::from_fn(uneven);
         let service_time = instance.baseline.service_time(class_of(request.kind));
+        let required = required.map(|position| RequiredPosition { position, reached_at: now });
         let read = PlacedRead { required, service_time, draw: rng.random() };
         order_by_expected_time(&mut candidates, &read, now)
     } else {
--- a/crates/coord/tests/load_patterns.rs
+++ b/crates/coord/tests/load_patterns.rs
@@ -15,7 +15,9 @@
 use coord::priority::{PermitKey, PriorityQueue, RequestKind, StartWindow};
 use coord::queue::QueueRefusal;
 use coord::quota::{LimitShare, LimitWindow, TOKEN_TIMEOUT, TeamLimit, TeamQuotas, TokenRequest};
+use coord::replica_lag::{ReplicaLag, RequiredPosition};
 use coord::service_time::ServiceClass;
+use coord::watermark::{Watermark, WatermarkRing};
 use state::position::LogPosition;
 
 /// Defines a test with the start time of its load.
@@ -308,8 +310,16 @@
     index: u64,
     now: Instant,
 ) -> ReadCandidate {
+    let position = LogPosition::new(1, index);
+    let mut watermarks = WatermarkRing::default();
+    for (age_ms, confirmed) in [(100, 4), (0, 10)] {
+        let watermark =
+            Watermark { as_of: now - millis(age_ms), position: LogPosition::new(1, confirmed) };
+        watermarks.record(watermark);
+    }
     let view = EndpointView {
-        position: Some((LogPosition::new(1, index), now)),
+        position: Some((position, now)),
+        lag: ReplicaLag::observe(position, &watermarks, now),
         queue_delay: Some((millis(queue_ms), now)),
         ..EndpointView::default()
     };
@@ -326,6 +336,7 @@
         RankedCandidate::new(*candidate, index as u64, ConnectionHint::Open)
     });
     let mut ranked: Vec<RankedCandidate> = ranked.collect();
+    let required = required.map(|position| RequiredPosition { position, reached_at: now });
     let read = PlacedRead { required, service_time: millis(10), draw: 1.0 };
     order_by_expected_time(&mut ranked, &read, now)
 }
--- a/crates/coord/tests/placement_load.rs
+++ b/crates/coord/tests/placement_load.rs
@@ -12,7 +12,9 @@
 use coord::placement::{
     EndpointView, PlacedRead, RankedCandidate, ReadCandidate, order_by_expected_time,
 };
+use coord::replica_lag::{ReplicaLag, RequiredPosition};
 use coord::service_time::ServiceClass;
+use coord::watermark::{Watermark, WatermarkRing};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use state::position::LogPosition;
@@ -170,6 +172,7 @@
         let mut candidates: [RankedCandidate; 3] = std::array::from_fn(candidate);
         let required = Some(LogPosition::new(1, 1));
         let service_time = Duration::from_millis(9);
+        let required = required.map(|position| RequiredPosition { position, reached_at: now });
         let read = PlacedRead { required, service_time, draw: rng.random() };
         chosen[order_by_expected_time(&mut candidates, &read, now)[0]] += 1;
     }
@@ -177,19 +180,27 @@
     assert!((50..=76).contains(&chosen[2]), "{chosen:?}");
 }
 
-// Guards against a retry for each read while a replica lags by 400 ms: the position that it lacks is
-// not asked for again until the replica may have it.
-#[test]
-fn lagging_replica_is_not_read_in_vain() {
+/// Returns how many of 500 reads, 10 ms apart, a replica refused while it was behind by `lag` at each
+/// time. The leader confirms its position every 50 ms, and reads accept data of `max_staleness`.
+fn refused_reads(lag: impl Fn(Duration) -> Duration, max_staleness: Duration) -> (usize, usize) {
     let start = Instant::now();
-    let lag = Duration::from_millis(400);
     let position_at = |at: Duration| LogPosition::new(1, at.as_millis() as u64);
     let mut views = [EndpointView::default(); 3];
-    let mut refused = 0;
+    let mut watermarks = WatermarkRing::default();
+    for age in (50..3_500).rev().step_by(50) {
+        let at = Duration::from_millis(5_000 - age);
+        watermarks.record(Watermark { as_of: start + at, position: position_at(at) });
+    }
+    let (mut refused, mut by_leader) = (0, 0);
     for tick in 0..500 {
-        let at = Duration::from_millis(1_000 + 10 * tick);
+        let at = Duration::from_millis(5_000 + 10 * tick);
         let now = start + at;
-        let required = position_at(at);
+        if tick % 5 == 0 {
+            watermarks.record(Watermark { as_of: now, position: position_at(at) });
+        }
+        let oldest = watermarks.oldest_within(now, max_staleness).expect("a watermark is recent");
+        let position = oldest.position;
+        let required = RequiredPosition { position, reached_at: oldest.as_of };
         let candidate = |index: usize| {
             let candidate =
                 ReadCandidate { view: views[index], same_zone: index == 1, leads: index == 0 };
@@ -199,16 +210,39 @@
         let service_time = Duration::from_millis(9);
         let read = PlacedRead { required: Some(required), service_time, draw: 0.99 };
         let chosen = order_by_expected_time(&mut candidates, &read, now)[0];
-        let reached = if chosen == 1 { position_at(at - lag) } else { required };
+        let reached = position_at(if chosen == 0 { at } else { at - lag(at) });
         views[chosen].position = Some((reached, now));
-        if reached < required {
-            refused += 1;
-            views[chosen].record_lagging(now);
-        } else {
-            views[chosen].record_caught_up();
-        }
+        views[chosen].lag = ReplicaLag::observe(reached, &watermarks, now);
+        refused += usize::from(reached < position);
+        by_leader += usize::from(chosen == 0);
     }
-    assert!(refused <= 20, "{refused} of 500 reads were refused");
+    (refused, by_leader)
+}
+
+fn seconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count)
+}
+
+// Reads were tried at a replica that lags by seconds, one by one, and refused there.
+#[test]
+fn lagging_replicas_are_not_read_in_vain() {
+    for lag in [0.4, 1.0, 3.0] {
+        let (refused, by_leader) = refused_reads(|_| seconds(lag), seconds(0.1));
+        println!("lag {lag} s: {refused} refused, {by_leader} by the leader");
+        assert!(refused <= 15, "{refused} of 500 reads were refused");
+        assert!(by_leader >= 480, "{by_leader}");
+    }
+    let (refused, by_leader) = refused_reads(|_| seconds(1.0), seconds(1.5));
+    assert_eq!((refused, by_leader), (0, 0), "the reads accept data of that age");
+}
+
+// A lag that begins and ends in a step: reads return to the replicas within a second.
+#[test]
+fn replicas_are_read_again_after_they_caught_up() {
+    let lag = |at: Duration| seconds(if at < seconds(7.0) { 3.0 } else { 0.01 });
+    let (refused, by_leader) = refused_reads(lag, seconds(1.5));
+    assert!(refused <= 10, "{refused}");
+    assert!((190..=310).contains(&by_leader), "{by_leader} of 200 and those of one second");
 }
 
 /// Checks that for any health of the members, at least half of the candidates stay within the cap of
@@ -232,7 +266,9 @@
             candidates.push(RankedCandidate::new(candidate, index as u64, ConnectionHint::Open));
         }
         let service_time = Duration::from_millis(10);
-        let read = PlacedRead { required: Some(LogPosition::new(1, 1)), service_time, draw: 0.9 };
+        let position = LogPosition::new(1, 1);
+        let required = Some(RequiredPosition { position, reached_at: now });
+        let read = PlacedRead { required, service_time, draw: 0.9 };
         let order = order_by_expected_time(&mut candidates, &read, now);
         assert_eq!(order.len(), count, "each candidate can still be tried");
         // The cap of the penalty over the service time, and for the leader its reserve and connection.
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -97,6 +97,7 @@
                     _ => RetryOrigin::Unreached,
                 },
             },
+            ExecuteOutcome::AnswerLost => AttemptOutcome::InDoubt { is_owner_lost: false },
             ExecuteOutcome::InDoubt => {
                 AttemptOutcome::InDoubt { is_owner_lost: owner_reply.reply.wait_floor_ms.is_none() }
             }
--- a/crates/engine/src/candidates.rs
+++ b/crates/engine/src/candidates.rs
@@ -6,8 +6,8 @@
 use coord::placement::{PlacedRead, RankedCandidate, ReadCandidate, order_by_expected_time};
 use coord::regions::RegionScope;
 use coord::rendezvous;
+use coord::replica_lag::RequiredPosition;
 use coord::service_time::ServiceClass;
-use state::position::LogPosition;
 
 use crate::directory::FleetDirectory;
 
@@ -40,6 +40,17 @@
     pub draw: f64,
 }
 
+/// Endpoint to try for a read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReadEndpoint {
+    /// Name.
+    pub name: String,
+    /// The endpoint is addressed as the leader.
+    pub leads: bool,
+    /// Expected wait until the endpoint has the required position.
+    pub catch_up_wait: Duration,
+}
+
 impl FleetDirectory {
     /// Returns whether an endpoint may get work of a team, as far as evacuations decide.
     pub fn admits(&self, endpoint: &str, kind: WorkKind, team: &str, now: Instant) -> bool {
@@ -203,22 +214,23 @@
         order
     }
 
-    /// Returns the endpoints to try for a read, by the expected time to its answer, each with whether
-    /// it is the leader.
+    /// Returns the endpoints to try for a read, by the expected time to its answer.
     pub fn read_candidates(
         &self,
         service: &str,
         zone: &str,
         scope: &RequestScope<'_>,
-        required: Option<LogPosition>,
+        required: Option<RequiredPosition>,
         read: ReadPlacement,
         now: Instant,
-    ) -> Vec<(String, bool)> {
+    ) -> Vec<ReadEndpoint> {
         let candidates = self.expect_reads(service, zone, scope, required, read, now);
-        let result = |(name, candidate): (&String, RankedCandidate)| {
-            (name.clone(), candidate.candidate.leads)
+        let endpoint = |(name, candidate): (&String, RankedCandidate)| ReadEndpoint {
+            name: name.clone(),
+            leads: candidate.candidate.leads,
+            catch_up_wait: candidate.catch_up_wait(required, now),
         };
-        candidates.into_iter().map(result).collect()
+        candidates.into_iter().map(endpoint).collect()
     }
 
     /// Returns the endpoints to try for a read, best first, with what is known of each and its
@@ -228,7 +240,7 @@
         service: &str,
         zone: &str,
         scope: &RequestScope<'_>,
-        required: Option<LogPosition>,
+        required: Option<RequiredPosition>,
         read: ReadPlacement,
         now: Instant,
     ) -> Vec<(&String, RankedCandidate)> {
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -6,15 +6,18 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use coord::answer_order::{OverdueAnswer, patience};
 use coord::endpoint_health::TeamConnections;
 use coord::evacuation::{WorkKind, ZonePhase};
 use coord::session::TransactionState;
 use coord::watermark::Watermark;
+use metrics::counter;
 use telemetry::event::LogEvent;
-use telemetry::log_event;
+use telemetry::{log_event, meter};
 use tokio::time::timeout;
 
 use crate::connection_acquire::{request_kind, team_hash};
@@ -25,11 +28,13 @@
     ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason, StatementAnswer, millis,
 };
 use crate::pool::{
-    AcquireError, EndpointPool, IdleConnection, PooledConnection, RECONNECT_BACKOFF,
+    AcquireError, EndpointPool, IdleConnection, PooledConnection, RECONNECT_BACKOFF, RunPermit,
 };
 
 /// Bounds a rollback and the liveness check of an idle connection.
 pub(crate) const CLEANUP_TIMEOUT: Duration = Duration::from_millis(400);
+/// Interval at which an answer that is overdue is checked for later ones.
+const LOST_ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Setup identifier of a connection whose session settings are not known.
 const UNKNOWN_SETUP_ID: u64 = u64::MAX;
 
@@ -303,9 +308,9 @@
             return not_sent(NotSentReason::QueueDelay, Duration::ZERO);
         }
         permit.has_run = true;
-        let remaining = deadline.saturating_duration_since(sent_at);
+        let mut permit = Some(permit);
         let exchange = self.exchange(pool, &mut connection, call);
-        let answered = timeout(remaining, exchange).await.ok().flatten();
+        let answered = self.await_answers(pool, call, exchange, &mut permit, deadline).await;
         // A statement of an open transaction may wait for locks of another one.
         if !call.pinned && pool.pace.borrow().is_some() {
             pool.record_pace(call, answered.as_deref(), sent_at, self.now());
@@ -313,14 +318,67 @@
         let Some(answers) = answered else {
             pool.close_connection(connection);
             pool.health.borrow_mut().record_outcome(true, self.now());
-            return ExecuteOutcome::InDoubt;
+            let answers_others = pool.last_answer_at.get().is_some_and(|at| at > sent_at);
+            return if answers_others {
+                ExecuteOutcome::AnswerLost
+            } else {
+                ExecuteOutcome::InDoubt
+            };
         };
         drop(permit);
+        pool.last_answer_at.set(Some(self.now()));
         self.record_answers(pool, call, &answers, sent_at);
         self.recycle_connection(pool, origin, call, connection, &answers);
         ExecuteOutcome::Answered(answers)
     }
 
+    /// Awaits the answers to a call until its deadline. Returns `None` if they are lost.
+    ///
+    /// Answers that are presumed lost hold no permit, and are awaited only if the call cannot be retried.
+    async fn await_answers(
+        &self,
+        pool: &EndpointPool,
+        call: &ExecuteCall,
+        exchange: impl Future<Output = Option<Vec<StatementAnswer>>>,
+        permit: &mut Option<RunPermit>,
+        deadline: Instant,
+    ) -> Option<Vec<StatementAnswer>> {
+        let mut exchange = pin!(exchange);
+        let usual_maximum = {
+            let queue = pool.queue.borrow();
+            queue.service_times().estimate(call.service_class, self.now()).usual_maximum()
+        };
+        let mut pause = patience(usual_maximum);
+        let key = pool.answers.borrow_mut().begin(pause, self.now());
+        let answered = loop {
+            let remaining = deadline.saturating_duration_since(self.now());
+            if let Ok(answered) = timeout(pause.min(remaining), &mut exchange).await {
+                break answered;
+            }
+            if pause >= remaining {
+                break None;
+            }
+            pause = LOST_ANSWER_CHECK_INTERVAL;
+            let overdue = pool.answers.borrow_mut().judge(key, self.now());
+            if overdue == OverdueAnswer::Expected {
+                continue;
+            }
+            if let Some(mut permit) = permit.take() {
+                permit.has_run = false;
+            }
+            // A statement of an open transaction may wait for locks of other ones.
+            if overdue == OverdueAnswer::Lost && call.retryable && !call.pinned {
+                counter!(meter::PRESUMED_LOST_ANSWERS).increment(1);
+                break None;
+            }
+        };
+        match &answered {
+            Some(_) => pool.answers.borrow_mut().record_answer(key),
+            None => pool.answers.borrow_mut().abandon(key),
+        }
+        answered
+    }
+
     /// Sends the statements and reads their answers. Returns `None` if the connection is lost.
     ///
     /// A statement that opens a transaction must succeed before the others are sent.
@@ -380,7 +438,7 @@
         self.record_health(pool, call, answers, now.saturating_duration_since(sent_at), now);
         let mut directory = self.directory.borrow_mut();
         if let Some(position) = answers.iter().rev().find_map(|answer| answer.position) {
-            directory.update_view(&pool.endpoint, |view| view.position = Some((position, now)));
+            directory.record_position(&pool.endpoint, position, now);
         }
         let Some(confirming_answer) =
             call.confirming_answer_index.and_then(|index| answers.get(usize::from(index)))
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -11,8 +11,10 @@
 use coord::evacuation::{EvacuationTable, ZonePhase};
 use coord::placement::EndpointView;
 use coord::rendezvous;
+use coord::replica_lag::ReplicaLag;
 use coord::service_time::ServiceClass;
 use coord::watermark::{Watermark, WatermarkRing};
+use state::position::LogPosition;
 
 use crate::document_index::DocumentIndex;
 use crate::instance::ZoneSettings;
@@ -234,6 +236,17 @@
         }
     }
 
+    /// Records the log position that an endpoint reports.
+    pub fn record_position(&mut self, endpoint: &str, position: LogPosition, now: Instant) {
+        let Some(entry) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        entry.view.position = Some((position, now));
+        if let Some(service) = self.services.get(&entry.record.service) {
+            entry.view.lag = ReplicaLag::observe(position, &service.watermarks, now);
+        }
+    }
+
     /// Records a watermark confirmed by a leader; returns whether the leader is new.
     pub fn record_leader_watermark(&mut self, endpoint: &str, watermark: Watermark) -> bool {
         let Some(entry) = self.endpoints.get_mut(endpoint) else {
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coord::placement::EndpointView;
 use coord::priority::{StartWindow, WaitFloor};
 use coord::regions::RegionScope;
 use coord::service_time::ServiceClass;
@@ -179,19 +178,18 @@
         } else {
             execution.await
         };
-        self.record_reply(&endpoint, &reply, sampled_call, sent_at);
-        let Some((position, age_ms)) = reply.watermark else {
-            return reply;
-        };
         // Subtracting the age from the time of sending ignores the round trip, so the watermark is
         // never taken for newer than it is.
-        if let Some(as_of) = sent_at.checked_sub(Duration::from_millis(age_ms.into())) {
+        if let Some((position, age_ms)) = reply.watermark
+            && let Some(as_of) = sent_at.checked_sub(Duration::from_millis(age_ms.into()))
+        {
             let mut directory = self.directory.borrow_mut();
             let service = directory.endpoint(&endpoint).map(|entry| entry.record.service.clone());
             if let Some(service) = service {
                 directory.record_watermark(&service, Watermark { as_of, position });
             }
         }
+        self.record_reply(&endpoint, &reply, sampled_call, sent_at);
         reply
     }
 
@@ -253,21 +251,19 @@
                 view.wait_floor.record(level, floor, now);
             }
             match &reply.outcome {
-                ExecuteOutcome::Answered(answers) => {
-                    view.failed_at = None;
-                    if let Some(position) = answers.iter().rev().find_map(|answer| answer.position)
-                    {
-                        view.position = Some((position, now));
-                    }
-                    record_lag(view, answers, now);
-                }
+                ExecuteOutcome::Answered(_) => view.failed_at = None,
                 ExecuteOutcome::InDoubt
                 | ExecuteOutcome::NotSent { reason: NotSentReason::Unreachable, .. } => {
                     view.failed_at = Some(now);
                 }
-                ExecuteOutcome::NotSent { .. } => {}
+                ExecuteOutcome::NotSent { .. } | ExecuteOutcome::AnswerLost => {}
             }
         });
+        if let ExecuteOutcome::Answered(answers) = &reply.outcome
+            && let Some(position) = answers.iter().rev().find_map(|answer| answer.position)
+        {
+            directory.record_position(endpoint, position, now);
+        }
     }
 
     /// Records whether the endpoint leads, from its answer to a statement that only leaders accept.
@@ -299,12 +295,3 @@
         }
     }
 }
-
-/// Records whether an endpoint had the position that a read required.
-fn record_lag(view: &mut EndpointView, answers: &[StatementAnswer], now: Instant) {
-    if answers.iter().any(|answer| answer.error == Some(RefusalCode::Lagging)) {
-        view.record_lagging(now);
-    } else {
-        view.record_caught_up();
-    }
-}
--- a/crates/engine/src/endpoint_choice.rs
+++ b/crates/engine/src/endpoint_choice.rs
@@ -1,23 +1,26 @@
 //! Choice of the endpoint for an attempt of a statement.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use coord::regions::RegionScope;
+use coord::replica_lag::RequiredPosition;
 use coord::watermark::WatermarkRing;
 use metrics::counter;
 use state::position::LogPosition;
 use telemetry::meter;
 
-use crate::candidates::{ReadPlacement, RequestScope, Unavailability};
+use crate::candidates::{ReadEndpoint, ReadPlacement, RequestScope, Unavailability};
 use crate::connection_acquire::team_hash;
 use crate::document_index::DocumentIndex;
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::record::RouteConsistency;
 use crate::statement::StatementContext;
 
-/// Endpoint of an attempt, whether it is addressed as the leader, and the position that a replica
-/// must have reached.
-pub(crate) type ChosenEndpoint = (String, bool, Option<LogPosition>);
+/// Endpoint of an attempt, and the position that a replica must have reached.
+pub(crate) struct ChosenEndpoint {
+    pub(crate) endpoint: ReadEndpoint,
+    pub(crate) required: Option<LogPosition>,
+}
 
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Chooses the endpoint of the next attempt, and counts where a read is placed.
@@ -30,20 +33,19 @@
     ) -> Result<Option<ChosenEndpoint>, Unavailability> {
         let chosen = self.find_endpoint(context, scope, failed, || self.random_fraction(), now)?;
         if context.plan.read_only
-            && let Some((endpoint, leads, _)) = &chosen
+            && let Some(ChosenEndpoint { endpoint, .. }) = &chosen
         {
             let directory = self.directory.borrow();
-            let entry = directory.endpoint(endpoint);
+            let entry = directory.endpoint(&endpoint.name);
             let zone = &self.settings.record.zone;
-            count_placement(*leads, entry.is_some_and(|entry| entry.record.zone == *zone));
+            count_placement(endpoint.leads, entry.is_some_and(|entry| entry.record.zone == *zone));
         }
         Ok(chosen)
     }
 
     /// Finds the best endpoint that has not failed. `draw` is a random number from 0 to 1.
     ///
-    /// Returns its name, whether it is addressed as the leader, and the position that a replica
-    /// must have reached; `None` if a later attempt may find one, and an error if it may not.
+    /// Returns `None` if a later attempt may find one, and an error if it may not.
     pub(crate) fn find_endpoint(
         &self,
         context: &StatementContext<'_>,
@@ -57,7 +59,10 @@
         let untried = |name: &String| !failed.contains(name);
         let leading = || {
             let order = directory.write_candidates(service, scope, now);
-            order.into_iter().find(untried).map(|endpoint| (endpoint, true, None))
+            order.into_iter().find(untried).map(|name| {
+                let endpoint = ReadEndpoint { name, leads: true, catch_up_wait: Duration::ZERO };
+                ChosenEndpoint { endpoint, required: None }
+            })
         };
         let unavailable = || directory.unavailability(service, scope, now);
         if !context.plan.read_only {
@@ -68,9 +73,12 @@
         }
         let (order, required) = self.read_order(context, scope, draw, now);
         let has_candidates = !order.is_empty();
-        let candidate = order.into_iter().find(|(name, _)| untried(name));
+        let candidate = order.into_iter().find(|endpoint| untried(&endpoint.name));
         match candidate {
-            Some((endpoint, leads)) => Ok(Some((endpoint, leads, required))),
+            Some(endpoint) => {
+                let required = required.map(|required| required.position);
+                Ok(Some(ChosenEndpoint { endpoint, required }))
+            }
             // The leader may be a member other than the one known to this instance.
             None => match leading() {
                 None if !has_candidates => unavailable().map_or(Ok(None), Err),
@@ -79,15 +87,15 @@
         }
     }
 
-    /// Returns the endpoints to try for a read, best first, each with whether it is the leader, and
-    /// the position that a replica must have reached.
+    /// Returns the endpoints to try for a read, best first, and the position that a replica must have
+    /// reached.
     pub(crate) fn read_order(
         &self,
         context: &StatementContext<'_>,
         scope: &RequestScope<'_>,
         draw: impl FnOnce() -> f64,
         now: Instant,
-    ) -> (Vec<(String, bool)>, Option<LogPosition>) {
+    ) -> (Vec<ReadEndpoint>, Option<RequiredPosition>) {
         let directory = self.directory.borrow();
         let service = &context.route.service;
         let required = context.route.consistency.max_staleness().and_then(|max_staleness| {
@@ -97,7 +105,9 @@
                 RouteConsistency::ReadYourWrites { .. } => context.machine.last_commit(),
                 _ => None,
             };
-            Some(WatermarkRing::required_position(watermark, last_commit))
+            let position = WatermarkRing::required_position(watermark, last_commit);
+            let reached_at = watermarks.reached_at(position).unwrap_or(now);
+            Some(RequiredPosition { position, reached_at })
         });
         let zone = &self.settings.record.zone;
         let read = ReadPlacement {
--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -9,13 +9,14 @@
 use coord::evacuation::{WorkKind, ZonePhase};
 use coord::placement::RankedCandidate;
 use coord::regions::RegionScope;
+use coord::replica_lag::RequiredPosition;
 use coord::session::{ForwardPlan, SessionMachine, StatementAction, StatementClass};
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, Snafu};
 use state::position::LogPosition;
 
 use crate::caller::ANONYMOUS_TEAM;
-use crate::candidates::{ReadPlacement, RequestScope, Unavailability};
+use crate::candidates::{ReadEndpoint, ReadPlacement, RequestScope, Unavailability};
 use crate::connection_acquire::team_hash;
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::member_load::work_kind;
@@ -269,8 +270,12 @@
         }
         let chosen = chosen.ok().flatten();
         let team_limit = self.explain_limit(team, &route, &mut refusals);
-        let (candidates, random_choice, required) =
-            self.explain_candidates(&context, &scope, chosen.as_ref().map(|chosen| &chosen.0), now);
+        let (candidates, random_choice, required) = self.explain_candidates(
+            &context,
+            &scope,
+            chosen.as_ref().map(|chosen| &chosen.endpoint.name),
+            now,
+        );
         let first = candidates.first().filter(|candidate| candidate.rank == Some(1));
         let directory = self.directory.borrow();
         let view =
@@ -288,6 +293,7 @@
             kind: query.kind,
             document_version: version,
             required_position: required
+                .map(|required| required.position)
                 .map(|position| format!("{}.{}", position.term, position.index)),
             endpoint: first.map(|first| first.endpoint.clone()),
             owner: first.and_then(|first| first.owners.first().cloned()),
@@ -352,7 +358,7 @@
         scope: &RequestScope<'_>,
         chosen: Option<&String>,
         now: Instant,
-    ) -> (Vec<CandidateExplanation>, Vec<ExpectedEndpoint>, Option<LogPosition>) {
+    ) -> (Vec<CandidateExplanation>, Vec<ExpectedEndpoint>, Option<RequiredPosition>) {
         let directory = self.directory.borrow();
         let service = &context.route.service;
         let (mut order, mut required, mut may_swap) = (Vec::new(), None, false);
@@ -362,9 +368,10 @@
             may_swap = order != other;
         }
         // Without a candidate for a read, those for a write are tried.
-        if chosen.is_some_and(|chosen| order.first().is_none_or(|(first, _)| first != chosen)) {
+        if chosen.is_some_and(|chosen| order.first().is_none_or(|first| first.name != *chosen)) {
             let writes = directory.write_candidates(service, scope, now);
-            order = writes.into_iter().map(|name| (name, true)).collect();
+            let leader = |name| ReadEndpoint { name, leads: true, catch_up_wait: Duration::ZERO };
+            order = writes.into_iter().map(leader).collect();
         }
         let read = ReadPlacement {
             service_class: context.route.service_class(),
@@ -378,11 +385,11 @@
             Vec::new()
         };
         let others = directory.members(service).iter();
-        let others = others.filter(|name| !order.iter().any(|(ranked, _)| ranked == *name));
+        let others = others.filter(|name| !order.iter().any(|ranked| ranked.name == **name));
         let mut excluded: Vec<&String> = others.collect();
         excluded.sort();
         let ranked = order.iter().enumerate();
-        let ranked = ranked.map(|(index, (name, leads))| (name, *leads, Some(index + 1)));
+        let ranked = ranked.map(|(index, ranked)| (&ranked.name, ranked.leads, Some(index + 1)));
         let excluded = excluded.into_iter().map(|name| (name, false, None));
         let explain = |(name, leads, rank): (&String, bool, Option<usize>)| {
             let ranked = expected.iter().find(|(other, _)| *other == name);
@@ -402,7 +409,8 @@
             let owners = self.permitted_owners(name, &scope.regions);
             let pool = self.pools.by_endpoint.borrow().get(name).cloned();
             let is_owner = owners.first().is_some_and(|owner| owner == self.name());
-            let call = self.preview_call(context, name, leads, required);
+            let position = required.map(|required| required.position);
+            let call = self.preview_call(context, name, leads, position);
             CandidateExplanation {
                 endpoint: name.clone(),
                 zone: directory
@@ -445,7 +453,7 @@
         context: &StatementContext<'_>,
         endpoint: &str,
         ranked: Option<&RankedCandidate>,
-        required: Option<LogPosition>,
+        required: Option<RequiredPosition>,
         now: Instant,
     ) -> Vec<String> {
         let directory = self.directory.borrow();
@@ -492,7 +500,7 @@
         context: &StatementContext<'_>,
         scope: &RequestScope<'_>,
         endpoint: &str,
-        required: Option<LogPosition>,
+        required: Option<RequiredPosition>,
         now: Instant,
     ) -> String {
         let directory = self.directory.borrow();
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -146,6 +146,8 @@
     },
     /// The statements were sent and may have run.
     InDoubt,
+    /// The same, while the endpoint answered later calls.
+    AnswerLost,
 }
 
 /// Reply of the connection owner to an [`ExecuteCall`].
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use clock::SharedClock;
+use coord::answer_order::AnswerOrder;
 use coord::cold_budget::ColdBudget;
 use coord::connection_reuse::{ConnectionReuse, kept_connections};
 use coord::endpoint_health::EndpointHealth;
@@ -86,6 +87,10 @@
     pub(crate) leader_queue: RefCell<PermitQueue>,
     /// The endpoint was logged as degraded.
     pub(crate) is_degraded: Cell<bool>,
+    /// Time of the last answer to a call.
+    pub(crate) last_answer_at: Cell<Option<Instant>>,
+    /// Order in which calls to the endpoint are answered.
+    pub(crate) answers: RefCell<AnswerOrder>,
     /// Intervals at which the teams use connections.
     pub(crate) reuse: RefCell<ConnectionReuse>,
 }
--- a/crates/engine/src/pool_upkeep.rs
+++ b/crates/engine/src/pool_upkeep.rs
@@ -157,6 +157,8 @@
             pace: RefCell::default(),
             leader_queue: RefCell::new(new_queue()),
             is_degraded: Cell::new(false),
+            last_answer_at: Cell::new(None),
+            answers: RefCell::default(),
             reuse: RefCell::default(),
         });
         self.update_cold_budget(&pool, entry, directory.document().service(&pool.service));
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -16,9 +16,9 @@
 
 use crate::attempt::{AttemptOutcome, StatementBatch, build_result};
 use crate::attempt_history::{AttemptHistory, RetryOrigin, adds_load};
-use crate::candidates::{RequestScope, Unavailability};
+use crate::candidates::{ReadEndpoint, RequestScope, Unavailability};
 use crate::dispatch::CallTimes;
-use crate::endpoint_choice::request_scope;
+use crate::endpoint_choice::{ChosenEndpoint, request_scope};
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
 use crate::message::{ExecuteOutcome, NotSentReason, millis};
@@ -164,7 +164,7 @@
                 Ok(chosen) => chosen,
                 Err(unavailability) => return self.refuse_unavailable(context, unavailability),
             };
-            let Some((endpoint, leads, required)) = chosen else {
+            let Some(ChosenEndpoint { endpoint, required }) = chosen else {
                 if history.has_only_evacuated() {
                     return self.refuse_unavailable(context, Unavailability::Evacuated);
                 }
@@ -176,6 +176,20 @@
                 history.start_round();
                 continue;
             };
+            let ReadEndpoint { name: endpoint, leads, catch_up_wait } = endpoint;
+            if !catch_up_wait.is_zero() {
+                if now + catch_up_wait > self.latest_catch_up(context, times) {
+                    history.record(
+                        RefusalCode::Busy,
+                        "member_lags",
+                        catch_up_wait,
+                        RetryOrigin::Queue,
+                    );
+                    history.failed.push(endpoint);
+                    continue;
+                }
+                sleep(catch_up_wait).await;
+            }
             match self.execute_attempt(context, &scope, &endpoint, leads, required, times).await {
                 AttemptOutcome::Done(result) => {
                     let (service, read_only) = (&route.service, context.plan.read_only);
@@ -190,6 +204,7 @@
                     history.last_failure =
                         (RefusalCode::Aborted, "the answer of the member is lost", MIN_RETRY_DELAY);
                     (history.was_taken, history.may_have_run) = (true, true);
+                    history.has_other_failures = true;
                     self.log_retry(context, &endpoint, "answer_lost", attempt);
                     history.failed.push(endpoint);
                     if !is_owner_lost && !self.take_retry(context, history) {
@@ -280,10 +295,10 @@
                 evacuated_transaction()
             }
             ExecuteOutcome::Answered(answers) => build_result(answers, 0, None),
-            ExecuteOutcome::InDoubt if commits => {
+            ExecuteOutcome::InDoubt | ExecuteOutcome::AnswerLost if commits => {
                 failure(RefusalCode::Unknown, "the answer to the commit is lost".to_owned())
             }
-            ExecuteOutcome::InDoubt | ExecuteOutcome::NotSent { .. } => failure(
+            _ => failure(
                 RefusalCode::Aborted,
                 "the connection of the transaction is lost".to_owned(),
             ),
@@ -310,7 +325,7 @@
         let mut candidates = directory.write_candidates(service, scope, now);
         if context.plan.read_only {
             let (order, _) = self.read_order(context, scope, || self.random_fraction(), now);
-            candidates.extend(order.into_iter().map(|(name, _)| name));
+            candidates.extend(order.into_iter().map(|endpoint| endpoint.name));
         }
         if candidates.is_empty() {
             let unavailability = directory.unavailability(service, scope, now)?;
@@ -322,6 +337,13 @@
         Some(not_run(NotSentReason::QueueDelay.label(), self.spread_delay(wait)))
     }
 
+    /// Returns until when a read may wait for a replica to catch up: it is served before its deadline.
+    fn latest_catch_up(&self, context: &StatementContext<'_>, times: CallTimes) -> Instant {
+        let (service, class) = (&context.route.service, context.route.service_class());
+        let usual_time = self.directory.borrow().usual_service_time(service, class);
+        times.deadline.checked_sub(2 * usual_time).unwrap_or(context.arrived_at)
+    }
+
     /// Takes a retry from the budget of the service; returns whether there was one.
     fn take_retry(&self, context: &StatementContext<'_>, history: &mut AttemptHistory) -> bool {
         let is_allowed = self.service_loads.try_retry(&context.route.service);
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -73,6 +73,8 @@
 pub const TABLE_AGE_SECONDS: &str = "hibiscus_table_age_seconds";
 /// Tokens that were returned for operations that did not run.
 pub const RETURNED_TOKENS: &str = "hibiscus_returned_tokens_total";
+/// Answers of members that were presumed lost, as later ones had arrived.
+pub const PRESUMED_LOST_ANSWERS: &str = "hibiscus_presumed_lost_answers_total";
 /// Zones that are or were evacuated, by phase.
 pub const EVACUATED_ZONES: &str = "hibiscus_evacuated_zones";
 /// Requests refused because no member may run them, by reason: evacuated or region.
