Let substitutes of a quota owner relay to it, or admit only their part

Cause: an instance that does not reach the quota owner of a team asks the next one in the order. That one admitted the part of all instances, beside the owner: a hot team ran up to twice its limit. Change: who is not the owner, by the liveness that the observers publish, asks the owner on behalf of the sender, and without an answer admits the part of those instances that asked it within the last second.

--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -312,6 +312,19 @@
         })
     }
 
+    /// Returns the instance that decides about `subject` for the whole fleet: the first live one, also if
+    /// only others reach it.
+    pub fn fleet_owner(&self, subject: &str) -> InstanceKey {
+        let avoids_congested = self.avoids_congested();
+        let rank = |member: &MemberState| {
+            (avoids_congested && member.status.is_congested, member.record.owner_rank(subject))
+        };
+        let decides = |member: &MemberState| member.is_live && !member.status.leaving;
+        let candidates = self.members.iter().filter(|(_, member)| decides(member));
+        let first = candidates.min_by_key(|(_, member)| rank(member));
+        first.map_or(self.own, |(key, _)| key)
+    }
+
     /// Returns whether congested instances are chosen last; not if there are too many.
     pub fn avoids_congested(&self) -> bool {
         let is_congested = |member: &&MemberState| member.is_live && member.status.is_congested;
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -8,6 +8,9 @@
 //! partition has its own quota owner, which scales the limit by the fraction of all registered
 //! instances on its side, so that all sides together stay within the limit.
 //!
+//! An instance that does not reach the owner, although others do, asks the next one in that order. This
+//! substitute asks the owner on its behalf, or admits only the part of the instances that ask it.
+//!
 //! Operations of a lower priority leave a part of the bucket to those of higher priorities. A
 //! bucket starts with only a part of the tolerated overage if the quota owner may have missed
 //! earlier admissions.
@@ -26,6 +29,9 @@
 /// become the quota owner meanwhile.
 const OWNERSHIP_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time after its last request for which an instance counts as one that does not reach the quota owner.
+const ASKER_TTL: Duration = Duration::from_secs(1);
+
 /// Divisor for the fraction of the tolerated overage that a new bucket starts with: a team may get
 /// a new quota owner twice in one window, when an instance leaves and when it comes back.
 const START_OVERAGE_DIVISOR: f64 = 3.0;
@@ -98,6 +104,11 @@
 pub enum LimitShare {
     /// The part of all instances on this side of a partition, as their quota owner.
     Reachable,
+    /// The part of the instances that ask this one because they do not reach the quota owner.
+    ///
+    /// Load: a hot team while one instance alone does not reach the owner. With the part of all
+    /// instances beside that of the owner, the team ran up to twice its limit.
+    Substitute,
     /// The part of a single instance, while it reaches no quota owner.
     OneInstance,
 }
@@ -164,6 +175,8 @@
     buckets: HashMap<LimitShare, HashMap<String, TeamBucket>>,
     reachable_fraction: f64,
     instance_fraction: f64,
+    /// Instances that asked this one as a substitute, and when they last did.
+    askers: HashMap<u64, Instant>,
     recorded_at: Option<Instant>,
     /// Number of the newest bucket.
     last_number: u32,
@@ -177,6 +190,7 @@
             buckets: HashMap::new(),
             reachable_fraction: 0.0,
             instance_fraction: 0.0,
+            askers: HashMap::new(),
             recorded_at: None,
             last_number: 0,
         }
@@ -192,10 +206,16 @@
             self.buckets.clear();
         }
         self.recorded_at = Some(now);
+        self.askers.retain(|_, at| now.saturating_duration_since(*at) < ASKER_TTL);
         self.instance_fraction = 1.0 / registered.max(1) as f64;
         self.reachable_fraction = reached.min(registered) as f64 * self.instance_fraction;
     }
 
+    /// Records that an instance asks this one because it does not reach the quota owner.
+    pub fn record_asker(&mut self, asker: u64, now: Instant) {
+        self.askers.insert(asker, now);
+    }
+
     /// Returns the fraction of registered instances that this one reaches, itself included.
     pub fn reachable_fraction(&self) -> f64 {
         self.reachable_fraction
@@ -340,6 +360,10 @@
     ) -> &mut TeamBucket {
         let fraction = match request.share {
             LimitShare::Reachable => self.reachable_fraction,
+            LimitShare::Substitute => {
+                let asking = self.askers.len().max(1) as f64 * self.instance_fraction;
+                asking.min(self.reachable_fraction)
+            }
             LimitShare::OneInstance => self.instance_fraction.min(self.reachable_fraction),
         };
         let initial_tokens = limit.initial_tokens(self.window) * fraction;
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -11,12 +11,17 @@
 use telemetry::{log_event, meter};
 use tokio::time::sleep;
 
+use crate::connection_owner::CallOrigin;
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::message::{AdmissionDecision, PeerRequest};
+use crate::message::{AdmissionDecision, AdmissionRequest, PeerRequest, millis};
 use crate::peer_link::PeerLink;
 
 /// Bounds the wait for the answer of a quota owner.
 const ADMISSION_TIMEOUT: Duration = Duration::from_millis(150);
+/// The same for an instance that asks the owner on behalf of another one.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(75);
+/// Origin of the requests of this instance.
+const OWN_ORIGIN: CallOrigin = 0;
 /// Shortest retry delay stated in a refusal.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -91,43 +96,55 @@
         self.quotas.borrow_mut().return_token(team, share, bucket_number, rank, now);
     }
 
-    /// Decides about an operation as the quota owner of its team.
-    ///
-    /// `refused_before` is the number of operations of the same priority that the asking instance
-    /// has refused by itself since its last request.
+    /// Decides about an operation as the quota owner of its team or its substitute; `origin` identifies
+    /// the asking instance.
     pub fn admit_locally(
         &self,
-        team: &str,
-        priority: PriorityLevel,
-        max_wait: Duration,
-        refused_before: u32,
+        request: &AdmissionRequest,
+        origin: CallOrigin,
     ) -> AdmissionDecision {
-        self.take_token(team, priority, max_wait, refused_before, LimitShare::Reachable)
+        let share = self.owned_share(&request.team);
+        if share == LimitShare::Substitute {
+            self.quotas.borrow_mut().record_asker(origin, self.now());
+        }
+        self.take_token(request, share)
     }
 
-    /// Decides about an operation while no candidate for the quota owner answers.
-    ///
-    /// Other instances may be in the same situation, so each admits only its own share.
-    fn admit_own_share(
-        &self,
-        team: &str,
-        priority: PriorityLevel,
-        max_wait: Duration,
+    /// Asks the quota owner of a team on behalf of an instance that does not reach it, and decides as
+    /// its substitute without an answer.
+    pub(crate) async fn relay_admission(
+        self: &Rc<Self>,
+        mut request: AdmissionRequest,
+        origin: CallOrigin,
     ) -> AdmissionDecision {
-        self.take_token(team, priority, max_wait, 0, LimitShare::OneInstance)
+        request.is_relayed = true;
+        let owner = self.peers.fleet_owner(&request.team);
+        if let Some(link) = owner.and_then(|owner| self.open_link(&owner))
+            && let Some(decision) = link.request_admission(request.clone(), RELAY_TIMEOUT).await
+        {
+            return match decision {
+                // The token cannot be returned through this instance.
+                AdmissionDecision::Admitted { delay, .. } => {
+                    AdmissionDecision::Admitted { delay, bucket_number: 0 }
+                }
+                refused => refused,
+            };
+        }
+        self.admit_locally(&request, origin)
     }
 
-    fn take_token(
-        &self,
-        team: &str,
-        priority: PriorityLevel,
-        max_wait: Duration,
-        refused_before: u32,
-        share: LimitShare,
-    ) -> AdmissionDecision {
+    /// Returns the part of a team's limit that this instance admits for those that ask it.
+    fn owned_share(&self, team: &str) -> LimitShare {
+        match self.peers.is_fleet_owner(team) {
+            true => LimitShare::Reachable,
+            false => LimitShare::Substitute,
+        }
+    }
+
+    fn take_token(&self, request: &AdmissionRequest, share: LimitShare) -> AdmissionDecision {
         self.update_quota_ownership();
         let quotas = &mut self.quotas.borrow_mut();
-        self.decide_admission(quotas, team, priority, max_wait, refused_before, share)
+        self.decide_admission(quotas, request, share)
     }
 
     /// Returns the decision that an operation would get now, without taking a token; `None` if
@@ -141,7 +158,7 @@
         let max_wait = max_wait.min(TOKEN_TIMEOUT);
         let owners = self.peers.fleet_owners(team);
         let (owner, share) = match owners.first() {
-            Some(owner) => (owner.clone(), LimitShare::Reachable),
+            Some(owner) => (owner.clone(), self.owned_share(team)),
             None => (self.name().to_owned(), LimitShare::OneInstance),
         };
         if owner != self.name() {
@@ -154,32 +171,32 @@
                 |retry_after| AdmissionDecision::Refused { retry_after, hold: Duration::ZERO };
             return (owner, retry_after.map(refused));
         }
+        let request = new_request(team, priority, max_wait);
         // Tokens are taken from a copy.
         let quotas = &mut self.quotas.borrow().clone();
-        (owner, Some(self.decide_admission(quotas, team, priority, max_wait, 0, share)))
+        (owner, Some(self.decide_admission(quotas, &request, share)))
     }
 
     fn decide_admission(
         &self,
         quotas: &mut TeamQuotas,
-        team: &str,
-        priority: PriorityLevel,
-        max_wait: Duration,
-        refused_before: u32,
+        request: &AdmissionRequest,
         share: LimitShare,
     ) -> AdmissionDecision {
+        let team = request.team.as_str();
         let document = self.directory.borrow().document();
         let Some(limit) = document.team_limit(team) else {
             return AdmissionDecision::Admitted { delay: Duration::ZERO, bucket_number: 0 };
         };
-        let request = TokenRequest {
-            priority_rank: document.priority_rank(priority),
-            max_wait,
+        let token_request = TokenRequest {
+            priority_rank: document.priority_rank(request.priority),
+            max_wait: Duration::from_millis(request.max_wait_ms.into()),
             starts_full: self.is_first_start(),
             is_starting: self.is_starting(),
             share,
         };
-        match quotas.take_with_floors(team, limit, request, refused_before, self.now()) {
+        let refused_before = request.refused_before;
+        match quotas.take_with_floors(team, limit, token_request, refused_before, self.now()) {
             Ok(delay) => {
                 let bucket_number = quotas.bucket_number(team, share);
                 AdmissionDecision::Admitted { delay, bucket_number }
@@ -196,9 +213,7 @@
         if self.quota_generation.replace(generation) == generation {
             return;
         }
-        let is_owner = |team: &str| {
-            self.peers.fleet_owners(team).first().is_some_and(|name| name == self.name())
-        };
+        let is_owner = |team: &str| self.peers.is_fleet_owner(team);
         self.quotas.borrow_mut().record_ownership(is_owner, self.now());
     }
 
@@ -239,9 +254,16 @@
         priority: PriorityLevel,
         max_wait: Duration,
     ) -> (TokenOrigin, AdmissionDecision) {
-        for name in self.peers.fleet_owners(team).iter() {
+        let request = new_request(team, priority, max_wait);
+        let owners = self.peers.fleet_owners(team);
+        let is_candidate = owners.iter().any(|name| name == self.name());
+        for name in owners.iter() {
             if name == self.name() {
-                let decision = self.admit_locally(team, priority, max_wait, 0);
+                if !self.peers.is_fleet_owner(team) {
+                    // Another one may reach the owner.
+                    continue;
+                }
+                let decision = self.admit_locally(&request, OWN_ORIGIN);
                 if let AdmissionDecision::Refused { .. } = decision {
                     counter!(meter::LIMIT_REFUSALS, "by" => "local").increment(1);
                 }
@@ -250,25 +272,30 @@
             let Some(link) = self.open_link(name) else {
                 continue;
             };
-            if let Some(answer) = self.ask_quota_owner(&link, team, priority, max_wait).await {
+            if let Some(answer) = self.ask_quota_owner(&link, request.clone()).await {
                 return (TokenOrigin::Peer(link), answer);
             }
         }
-        let decision = self.admit_own_share(team, priority, max_wait);
-        (TokenOrigin::Own(LimitShare::OneInstance), decision)
+        if is_candidate {
+            let share = self.owned_share(team);
+            return (TokenOrigin::Own(share), self.admit_locally(&request, OWN_ORIGIN));
+        }
+        // Other instances may be in the same situation, so each admits only its own share.
+        let share = LimitShare::OneInstance;
+        (TokenOrigin::Own(share), self.take_token(&request, share))
     }
 
     /// Asks a peer for a decision, unless its last refusal is still valid.
     async fn ask_quota_owner(
         &self,
         link: &PeerLink,
-        team: &str,
-        priority: PriorityLevel,
-        max_wait: Duration,
+        mut request: AdmissionRequest,
     ) -> Option<AdmissionDecision> {
+        let (team, priority) = (request.team.clone(), request.priority);
+        let team = team.as_str();
         let (owner, sent_at) = (link.record.incarnation, self.now());
         let version = self.directory.borrow().document().version;
-        let refused_before = {
+        request.refused_before = {
             let mut refusals = self.refusals.borrow_mut();
             if let Some(retry_after) = refusals.refuse(team, priority, owner, sent_at) {
                 counter!(meter::LIMIT_REFUSALS, "by" => "cache").increment(1);
@@ -277,9 +304,7 @@
             refusals.take_refused_count(team, priority)
         };
         counter!(meter::QUOTA_REQUESTS).increment(1);
-        let answer = link
-            .request_admission(team, priority, max_wait, refused_before, ADMISSION_TIMEOUT)
-            .await?;
+        let answer = link.request_admission(request, ADMISSION_TIMEOUT).await?;
         if let AdmissionDecision::Refused { retry_after, hold } = answer {
             counter!(meter::LIMIT_REFUSALS, "by" => "owner").increment(1);
             // An answer that was sent before a new document came into force may state the old limit.
@@ -291,3 +316,13 @@
         Some(answer)
     }
 }
+
+fn new_request(team: &str, priority: PriorityLevel, max_wait: Duration) -> AdmissionRequest {
+    AdmissionRequest {
+        team: team.to_owned(),
+        priority,
+        max_wait_ms: millis(max_wait),
+        refused_before: 0,
+        is_relayed: false,
+    }
+}
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -257,6 +257,21 @@
     }
 }
 
+/// Request to admit an operation of a team.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AdmissionRequest {
+    /// Team.
+    pub team: String,
+    /// Priority of the operation; zero is the highest.
+    pub priority: PriorityLevel,
+    /// Maximum wait for a token, in milliseconds.
+    pub max_wait_ms: u32,
+    /// Requests of the team and priority that the sender has refused by itself since its last request.
+    pub refused_before: u32,
+    /// The sender asks on behalf of another instance, so the receiver decides.
+    pub is_relayed: bool,
+}
+
 /// Message of the instance that opened the connection.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum PeerRequest {
@@ -289,15 +304,8 @@
     Admit {
         /// Identifier of the call, repeated in the answer.
         call_id: u32,
-        /// Team.
-        team: String,
-        /// Priority of the operation; zero is the highest.
-        priority: PriorityLevel,
-        /// Maximum wait for a token, in milliseconds.
-        max_wait_ms: u32,
-        /// Requests of the team and priority that the sender has refused by itself since its last
-        /// request.
-        refused_before: u32,
+        /// Request.
+        request: AdmissionRequest,
     },
     /// Returns the token of an operation that did not run.
     ReturnToken {
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -125,6 +125,20 @@
         (membership.live_count(), membership.known_count())
     }
 
+    /// Returns whether the own instance decides about `subject` for the whole fleet.
+    pub fn is_fleet_owner(&self, subject: &str) -> bool {
+        let membership = self.membership.borrow();
+        membership.fleet_owner(subject) == membership.own_key()
+    }
+
+    /// Returns the instance that decides about `subject` for the whole fleet, also if only others reach
+    /// it.
+    pub fn fleet_owner(&self, subject: &str) -> Option<String> {
+        let membership = self.membership.borrow();
+        let owner = membership.record(membership.fleet_owner(subject));
+        owner.map(|record| record.name.clone())
+    }
+
     /// Returns the number of connections to peers that are open or being opened.
     pub fn open_link_count(&self) -> usize {
         self.links.borrow().values().filter(|link| link.is_open()).count()
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -6,14 +6,13 @@
 use std::time::{Duration, Instant};
 
 use coord::membership::{InstanceKey, InstanceRecord};
-use coord::priority::PriorityLevel;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
 use crate::interface::WatchedTable;
 use crate::message::{
-    AdmissionDecision, ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason, PeerReply,
-    PeerRequest, TransferPart, millis,
+    AdmissionDecision, AdmissionRequest, ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason,
+    PeerReply, PeerRequest, TransferPart,
 };
 use crate::output_queue::OutputQueue;
 
@@ -189,16 +188,11 @@
     /// Returns `None` without an answer within `answer_timeout`.
     pub async fn request_admission(
         &self,
-        team: &str,
-        priority: PriorityLevel,
-        max_wait: Duration,
-        refused_before: u32,
+        request: AdmissionRequest,
         answer_timeout: Duration,
     ) -> Option<AdmissionDecision> {
-        let (team, max_wait_ms) = (team.to_owned(), millis(max_wait));
-        let request =
-            |call_id| PeerRequest::Admit { call_id, team, priority, max_wait_ms, refused_before };
-        self.send_call(|pending| &mut pending.admission, answer_timeout, request).await
+        let message = |call_id| PeerRequest::Admit { call_id, request };
+        self.send_call(|pending| &mut pending.admission, answer_timeout, message).await
     }
 
     /// Asks whether the peer reaches an endpoint.
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -160,10 +160,16 @@
                 });
             }
             PeerRequest::Release { transaction_id } => self.release_locally(origin, transaction_id),
-            PeerRequest::Admit { call_id, team, priority, max_wait_ms, refused_before } => {
-                let max_wait = Duration::from_millis(max_wait_ms.into());
-                let answer = self.admit_locally(&team, priority, max_wait, refused_before);
-                output.push(&PeerReply::Admit { call_id, decision: answer });
+            PeerRequest::Admit { call_id, request } => {
+                if request.is_relayed || self.peers.is_fleet_owner(&request.team) {
+                    let decision = self.admit_locally(&request, origin);
+                    output.push(&PeerReply::Admit { call_id, decision });
+                    return;
+                }
+                tokio::task::spawn_local(async move {
+                    let decision = instance.relay_admission(request, origin).await;
+                    output.push(&PeerReply::Admit { call_id, decision });
+                });
             }
             PeerRequest::ReturnToken { team, bucket_number, priority } => {
                 self.take_back_token(&team, LimitShare::Reachable, bucket_number, priority);
