Keep reads in their zone where connections suffice for all teams

Cause: a read leaves its zone for the replica that its team prefers, to save connections. Eight teams at members that keep nine connections save nothing by that, and bytes between zones are the largest price. Change: a connection owner reports a team as frequent also if it keeps as many connections as teams use the endpoint.

--- a/crates/coord/src/connection_reuse.rs
+++ b/crates/coord/src/connection_reuse.rs
@@ -74,9 +74,16 @@
         self.teams.retain(|_, team| now.saturating_duration_since(team.last_used_at) < TEAM_TTL);
     }
 
-    /// Returns whether a team uses connections so often that other endpoints of the service have one
-    /// for it too, if some of its requests go there.
-    pub fn is_frequent(&self, team: u64) -> bool {
+    /// Returns whether other endpoints of the service probably have a connection for a team too, if some
+    /// of its requests go there: it uses connections often, or `kept` connections are enough for one of
+    /// each team.
+    ///
+    /// Load: few teams and many connections. Reads left their zone for the replica that their team
+    /// prefers, although each replica could keep a connection of each team.
+    pub fn is_frequent(&self, team: u64, kept: usize) -> bool {
+        if self.teams.len() <= kept {
+            return true;
+        }
         self.teams.get(&team).is_some_and(|team| {
             team.interval_count > 0 && team.interval_seconds <= FREQUENT_INTERVAL.as_secs_f64()
         })
--- a/crates/coord/tests/common/fleet_model.rs
+++ b/crates/coord/tests/common/fleet_model.rs
@@ -296,7 +296,7 @@
                 if load.by_expected_time {
                     let class = class_of(request.kind);
                     let sample = {
-                        let is_frequent = pools[member].reuse.is_frequent(request.team);
+                        let is_frequent = pools[member].reuse.is_frequent(request.team, 0);
                         let team =
                             TeamConnections { had_connection: request.had_connection, is_frequent };
                         health[member].sample(class, team, handling, now)
--- a/crates/coord/tests/placement_load.rs
+++ b/crates/coord/tests/placement_load.rs
@@ -366,3 +366,16 @@
     let known = view.expect("samples arrived");
     assert!((known.slowness(at(9_000)) - 1.0).abs() < 0.01, "{}", known.slowness(at(9_000)));
 }
+
+// Reads of small teams left their zone although every member could keep a connection of each team.
+#[test]
+fn a_rare_team_is_read_in_its_zone_where_connections_suffice_for_all() {
+    let (start, mut reuse) = (Instant::now(), ConnectionReuse::default());
+    for (team, interval) in [(1, 100), (2, 5_000)] {
+        for count in 0..4 {
+            reuse.record_use(team, start + Duration::from_millis(interval * count));
+        }
+    }
+    assert!(reuse.is_frequent(1, 1) && !reuse.is_frequent(2, 1), "two teams, one connection");
+    assert!(reuse.is_frequent(2, 2), "a connection for each team");
+}
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use coord::answer_order::{OverdueAnswer, patience};
+use coord::connection_reuse::kept_connections;
 use coord::endpoint_health::TeamConnections;
 use coord::evacuation::{WorkKind, ZonePhase};
 use coord::session::TransactionState;
@@ -138,7 +139,8 @@
         let outcome = self.execute_in_pool(&pool, origin, &call, &mut had_connection).await;
         let now = self.now();
         let handling_time = now.saturating_duration_since(received_at);
-        let is_frequent = pool.reuse.borrow().is_frequent(team_hash(&call.team));
+        let kept = kept_connections(pool.max_open.get());
+        let is_frequent = pool.reuse.borrow().is_frequent(team_hash(&call.team), kept);
         let team = TeamConnections { had_connection, is_frequent };
         let sample = pool.health.borrow().sample(call.service_class, team, handling_time, now);
         let queue_wait = pool.expected_wait(&call, now);
