Move the exchange of a call into a file of its own

Change: what is sent to a member and how its answers are awaited is engine::exchange; no behaviour changes.

--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -6,19 +6,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coord::answer_order::{OverdueAnswer, patience};
 use coord::connection_reuse::kept_connections;
 use coord::endpoint_health::TeamConnections;
 use coord::evacuation::{WorkKind, ZonePhase};
 use coord::session::TransactionState;
 use coord::watermark::Watermark;
-use metrics::counter;
 use telemetry::event::LogEvent;
-use telemetry::{log_event, meter};
+use telemetry::log_event;
 use tokio::time::timeout;
 
 use crate::connection_acquire::{request_kind, team_hash};
@@ -29,15 +26,13 @@
     ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason, StatementAnswer, millis,
 };
 use crate::pool::{
-    AcquireError, EndpointPool, IdleConnection, PooledConnection, RECONNECT_BACKOFF, RunPermit,
+    AcquireError, EndpointPool, IdleConnection, PooledConnection, RECONNECT_BACKOFF,
 };
 
 /// Bounds a rollback and the liveness check of an idle connection.
 pub(crate) const CLEANUP_TIMEOUT: Duration = Duration::from_millis(400);
-/// Interval at which an answer that is overdue is checked for later ones.
-const LOST_ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Setup identifier of a connection whose session settings are not known.
-const UNKNOWN_SETUP_ID: u64 = u64::MAX;
+pub(crate) const UNKNOWN_SETUP_ID: u64 = u64::MAX;
 
 /// Identifies the source of calls: a connection from a peer instance, or zero for this instance.
 pub type CallOrigin = u64;
@@ -334,100 +329,6 @@
         ExecuteOutcome::Answered(answers)
     }
 
-    /// Awaits the answers to a call until its deadline. Returns `None` if they are lost.
-    ///
-    /// Answers that are presumed lost hold no permit, and are awaited only if the call cannot be retried.
-    async fn await_answers(
-        &self,
-        pool: &EndpointPool,
-        call: &ExecuteCall,
-        exchange: impl Future<Output = Option<Vec<StatementAnswer>>>,
-        permit: &mut Option<RunPermit>,
-        deadline: Instant,
-    ) -> Option<Vec<StatementAnswer>> {
-        let mut exchange = pin!(exchange);
-        let usual_maximum = {
-            let queue = pool.queue.borrow();
-            queue.service_times().estimate(call.service_class, self.now()).usual_maximum()
-        };
-        let mut pause = patience(usual_maximum);
-        let key = pool.answers.borrow_mut().begin(pause, self.now());
-        let answered = loop {
-            let remaining = deadline.saturating_duration_since(self.now());
-            if let Ok(answered) = timeout(pause.min(remaining), &mut exchange).await {
-                break answered;
-            }
-            if pause >= remaining {
-                break None;
-            }
-            pause = LOST_ANSWER_CHECK_INTERVAL;
-            let overdue = pool.answers.borrow_mut().judge(key, self.now());
-            if overdue == OverdueAnswer::Expected {
-                continue;
-            }
-            if let Some(mut permit) = permit.take() {
-                permit.has_run = false;
-            }
-            // A statement of an open transaction may wait for locks of other ones.
-            if overdue == OverdueAnswer::Lost && call.retryable && !call.pinned {
-                counter!(meter::PRESUMED_LOST_ANSWERS).increment(1);
-                break None;
-            }
-        };
-        match &answered {
-            Some(_) => pool.answers.borrow_mut().record_answer(key),
-            None => pool.answers.borrow_mut().abandon(key),
-        }
-        answered
-    }
-
-    /// Sends the statements and reads their answers. Returns `None` if the connection is lost.
-    ///
-    /// A statement that opens a transaction must succeed before the others are sent.
-    async fn exchange(
-        self: &Rc<Self>,
-        pool: &Rc<EndpointPool>,
-        connection: &mut EndpointConnection,
-        call: &ExecuteCall,
-    ) -> Option<Vec<StatementAnswer>> {
-        let needs_setup = call.pinned || connection.applied_setup_id != call.setup_id;
-        let setup_count = if needs_setup { call.setup_count } else { 0 };
-        let setup_bytes = if setup_count > 0 { call.setup_bytes.as_slice() } else { &[] };
-        let opens_transaction = !call.begin_bytes.is_empty();
-        let first_bytes = if opens_transaction { &call.begin_bytes } else { &call.bytes };
-        if setup_bytes.is_empty() {
-            connection.send(first_bytes).await.ok()?;
-        } else {
-            connection.send(&[setup_bytes, first_bytes].concat()).await.ok()?;
-        }
-        if !call.pinned {
-            connection.applied_setup_id = call.setup_id;
-        }
-        for _ in 0..setup_count {
-            let answer = self.read_answer_or_probe(pool, connection, call).await?;
-            if answer.error.is_some() {
-                connection.applied_setup_id = UNKNOWN_SETUP_ID;
-            }
-        }
-        if opens_transaction {
-            let begin_answer = self.read_answer_or_probe(pool, connection, call).await?;
-            if begin_answer.error.is_some() {
-                return Some(vec![begin_answer]);
-            }
-            connection.send(&call.bytes).await.ok()?;
-            let mut answers = vec![begin_answer];
-            for _ in 0..call.count {
-                answers.push(self.read_answer_or_probe(pool, connection, call).await?);
-            }
-            return Some(answers);
-        }
-        let mut answers = Vec::with_capacity(call.count.into());
-        for _ in 0..call.count {
-            answers.push(self.read_answer_or_probe(pool, connection, call).await?);
-        }
-        Some(answers)
-    }
-
     /// Records the position and the leadership of an endpoint from the answers to a call.
     fn record_answers(
         &self,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -17,6 +17,7 @@
 mod endpoint_choice;
 pub mod endpoint_connection;
 mod endpoint_probe;
+mod exchange;
 pub mod explain;
 pub mod failover;
 pub mod frame;
