Do not call a read not run whose answer was lost

Cause: a read whose answer is lost is repeated; if the retries then meet full queues, it was refused as not run, although it may have run once. Change: such a read ends as aborted.

--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -179,12 +179,8 @@
             let ReadEndpoint { name: endpoint, leads, catch_up_wait } = endpoint;
             if !catch_up_wait.is_zero() {
                 if now + catch_up_wait > self.latest_catch_up(context, times) {
-                    history.record(
-                        RefusalCode::Busy,
-                        "member_lags",
-                        catch_up_wait,
-                        RetryOrigin::Queue,
-                    );
+                    let (cause, origin) = ("member_lags", RetryOrigin::Queue);
+                    history.record(RefusalCode::Busy, cause, catch_up_wait, origin);
                     history.failed.push(endpoint);
                     continue;
                 }
@@ -233,6 +229,8 @@
             RefusalCode::Aborted | RefusalCode::Failed | RefusalCode::Timeout => {
                 failure(code, cause.to_owned())
             }
+            // A read whose answer was lost has run, whatever its retries met.
+            _ if history.may_have_run => failure(RefusalCode::Aborted, cause.to_owned()),
             _ if history.has_only_evacuated() => {
                 self.refuse_unavailable(context, Unavailability::Evacuated)
             }
