--- a/crates/coord/tests/quota_owners.rs
+++ b/crates/coord/tests/quota_owners.rs
@@ -26,6 +26,8 @@
     Sides,
     /// One instance and the first owner do not reach each other; the others reach both.
     Pair,
+    /// The same for any number of instances.
+    Star,
 }
 
 /// Token that an operation took.
@@ -101,6 +103,7 @@
                 self.incarnations[index] += 1;
             }
             1 => self.frozen_until[index] = self.tick + self.random.random_range(1..30),
+            2 | 3 if fault == NetworkFault::Star => self.connect(0, index, index == 0),
             2 | 3 if fault == NetworkFault::Pair => {
                 (1..size).for_each(|other| self.connect(0, other, other != index));
             }
@@ -257,3 +260,13 @@
         assert!(most <= ALLOWED, "{most} with {size} instances, seed {seed}");
     }
 }
+
+// Several instances that each do not reach the first owner are owners of their own beside it.
+#[test]
+fn several_owners_beside_the_first_stay_within_the_rule() {
+    for size in 3..=8 {
+        let (most, seed) = most_of_seeds(NetworkFault::Star, size, 8.0);
+        println!("{size} instances: {most} of {ALLOWED}, seed {seed}");
+        assert!(most <= ALLOWED, "{most} with {size} instances, seed {seed}");
+    }
+}
