Cache the instance that decides about a team's limit

Cause: since each admission asks two or three times whether this instance decides, and each time ranked all members of the fleet by hash, on a path that every operation takes. The owners beside it were cached by the generation of the membership already, and the same rank stood twice in membership.rs. Change: the deciding instance is kept in the same cache; both orders use one rank. No behaviour changes.

--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -307,21 +307,17 @@
     /// Returns the first `count` candidates to decide about `subject` for the whole fleet.
     pub fn fleet_owners(&self, subject: &str, count: usize) -> Vec<InstanceKey> {
         let avoids_congested = self.avoids_congested();
-        self.best_active(count, |member| {
-            (avoids_congested && member.status.is_congested, member.record.owner_rank(subject))
-        })
+        self.best_active(count, |member| member.fleet_rank(subject, avoids_congested))
     }
 
     /// Returns the instance that decides about `subject` for the whole fleet: the first live one, also if
     /// only others reach it.
     pub fn fleet_owner(&self, subject: &str) -> InstanceKey {
         let avoids_congested = self.avoids_congested();
-        let rank = |member: &MemberState| {
-            (avoids_congested && member.status.is_congested, member.record.owner_rank(subject))
-        };
         let decides = |member: &MemberState| member.is_live && !member.status.leaving;
         let candidates = self.members.iter().filter(|(_, member)| decides(member));
-        let first = candidates.min_by_key(|(_, member)| rank(member));
+        let first =
+            candidates.min_by_key(|(_, member)| member.fleet_rank(subject, avoids_congested));
         first.map_or(self.own, |(key, _)| key)
     }
 
@@ -776,6 +772,11 @@
 }
 
 impl MemberState {
+    /// Returns the rank among the candidates to decide about `subject`; the lowest one is first.
+    fn fleet_rank(&self, subject: &str, avoids_congested: bool) -> (bool, u64) {
+        (avoids_congested && self.status.is_congested, self.record.owner_rank(subject))
+    }
+
     fn new(record: InstanceRecord, now: Instant) -> Self {
         Self {
             record,
--- a/crates/engine/src/peer.rs
+++ b/crates/engine/src/peer.rs
@@ -39,6 +39,8 @@
     generation: u64,
     connections: HashMap<String, ConnectionOwners>,
     fleet: HashMap<String, OwnerNames>,
+    /// Instances that decide for the whole fleet, also if only others reach them.
+    deciding: HashMap<String, InstanceKey>,
 }
 
 impl OwnerCache {
@@ -127,16 +129,28 @@
 
     /// Returns whether the own instance decides about `subject` for the whole fleet.
     pub fn is_fleet_owner(&self, subject: &str) -> bool {
-        let membership = self.membership.borrow();
-        membership.fleet_owner(subject) == membership.own_key()
+        self.deciding_instance(subject) == self.membership.borrow().own_key()
     }
 
     /// Returns the instance that decides about `subject` for the whole fleet, also if only others reach
     /// it.
     pub fn fleet_owner(&self, subject: &str) -> Option<String> {
+        let owner = self.deciding_instance(subject);
+        self.membership.borrow().record(owner).map(|record| record.name.clone())
+    }
+
+    fn deciding_instance(&self, subject: &str) -> InstanceKey {
         let membership = self.membership.borrow();
-        let owner = membership.record(membership.fleet_owner(subject));
-        owner.map(|record| record.name.clone())
+        let mut cache = self.owners.borrow_mut();
+        cache.advance(membership.generation());
+        if let Some(owner) = cache.deciding.get(subject) {
+            return *owner;
+        }
+        let owner = membership.fleet_owner(subject);
+        if cache.deciding.len() < MAX_CACHED_OWNERS {
+            cache.deciding.insert(subject.to_owned(), owner);
+        }
+        owner
     }
 
     /// Returns the number of connections to peers that are open or being opened.
--- a/crates/engine/tests/owner_cache.rs
+++ b/crates/engine/tests/owner_cache.rs
@@ -26,3 +26,16 @@
     assert_eq!(peers.connection_owners("m-1", "a")[0], "instance-1");
     assert_eq!(peers.connection_owners("m-1", "b")[0], "instance-2");
 }
+
+// An instance that went on deciding for a team after another one became its owner would grant tokens
+// beside it.
+#[test]
+fn the_deciding_instance_follows_the_membership() {
+    let peers = PeerTable::new(record("instance-1", "a"), Instant::now());
+    let teams: Vec<String> = (0..20).map(|number| format!("team-{number}")).collect();
+    assert!(teams.iter().all(|team| peers.is_fleet_owner(team)));
+    peers.add_live(&record("instance-2", "a"), Instant::now());
+    let others: Vec<&String> = teams.iter().filter(|team| !peers.is_fleet_owner(team)).collect();
+    assert!(!others.is_empty(), "the new instance decides for some teams");
+    assert!(others.iter().all(|team| peers.fleet_owner(team).as_deref() == Some("instance-2")));
+}
