Log reads of the store, the state of the document and the version of calls

A read had neither duration nor outcome in log or metrics, a guard that was lifted looked like one that had never closed, and calls did not say by which document they were decided. Change, without a change of any decision: HB1115 document_assumed tells when an instance goes on without evidence, HB1116 and HB1117 tell which reads failed or took over 0.2 s, HB1118 by what evidence an instance became ready, HB1119 that a peer sent a call decided by an older document. hibiscus_store_read_seconds, hibiscus_document_state, hibiscus_document_version and hibiscus_outdated_calls_total say the same as metrics. The state of the document has a type and a file of its own. Calls carry the version of the document, so the message format changes; mixed fleets count as partitioned, as after earlier changes of it.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod congestion;
 pub mod connection_reuse;
 pub mod document_lag;
+pub mod document_state;
 pub mod endpoint_health;
 pub mod evacuation;
 pub mod failover;
--- a/crates/coord/src/table_age.rs
+++ b/crates/coord/src/table_age.rs
@@ -155,6 +155,11 @@
         by_age.max(by_failure)
     }
 
+    /// Returns whether evidence from within the `bound` shows that the cache holds all changes.
+    pub fn is_confirmed(&self, bound: Duration, now: Instant) -> bool {
+        self.elapsed(now) <= bound.mul_f64(EXPIRY_FRACTION)
+    }
+
     /// Returns whether a change may have been missed for the whole bound although the store can be
     /// read: nothing may be decided by the cache until it is confirmed again.
     pub fn is_expired(&self, bound: Duration, now: Instant) -> bool {
@@ -162,7 +167,7 @@
         let is_out_of_reach = self.failed_read.is_some_and(|(sent_at, _)| {
             self.confirmed_at.is_none_or(|confirmed_at| sent_at > confirmed_at)
         });
-        !is_out_of_reach && self.elapsed(now) > bound.mul_f64(EXPIRY_FRACTION)
+        !is_out_of_reach && !self.is_confirmed(bound, now)
     }
 
     fn confirm(&mut self, as_of: Instant) {
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -128,6 +128,7 @@
         ExecuteCall {
             endpoint: endpoint.to_owned(),
             team: context.team.to_owned(),
+            document_version: context.document_version,
             transaction_id,
             pinned: false,
             keep_pinned: batch.keep_pinned,
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -56,7 +56,12 @@
 }
 
 /// Route that the caller may use, and the caller's team.
-type AuthorizedRoute = (Rc<RouteRecord>, Rc<str>);
+struct AuthorizedRoute {
+    route: Rc<RouteRecord>,
+    team: Rc<str>,
+    /// Version of the document that both are from.
+    document_version: u64,
+}
 
 /// Event that a session waits for.
 enum SessionEvent {
@@ -269,7 +274,7 @@
         arrived_at: Instant,
     ) -> Vec<u8> {
         let mut out = Vec::new();
-        let (route, team) = match self.authorize() {
+        let authorized = match self.authorize() {
             Ok(authorized) => authorized,
             Err((code, explanation)) => {
                 self.release_transaction();
@@ -294,7 +299,7 @@
                 E::Codec::encode_error(&mut out, code, explanation);
             }
             StatementAction::Forward(plan) => {
-                self.forward(&plan, &route, &team, id, text, &mut out).await;
+                self.forward(&plan, &authorized, id, text, &mut out).await;
             }
         }
         E::Codec::encode_ready(&mut out, self.machine.transaction_state());
@@ -305,8 +310,7 @@
     async fn forward(
         &mut self,
         plan: &ForwardPlan,
-        route: &RouteRecord,
-        team: &str,
+        authorized: &AuthorizedRoute,
         id: &str,
         text: &str,
         out: &mut Vec<u8>,
@@ -315,8 +319,9 @@
             if plan.pinned { self.machine.take_pending_setup() } else { Vec::new() };
         let context = StatementContext {
             plan,
-            route,
-            team,
+            route: &authorized.route,
+            team: &authorized.team,
+            document_version: authorized.document_version,
             request_id: id,
             text,
             machine: &self.machine,
@@ -360,6 +365,7 @@
             return Err((RefusalCode::Busy, OUTDATED_EXPLANATION));
         }
         let document = self.document();
+        let document_version = document.version;
         let Some(route) = document.route(&self.database) else {
             return Err((RefusalCode::UnknownDatabase, "unknown database"));
         };
@@ -369,8 +375,10 @@
                 RefusalCode::Busy,
                 "not run: the instance cannot confirm that the key is still valid",
             )),
-            Some(team) => Ok((route, team)),
-            None if route.public => Ok((route, ANONYMOUS_TEAM.into())),
+            Some(team) => Ok(AuthorizedRoute { route, team, document_version }),
+            None if route.public => {
+                Ok(AuthorizedRoute { route, team: ANONYMOUS_TEAM.into(), document_version })
+            }
             None => Err((RefusalCode::UnknownKey, "unknown key")),
         }
     }
--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -240,6 +240,7 @@
             plan: &plan,
             route: &route,
             team,
+            document_version: version,
             request_id: "explain",
             text: "",
             machine: &machine,
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -9,6 +9,7 @@
 use clock::SharedClock;
 use coord::congestion::CongestionDetector;
 use coord::document_lag::DocumentLag;
+use coord::document_state::DocumentState;
 use coord::evacuation::ZonePhase;
 use coord::membership::InstanceKey;
 use coord::quota::{LimitWindow, TeamQuotas};
@@ -119,10 +120,11 @@
     leave_signal: Notify,
     store_reachable: Cell<bool>,
     was_validated: Cell<bool>,
-    document_lag: RefCell<DocumentLag>,
+    pub(crate) document_lag: RefCell<DocumentLag>,
     /// As of when the table caches hold all changes, in the order of [`WatchedTable::ALL`].
-    table_ages: RefCell<[TableAge; WatchedTable::ALL.len()]>,
-    was_outdated: Cell<bool>,
+    pub(crate) table_ages: RefCell<[TableAge; WatchedTable::ALL.len()]>,
+    pub(crate) logged_document_state: Cell<DocumentState>,
+    pub(crate) logged_readiness: Cell<bool>,
     congestion: Cell<CongestionDetector>,
     /// Instance that last read the store for the availability zone.
     pub(crate) last_reader: Cell<Option<InstanceKey>>,
@@ -161,7 +163,8 @@
             was_validated: Cell::new(true),
             document_lag: RefCell::default(),
             table_ages: RefCell::new(WatchedTable::ALL.map(|_| TableAge::new(started_at))),
-            was_outdated: Cell::new(false),
+            logged_document_state: Cell::new(DocumentState::Confirmed),
+            logged_readiness: Cell::new(false),
             congestion: Cell::default(),
             last_reader: Cell::new(None),
             started_at,
@@ -230,65 +233,6 @@
         }
     }
 
-    /// Returns whether a newer document must have been in force by now: another instance has it and
-    /// can serve callers instead, or nothing shows that there is none.
-    pub fn is_document_outdated(&self) -> bool {
-        let (bound, now) = (self.settings.document_bound, self.now());
-        self.document_lag.borrow().is_outdated(bound, now)
-            || self.update_table_age(WatchedTable::Document, |age| age.is_expired(bound, now))
-    }
-
-    /// Returns for how long another instance has had a newer document in force.
-    pub fn document_lag(&self) -> Duration {
-        self.document_lag.borrow().lag(self.now())
-    }
-
-    /// Compares the document in force with those of other instances, and logs when it becomes
-    /// outdated.
-    pub(crate) fn update_document_lag(&self) {
-        let (own, newest) =
-            (self.directory.borrow().document().version, self.newest_peer_document());
-        self.document_lag.borrow_mut().record(own, newest, self.now());
-        let is_outdated = self.is_document_outdated();
-        if self.was_outdated.replace(is_outdated) == is_outdated {
-            return;
-        }
-        let (lag, age) = (self.document_lag(), self.table_age(WatchedTable::Document));
-        if is_outdated {
-            log_event!(
-                LogEvent::DocumentOutdated,
-                "version={own} newest={newest} lag={lag:?} age={age:?}"
-            );
-        } else {
-            log_event!(LogEvent::DocumentCaughtUp, "version={own} newest={newest}");
-        }
-    }
-
-    /// Applies a function to what is known of a table's cache, once the evidence for its present
-    /// version is taken into account.
-    pub(crate) fn update_table_age<T>(
-        &self,
-        table: WatchedTable,
-        update: impl FnOnce(&mut TableAge) -> T,
-    ) -> T {
-        let version = self.tables.borrow().versions()[table.index()];
-        let age = &mut self.table_ages.borrow_mut()[table.index()];
-        age.advance(version);
-        update(age)
-    }
-
-    /// Records that a cache of `version` holds all changes of a table before `as_of`.
-    pub(crate) fn record_evidence(&self, table: WatchedTable, version: u64, as_of: Instant) {
-        let own = self.tables.borrow().versions()[table.index()];
-        self.table_ages.borrow_mut()[table.index()].record(own, version, as_of);
-    }
-
-    /// Returns for how long the own cache of a table may have missed a change.
-    pub fn table_age(&self, table: WatchedTable) -> Duration {
-        let now = self.now();
-        self.update_table_age(table, |age| age.elapsed(now))
-    }
-
     /// Returns whether keys may be accepted, because the document was validated recently enough to
     /// rule out a missed revocation.
     pub fn is_document_validated(&self) -> bool {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod connection_owner;
 pub mod directory;
 pub mod dispatch;
+mod document_guard;
 pub mod document_index;
 mod endpoint_choice;
 pub mod endpoint_connection;
--- a/crates/engine/src/lifecycle.rs
+++ b/crates/engine/src/lifecycle.rs
@@ -75,11 +75,7 @@
                 instance.evict_idle_connections();
                 instance.log_validation_change();
                 instance.directory.borrow_mut().remove_expired(instance.now());
-                gauge!(meter::DOCUMENT_LAG_SECONDS).set(instance.document_lag().as_secs_f64());
-                for table in WatchedTable::ALL {
-                    let age = instance.table_age(table).as_secs_f64();
-                    gauge!(meter::TABLE_AGE_SECONDS, "table" => table.label()).set(age);
-                }
+                instance.update_table_metrics();
                 gauge!(meter::CALLERS).set(instance.caller_count.get() as f64);
                 gauge!(meter::ENDPOINT_WORK).set(instance.pools.outstanding_requests() as f64);
                 let (cold, paced) = instance.pools.held_counts();
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -200,7 +200,7 @@
                 self.check_link(&link, needs_ping, now);
             }
             self.refresh_status();
-            self.update_document_lag();
+            self.update_document_state();
             self.log_reader_change();
         }
     }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -46,6 +46,8 @@
     pub endpoint: String,
     /// Team on whose behalf the statements run.
     pub team: String,
+    /// Version of the document by which the sender decided that they may run.
+    pub document_version: u64,
     /// Identifier of the transaction, unique on the sending instance; zero for none.
     pub transaction_id: u32,
     /// The transaction already has a pinned connection.
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -63,6 +63,8 @@
     pub route: &'a RouteRecord,
     /// Team of the caller.
     pub team: &'a str,
+    /// Version of the document that the route and the team are from.
+    pub document_version: u64,
     /// Identifier of the request.
     pub request_id: &'a str,
     /// Text as sent by the caller.
--- a/crates/engine/src/table_fetch.rs
+++ b/crates/engine/src/table_fetch.rs
@@ -222,7 +222,9 @@
     /// Reads a table from the store, since no other instance sends it.
     async fn read_table_once(&self, table: WatchedTable) {
         let sent_at = self.now();
-        match self.platform.read_table(table).await {
+        let result = self.platform.read_table(table).await;
+        self.log_store_read(table, sent_at, Duration::ZERO, &result);
+        match result {
             Ok(read) => {
                 self.record_store_status(true, "");
                 self.merge_snapshot(table, read.rows, read.version);
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use coord::table_age::{POLL_FRACTION, READ_TIMEOUT_FRACTION, ReadRank};
+use metrics::histogram;
 use telemetry::event::LogEvent;
-use telemetry::log_event;
+use telemetry::{log_event, meter};
 use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::interface::{PlatformApi, PlatformError, WatchedTable};
+use crate::interface::{PlatformApi, PlatformError, TableRows, WatchedTable};
 use crate::table_change::PackedChange;
 use crate::tables::StoredRow;
 
@@ -23,6 +24,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(600);
 /// Delay before a failed call to the store is retried.
 const RETRY_BACKOFF: Duration = Duration::from_millis(300);
+/// Time beyond its wait from which a read is logged as slow.
+const SLOW_READ_TIME: Duration = Duration::from_millis(200);
 /// Interval at which an instance checks whether another one still reads the store for its zone.
 const DELEGATION_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which a starting instance waits for a table of its zone's reader, since the start or
@@ -58,7 +61,9 @@
                 self.poll_from(table, cached_version).await;
             }
             let sent_at = self.now();
-            let version = match self.platform.read_table(table).await {
+            let result = self.platform.read_table(table).await;
+            self.log_store_read(table, sent_at, Duration::ZERO, &result);
+            let version = match result {
                 Ok(read) => {
                     self.record_store_status(true, "");
                     self.merge_snapshot(table, read.rows, read.version);
@@ -113,7 +118,9 @@
                     (Duration::ZERO, ANSWER_MARGIN.min(longest))
                 }
             };
-            match self.platform.poll_changes(table, version, wait, wait + margin).await {
+            let result = self.platform.poll_changes(table, version, wait, wait + margin).await;
+            self.log_store_read(table, sent_at, wait, &result);
+            match result {
                 Ok(read) => {
                     self.record_store_status(true, "");
                     // An answer without changes took the whole wait, and includes it.
@@ -176,6 +183,34 @@
         longest.saturating_sub(self.table_age(table))
     }
 
+    /// Measures a read of the store that was sent at `sent_at` and asked it to wait for changes for
+    /// up to `wait`. Logs it if it failed or took long.
+    pub(crate) fn log_store_read(
+        &self,
+        table: WatchedTable,
+        sent_at: Instant,
+        wait: Duration,
+        result: &Result<TableRows, PlatformError>,
+    ) {
+        let elapsed = self.now().saturating_duration_since(sent_at);
+        let beyond_wait = elapsed.saturating_sub(wait);
+        let outcome = if result.is_ok() { "answered" } else { "failed" };
+        histogram!(meter::STORE_READ_SECONDS, "table" => table.label(), "outcome" => outcome)
+            .record(beyond_wait.as_secs_f64());
+        match result {
+            Ok(read) if beyond_wait >= SLOW_READ_TIME => log_event!(
+                LogEvent::StoreReadSlow,
+                "table={table:?} wait={wait:?} elapsed={elapsed:?} rows={}",
+                read.rows.len()
+            ),
+            Ok(_) | Err(PlatformError::HistoryExpired) => {}
+            Err(error) => log_event!(
+                LogEvent::StoreReadFailed,
+                "table={table:?} wait={wait:?} elapsed={elapsed:?} cause=\"{error}\""
+            ),
+        }
+    }
+
     /// Records that a read of the store, sent at `sent_at`, failed.
     pub(crate) fn record_failed_read(&self, table: WatchedTable, sent_at: Instant) {
         let now = self.now();
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -53,9 +53,9 @@
     DocumentAccepted = 1105, Info, "document_accepted";
     /// An operator's document was refused because another revision is in force.
     DocumentConflict = 1106, Warn, "document_conflict";
-    /// Another instance has had a newer document for longer than the bound on its age.
+    /// A newer document must be in force by now, so this instance makes no decisions by its own.
     DocumentOutdated = 1107, Warn, "document_outdated";
-    /// A document that was outdated is up to date again.
+    /// A document that was outdated or assumed to be valid is up to date again.
     DocumentCaughtUp = 1108, Info, "document_caught_up";
     /// A table was fetched from another instance.
     TableFetched = 1109, Info, "table_fetched";
@@ -70,6 +70,16 @@
     InstanceCongested = 1113, Warn, "instance_congested";
     /// This instance keeps up with its work again.
     InstanceKeepsUp = 1114, Info, "instance_keeps_up";
+    /// The store gives no evidence that the document is the newest, and this instance goes on with it.
+    DocumentAssumed = 1115, Warn, "document_assumed";
+    /// A read of the store failed, or was given up.
+    StoreReadFailed = 1116, Info, "store_read_failed";
+    /// A read of the store took long.
+    StoreReadSlow = 1117, Info, "store_read_slow";
+    /// This instance became ready for callers, or no longer is.
+    ReadinessChanged = 1118, Info, "readiness_changed";
+    /// Another instance sent a call that it had decided by an older document than this one has.
+    CallOutdated = 1119, Warn, "call_outdated";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
     /// A caller's connection closed.
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -71,6 +71,15 @@
 pub const DOCUMENT_LAG_SECONDS: &str = "hibiscus_document_lag_seconds";
 /// Seconds since the cache of a table held all changes of the store, by table.
 pub const TABLE_AGE_SECONDS: &str = "hibiscus_table_age_seconds";
+/// Version of the document in force.
+pub const DOCUMENT_VERSION: &str = "hibiscus_document_version";
+/// Whether the document is in this state, by state: confirmed, assumed or outdated.
+pub const DOCUMENT_STATE: &str = "hibiscus_document_state";
+/// Seconds that the store took to answer a read, without the wait for changes that the read asked
+/// for, by table and outcome: answered or failed.
+pub const STORE_READ_SECONDS: &str = "hibiscus_store_read_seconds";
+/// Calls of other instances that were decided by an older document.
+pub const OUTDATED_CALLS: &str = "hibiscus_outdated_calls_total";
 /// Tokens that were returned for operations that did not run.
 pub const RETURNED_TOKENS: &str = "hibiscus_returned_tokens_total";
 /// Answers of members that were presumed lost, as later ones had arrived.
