Reproduce documents that are late behind a slow store

The relay of the soak gains a latency: its delay also bounds the rate to 16 KB for each delay, which is 80 KB/s at 200 ms, so no client could read 1,400 routes through it in time. The store of the tests counts its reads.

--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -27,8 +28,10 @@
 pub enum RelayMode {
     /// Forwards all bytes.
     Forward,
-    /// Forwards each chunk after a delay.
+    /// Forwards each chunk after a delay; the next one is read only then, so the delay bounds the rate.
     Delay(Duration),
+    /// Delivers each chunk this long after it was sent, whatever is on the way before it.
+    Latency(Duration),
     /// Forwards at most this many bytes a second in each direction, over all connections together.
     Limit(u32),
     /// Drops the bytes sent to the target.
@@ -134,19 +137,41 @@
 }
 
 async fn forward(
+    state: &RelayState,
+    connection: u64,
+    direction: RelayDirection,
+    reader: OwnedReadHalf,
+    writer: OwnedWriteHalf,
+) {
+    let (in_transit, arriving) = mpsc::unbounded_channel();
+    // The chunks on the way still arrive after the sender has closed the connection.
+    tokio::join!(
+        receive_chunks(state, connection, direction, reader, in_transit),
+        deliver_chunks(arriving, writer)
+    );
+}
+
+/// Reads chunks and sends those that are not dropped on their way, with the time of their arrival.
+async fn receive_chunks(
     state: &RelayState,
     connection: u64,
     direction: RelayDirection,
     mut reader: OwnedReadHalf,
-    mut writer: OwnedWriteHalf,
+    in_transit: UnboundedSender<(Instant, Vec<u8>)>,
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
-        let read = reader.read(&mut chunk).await;
+        let read = tokio::select! {
+            read = reader.read(&mut chunk) => read,
+            () = in_transit.closed() => return,
+        };
         let mode = *state.mode.borrow();
         let is_dropped = connection <= state.last_blackholed.load(Ordering::Relaxed)
             || match mode {
-                RelayMode::Forward | RelayMode::Delay(_) | RelayMode::Limit(_) => false,
+                RelayMode::Forward
+                | RelayMode::Delay(_)
+                | RelayMode::Latency(_)
+                | RelayMode::Limit(_) => false,
                 RelayMode::DropToTarget => direction == RelayDirection::ToTarget,
                 RelayMode::DropFromTarget => direction == RelayDirection::FromTarget,
                 RelayMode::DropAll => true,
@@ -157,14 +182,28 @@
             Ok(0) | Err(_) => return,
             Ok(read) => read,
         };
+        let mut arrives_at = Instant::now();
         match mode {
             RelayMode::Delay(delay) => sleep(delay).await,
+            RelayMode::Latency(latency) => arrives_at += latency,
             RelayMode::Limit(bytes_per_s) => {
                 sleep_until(state.reserve(direction, read, bytes_per_s)).await;
             }
             _ => {}
         }
-        if !is_dropped && writer.write_all(&chunk[..read]).await.is_err() {
+        if !is_dropped && in_transit.send((arrives_at, chunk[..read].to_vec())).is_err() {
+            return;
+        }
+    }
+}
+
+async fn deliver_chunks(
+    mut arriving: UnboundedReceiver<(Instant, Vec<u8>)>,
+    mut writer: OwnedWriteHalf,
+) {
+    while let Some((arrives_at, chunk)) = arriving.recv().await {
+        sleep_until(arrives_at).await;
+        if writer.write_all(&chunk).await.is_err() {
             return;
         }
     }
--- a/crates/standin/src/gateway_platform/row_store.rs
+++ b/crates/standin/src/gateway_platform/row_store.rs
@@ -52,6 +52,8 @@
     history_start: u64,
     unavailable: bool,
     promotions: Vec<PromotionRequest>,
+    /// Number of reads and polls for changes that arrived.
+    read_count: u64,
 }
 
 /// Stand-in for the row store and the promotion service; clones share their state.
@@ -129,6 +131,11 @@
         self.state.lock().promotions.clone()
     }
 
+    /// Returns the number of reads and polls for changes that have arrived.
+    pub fn read_count(&self) -> u64 {
+        self.state.lock().read_count
+    }
+
     fn now_ms(&self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
@@ -158,7 +165,8 @@
 
 async fn rows_get(State(store): State<RowStore>, Query(query): StoreQuery) -> Response {
     let rows: Vec<Value> = {
-        let state = store.state.lock();
+        let mut state = store.state.lock();
+        state.read_count += 1;
         if state.unavailable {
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
@@ -173,6 +181,7 @@
     let (after, wait) = (query_number(&query, "after"), query_number(&query, "wait_ms"));
     let table = query.get("table").cloned().unwrap_or_default();
     let deadline = Instant::now() + Duration::from_millis(wait);
+    store.state.lock().read_count += 1;
     loop {
         let changed = store.changed.notified();
         let rows: Vec<Value> = {
