Wait for the answers of a slow store

Callers saw documents that were late, or not in force at all, while the store took longer than 0.6 s to answer. Cause: a read was given up 0.6 s after its poll (0.2 of the bound for direct reads), a full read after 1.5 s, a body after 0.8 s between two chunks, and sent again 0.3 s later, so the answer on its way was never used and a slow store was asked seven times as often. Class: a time limit that does not depend on what is observed. Ruled out: longer fixed limits, which delay the notice of silent stores by as much and only move the edge. Change: a read stays outstanding until it is answered, fails, or four later ones have been sent (coord::read_schedule). The next one goes out when its answer is due, whatever came back, so the store has a request to answer at any time; unanswered reads follow each other at growing intervals, and none while bytes of an answer arrive. A read counts as failed after 0.6 s or twice the usual time, as before for the status of the reader and the guard. Evidence tells how long the store took for it, and the reads of other instances are put off by as much, so that all instances of a zone do not take slow evidence for a silent reader. Reads for a table that no peer sends go through the same schedule. Registrations and reads of the list of instances get more time after each that was not answered. The evidence in pongs has one more field, so the format changes again.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod promotion;
 pub mod queue;
 pub mod quota;
+pub mod read_schedule;
 pub mod refusal_cache;
 pub mod regions;
 pub mod rendezvous;
--- a/crates/coord/src/table_age.rs
+++ b/crates/coord/src/table_age.rs
@@ -12,7 +12,9 @@
 //!
 //! All ages are parts of the bound within which a change must be in force. They add up: a change
 //! that the reader misses is read by the last instance at the latest `LAST_READ_FRACTION` after it was
-//! made, and a failed read is known to have failed before `EXPIRY_FRACTION`.
+//! made, and a failed read is known to have failed before `EXPIRY_FRACTION`. Evidence of a store that
+//! takes long to answer is as old as that from the start, which is no sign of a silent reader, so
+//! reads by other instances are put off by the time that the store takes.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -31,8 +33,8 @@
 const SPREAD_RANK: usize = 3;
 /// Age at which the last instance reads the store.
 pub const LAST_READ_FRACTION: f64 = 0.7;
-/// Longest time for which such a read waits for an answer.
-pub const READ_TIMEOUT_FRACTION: f64 = 0.2;
+/// Longest time by which reads are put off since the store takes long to answer.
+const MAX_ANSWER_TIME_FRACTION: f64 = 0.35;
 /// Time after a failed read before the next one.
 const RETRY_FRACTION: f64 = 0.5;
 /// Age from which no decisions are made, unless a failed read shows that the store is out of reach.
@@ -90,12 +92,20 @@
     pending: VecDeque<VersionEvidence>,
     /// Time at which the last failed read of the store was sent, and when it failed.
     failed_read: Option<(Instant, Instant)>,
+    /// Time that the store took for the answer that the evidence comes from.
+    answer_time: Duration,
 }
 
 impl TableAge {
     /// Creates the tracker of an empty cache.
     pub fn new(started_at: Instant) -> Self {
-        Self { started_at, confirmed_at: None, pending: VecDeque::new(), failed_read: None }
+        Self {
+            started_at,
+            confirmed_at: None,
+            pending: VecDeque::new(),
+            failed_read: None,
+            answer_time: Duration::ZERO,
+        }
     }
 
     /// Records that a cache of `version` holds all changes before `as_of`; `own` is the version of
@@ -128,6 +138,22 @@
         now.saturating_duration_since(self.confirmed_at.unwrap_or(self.started_at))
     }
 
+    /// Returns the age that the evidence would have if the store answered at once.
+    pub fn excess_age(&self, bound: Duration, now: Instant) -> Duration {
+        let answer_time = self.answer_time.min(bound.mul_f64(MAX_ANSWER_TIME_FRACTION));
+        self.elapsed(now).saturating_sub(answer_time)
+    }
+
+    /// Returns the time that the store took for the answer that the evidence comes from.
+    pub fn answer_time(&self) -> Duration {
+        self.answer_time
+    }
+
+    /// Records the time that the store took for the answer that the evidence comes from.
+    pub fn record_answer_time(&mut self, answer_time: Duration) {
+        self.answer_time = answer_time;
+    }
+
     /// Records that the own read of the store, sent at `sent_at`, failed.
     pub fn record_failed_read(&mut self, sent_at: Instant, now: Instant) {
         self.failed_read = Some((sent_at, now));
@@ -135,7 +161,7 @@
 
     /// Returns who should be asked for newer evidence.
     pub fn refresh_scope(&self, bound: Duration, now: Instant) -> RefreshScope {
-        let age = self.elapsed(now);
+        let age = self.excess_age(bound, now);
         if age >= bound.mul_f64(WIDE_REFRESH_FRACTION) {
             RefreshScope::Observers
         } else if age >= bound.mul_f64(REFRESH_FRACTION) {
@@ -148,7 +174,8 @@
     /// Returns the time until this instance has to read the store itself, although another one reads
     /// for its zone.
     pub fn time_to_read(&self, bound: Duration, rank: ReadRank, now: Instant) -> Duration {
-        let by_age = bound.mul_f64(rank.read_fraction()).saturating_sub(self.elapsed(now));
+        let by_age =
+            bound.mul_f64(rank.read_fraction()).saturating_sub(self.excess_age(bound, now));
         let by_failure = self.failed_read.map_or(Duration::ZERO, |(_, failed_at)| {
             (failed_at + bound.mul_f64(RETRY_FRACTION)).saturating_duration_since(now)
         });
@@ -174,6 +201,7 @@
         if self.confirmed_at.is_none_or(|confirmed_at| as_of > confirmed_at) {
             self.confirmed_at = Some(as_of);
         }
+        self.failed_read = self.failed_read.filter(|(sent_at, _)| *sent_at > as_of);
     }
 
     fn insert_pending(&mut self, evidence: VersionEvidence) {
--- a/crates/coord/tests/table_age.rs
+++ b/crates/coord/tests/table_age.rs
@@ -2,9 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use coord::table_age::{
-    LAST_READ_FRACTION, POLL_FRACTION, READ_TIMEOUT_FRACTION, ReadRank, RefreshScope, TableAge,
-};
+use coord::read_schedule::ANSWER_TIMEOUT_FRACTION;
+use coord::table_age::{LAST_READ_FRACTION, POLL_FRACTION, ReadRank, RefreshScope, TableAge};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -90,7 +89,7 @@
 // A store that nobody reaches made all instances of a zone ask it without a pause.
 age_case!(a_failed_read_is_not_repeated_at_once, age, at => {
     let sent_at = at(0) + BOUND.mul_f64(LAST_READ_FRACTION);
-    let failed_at = sent_at + BOUND.mul_f64(READ_TIMEOUT_FRACTION);
+    let failed_at = sent_at + BOUND.mul_f64(ANSWER_TIMEOUT_FRACTION);
     age.record_failed_read(sent_at, failed_at);
     let time_to_read = age.time_to_read(BOUND, LAST_RANK, failed_at);
     assert!(time_to_read >= BOUND / 3, "{time_to_read:?}");
@@ -100,7 +99,7 @@
 age_case!(an_instance_that_cannot_read_the_store_goes_on, age, at => {
     age.record(1, 1, at(0));
     let sent_at = at(0) + BOUND.mul_f64(LAST_READ_FRACTION);
-    let failed_at = sent_at + BOUND.mul_f64(READ_TIMEOUT_FRACTION);
+    let failed_at = sent_at + BOUND.mul_f64(ANSWER_TIMEOUT_FRACTION);
     assert!(!age.is_expired(BOUND, failed_at));
     age.record_failed_read(sent_at, failed_at);
     assert!(!age.is_expired(BOUND, at(60_000)));
--- a/crates/engine/src/document_guard.rs
+++ b/crates/engine/src/document_guard.rs
@@ -103,10 +103,22 @@
         update(age)
     }
 
-    /// Records that a cache of `version` holds all changes of a table before `as_of`.
-    pub(crate) fn record_evidence(&self, table: WatchedTable, version: u64, as_of: Instant) {
+    /// Records that a cache of `version` holds all changes of a table before `as_of`, and that the
+    /// store took `answer_time` to say so.
+    pub(crate) fn record_evidence(
+        &self,
+        table: WatchedTable,
+        version: u64,
+        as_of: Instant,
+        answer_time: Duration,
+    ) {
         let own = self.tables.borrow().versions()[table.index()];
-        self.table_ages.borrow_mut()[table.index()].record(own, version, as_of);
+        let age = &mut self.table_ages.borrow_mut()[table.index()];
+        let is_newer = age.confirmed_at().is_none_or(|confirmed_at| as_of > confirmed_at);
+        age.record(own, version, as_of);
+        if is_newer {
+            age.record_answer_time(answer_time);
+        }
     }
 
     /// Returns for how long the own cache of a table may have missed a change.
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -30,6 +30,7 @@
 use crate::peer::PeerTable;
 use crate::record::InstanceRecord;
 use crate::service_load::ServiceLoads;
+use crate::store_reader::StoreReader;
 use crate::table_server::TableServer;
 use crate::tables::TableCaches;
 
@@ -78,6 +79,16 @@
     pub zones: ZoneSettings,
 }
 
+impl EngineSettings {
+    /// Returns the bound on the time until a change of a table is in force.
+    pub(crate) fn table_bound(&self, table: WatchedTable) -> Duration {
+        match table {
+            WatchedTable::Document => self.document_bound,
+            WatchedTable::Endpoints => self.drain_timeout,
+        }
+    }
+}
+
 /// Time after its start in which an instance finds the others: the delay of their registrations and
 /// the expiry of the views of lost observers.
 const DISCOVERY_PERIOD: Duration = Duration::from_secs(2);
@@ -123,6 +134,8 @@
     pub(crate) document_lag: RefCell<DocumentLag>,
     /// As of when the table caches hold all changes, in the order of [`WatchedTable::ALL`].
     pub(crate) table_ages: RefCell<[TableAge; WatchedTable::ALL.len()]>,
+    /// Reads of the tables from the store, in the order of [`WatchedTable::ALL`].
+    pub(crate) store_readers: [StoreReader; WatchedTable::ALL.len()],
     pub(crate) logged_document_state: Cell<DocumentState>,
     pub(crate) logged_readiness: Cell<bool>,
     congestion: Cell<CongestionDetector>,
@@ -145,6 +158,8 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut directory = FleetDirectory::new(settings.drain_timeout);
         directory.set_zones(&settings.zones);
+        let store_readers =
+            WatchedTable::ALL.map(|table| StoreReader::new(settings.table_bound(table)));
         Rc::new(Self {
             peers: PeerTable::new(settings.record.clone(), started_at),
             directory: RefCell::new(directory),
@@ -163,6 +178,7 @@
             was_validated: Cell::new(true),
             document_lag: RefCell::default(),
             table_ages: RefCell::new(WatchedTable::ALL.map(|_| TableAge::new(started_at))),
+            store_readers,
             logged_document_state: Cell::new(DocumentState::Confirmed),
             logged_readiness: Cell::new(false),
             congestion: Cell::default(),
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -142,29 +142,41 @@
 /// Client of the services of the platform.
 pub trait PlatformApi: 'static {
     /// Reads a table in full.
+    ///
+    /// Waits for the answer without a limit; `on_progress` is called when bytes of it arrive.
     fn read_table(
         &self,
         table: WatchedTable,
+        on_progress: &dyn Fn(),
     ) -> impl Future<Output = Result<TableRows, PlatformError>>;
 
     /// Long-polls for changes after `version`.
     ///
-    /// The store answers after `wait` at the latest; the call fails after `timeout`.
+    /// The store looks for changes for up to `wait`. Waits for the answer without a limit;
+    /// `on_progress` is called when bytes of it arrive.
     fn poll_changes(
         &self,
         table: WatchedTable,
         version: u64,
         wait: Duration,
-        timeout: Duration,
+        on_progress: &dyn Fn(),
     ) -> impl Future<Output = Result<TableRows, PlatformError>>;
 
     /// Reads the registered instances.
-    fn read_instances(&self) -> impl Future<Output = Result<Vec<InstanceRecord>, PlatformError>>;
+    ///
+    /// The call fails after `timeout`.
+    fn read_instances(
+        &self,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<Vec<InstanceRecord>, PlatformError>>;
 
     /// Registers an instance.
+    ///
+    /// The call fails after `timeout`, and may be performed later all the same.
     fn register_instance(
         &self,
         record: &InstanceRecord,
+        timeout: Duration,
     ) -> impl Future<Output = Result<(), PlatformError>>;
 
     /// Removes the registration of an instance.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -40,6 +40,7 @@
 mod service_load;
 pub mod statement;
 pub mod status;
+mod store_reader;
 pub mod subscription;
 pub mod table_change;
 mod table_fetch;
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -346,7 +346,7 @@
                 continue;
             };
             if let Some(as_of) = sent_at.checked_sub(evidence.age()) {
-                self.record_evidence(table, evidence.version, as_of);
+                self.record_evidence(table, evidence.version, as_of, evidence.answer_time());
             }
         }
     }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -245,12 +245,24 @@
     pub version: u64,
     /// Age of the evidence in milliseconds, rounded up.
     pub age_ms: u32,
+    /// Time that the store took for the answer that the evidence comes from, in milliseconds.
+    pub answer_ms: u32,
 }
 
 impl TableEvidence {
     /// Creates evidence of this age.
     pub fn new(version: u64, age: Duration) -> Self {
-        Self { version, age_ms: millis(age).saturating_add(1) }
+        Self { version, age_ms: millis(age).saturating_add(1), answer_ms: 0 }
+    }
+
+    /// Sets the time that the store took for the answer that the evidence comes from.
+    pub fn with_answer_time(self, answer_time: Duration) -> Self {
+        Self { answer_ms: millis(answer_time), ..self }
+    }
+
+    /// Returns the time that the store took for the answer that the evidence comes from.
+    pub fn answer_time(&self) -> Duration {
+        Duration::from_millis(self.answer_ms.into())
     }
 
     /// Returns the age of the evidence.
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -203,7 +203,9 @@
     /// Returns the evidence about the own cache of a table for peers.
     fn table_evidence(&self, table: WatchedTable) -> Option<TableEvidence> {
         let version = self.tables.borrow().versions()[table.index()];
-        let confirmed_at = self.update_table_age(table, |age| age.confirmed_at())?;
-        Some(TableEvidence::new(version, self.now().saturating_duration_since(confirmed_at)))
+        let (confirmed_at, answer_time) =
+            self.update_table_age(table, |age| (age.confirmed_at(), age.answer_time()));
+        let age = self.now().saturating_duration_since(confirmed_at?);
+        Some(TableEvidence::new(version, age).with_answer_time(answer_time))
     }
 }
--- a/crates/engine/src/table_fetch.rs
+++ b/crates/engine/src/table_fetch.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::interface::{PlatformApi, WatchedTable};
+use crate::interface::WatchedTable;
 use crate::message::TransferPart;
 use crate::peer_link::PeerLink;
 use crate::subscription::MAX_PUSHED_BYTES;
@@ -70,7 +70,7 @@
                     needs_all = false;
                 }
                 SourceStep::Wait => {}
-                SourceStep::Store => self.read_table_once(table).await,
+                SourceStep::Store => self.store_readers[index].request(),
                 SourceStep::Peer(source) => {
                     let started_at = self.now();
                     let Some(link) = self.open_link_by_key(source) else {
@@ -218,22 +218,4 @@
             FetchEnd::UpToDate | FetchEnd::Busy { .. } => {}
         }
     }
-
-    /// Reads a table from the store, since no other instance sends it.
-    async fn read_table_once(&self, table: WatchedTable) {
-        let sent_at = self.now();
-        let result = self.platform.read_table(table).await;
-        self.log_store_read(table, sent_at, Duration::ZERO, &result);
-        match result {
-            Ok(read) => {
-                self.record_store_status(true, "");
-                self.merge_snapshot(table, read.rows, read.version);
-                self.record_up_to_date(table, sent_at, Duration::ZERO);
-            }
-            Err(error) => {
-                self.record_failed_read(table, sent_at);
-                self.record_store_status(false, &error.to_string());
-            }
-        }
-    }
 }
