--- a/crates/standin/src/gateway_platform/row_store.rs
+++ b/crates/standin/src/gateway_platform/row_store.rs
@@ -51,6 +51,10 @@
     /// Lowest version from which a poll for changes can continue.
     history_start: u64,
     unavailable: bool,
+    /// Transactions are refused with status 429.
+    refuses_writes: bool,
+    /// Table whose reads are refused with status 429.
+    refused_table: Option<String>,
     promotions: Vec<PromotionRequest>,
     /// Number of reads and polls for changes that arrived.
     read_count: u64,
@@ -120,6 +124,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Makes transactions fail with status 429, or work again.
+    pub fn set_writes_refused(&self, refused: bool) {
+        self.state.lock().refuses_writes = refused;
+    }
+
+    /// Makes reads of this table fail with status 429, and those of all others work.
+    pub fn refuse_table(&self, table: Option<&str>) {
+        self.state.lock().refused_table = table.map(str::to_owned);
+    }
+
     /// Discards the change history; polls from an earlier version get status 410.
     pub fn compact_history(&self) {
         let mut state = self.state.lock();
@@ -171,6 +185,9 @@
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
         let table = query.get("table").cloned().unwrap_or_default();
+        if state.refused_table.as_ref() == Some(&table) {
+            return StatusCode::TOO_MANY_REQUESTS.into_response();
+        }
         let is_present = |row: &&StoredRow| row.table == table && row.value.is_some();
         state.rows.iter().filter(is_present).map(row_json).collect()
     };
@@ -212,6 +229,9 @@
         if state.unavailable {
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
+        if state.refuses_writes {
+            return StatusCode::TOO_MANY_REQUESTS.into_response();
+        }
         let version_matches = |expected: &Value| {
             let (table, key) = (text(expected, "table"), text(expected, "key"));
             let found = state.rows.iter().find(|row| row.table == table && row.key == key);
