Serve callers only once the other instances are known

Callers of an instance that started while the store was slow were served, and refused, by an old document. Cause: an instance read the list of the others only after its registration had been accepted. While the store is slow, transactions of the partition wait for each other and are refused with 429 or not answered, so the instance knew nobody, read the store alone, owned connections and limits as the only one, and was ready. Class: a step that is not needed is waited for, and what depends on it goes on without. An instance that has found no list after 2 s, the time for which it uses empty token buckets, is not ready and refuses operations as not run.

--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -27,6 +27,9 @@
 /// Explanation of a refusal by an instance whose document is outdated. Others serve a retry at once.
 const OUTDATED_EXPLANATION: &str =
     "not run: the document of this instance is not up to date; retry after 0 ms";
+/// Explanation of a refusal by an instance that knows no others. They serve a retry at once.
+const ALONE_EXPLANATION: &str =
+    "not run: the instance has not found the other instances; retry after 0 ms";
 /// Bounds the wait of a startup request for the first document; callers give up after 2 s.
 const FIRST_DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Interval at which a startup request checks for the first document.
@@ -359,10 +362,13 @@
     /// Returns the route and the team of the caller, or the code and explanation of a refusal.
     fn authorize(&self) -> Result<AuthorizedRoute, (RefusalCode, &'static str)> {
         // An open transaction goes on under the document that it began with.
-        if self.machine.transaction_state() == TransactionState::Idle
-            && self.instance.is_document_outdated()
-        {
-            return Err((RefusalCode::Busy, OUTDATED_EXPLANATION));
+        if self.machine.transaction_state() == TransactionState::Idle {
+            if self.instance.is_document_outdated() {
+                return Err((RefusalCode::Busy, OUTDATED_EXPLANATION));
+            }
+            if !self.instance.has_joined() {
+                return Err((RefusalCode::Busy, ALONE_EXPLANATION));
+            }
         }
         let document = self.document();
         let document_version = document.version;
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -179,7 +179,7 @@
             document_lag: RefCell::default(),
             table_ages: RefCell::new(WatchedTable::ALL.map(|_| TableAge::new(started_at))),
             store_readers,
-            logged_document_state: Cell::new(DocumentState::Confirmed),
+            logged_document_state: Cell::new(DocumentState::Outdated),
             logged_readiness: Cell::new(false),
             congestion: Cell::default(),
             last_reader: Cell::new(None),
@@ -220,12 +220,21 @@
     /// Returns whether the instance can serve callers and is not leaving.
     pub fn is_ready(&self) -> bool {
         !self.is_leaving()
+            && self.has_joined()
             && self.directory.borrow().is_loaded()
             && self.is_document_validated()
             && !self.is_document_outdated()
             && !(self.congestion.get().avoids_callers(self.now()) && self.peers.avoids_congested())
     }
 
+    /// Returns whether the instance knows the others, or has had too little time to find them.
+    ///
+    /// One that knows none takes itself for the only owner of all connections, and of all limits
+    /// once it no longer starts.
+    pub fn has_joined(&self) -> bool {
+        self.peers.is_discovered.get() || self.is_starting()
+    }
+
     /// Returns whether the instance falls behind its own work.
     pub fn is_congested(&self) -> bool {
         self.congestion.get().is_congested()
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -164,10 +164,10 @@
 
     /// Reads the registered instances.
     ///
-    /// The call fails after `timeout`.
+    /// Waits for the answer without a limit; `on_progress` is called when bytes of it arrive.
     fn read_instances(
         &self,
-        timeout: Duration,
+        on_progress: &dyn Fn(),
     ) -> impl Future<Output = Result<Vec<InstanceRecord>, PlatformError>>;
 
     /// Registers an instance.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection_acquire;
 pub mod connection_owner;
 pub mod directory;
+mod discovery;
 pub mod dispatch;
 mod document_guard;
 pub mod document_index;
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -1,6 +1,5 @@
-//! Applies changes of the platform's tables, and registers this instance.
+//! Applies changes of the platform's tables.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use telemetry::event::LogEvent;
@@ -8,26 +7,15 @@
 use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::interface::{PlatformApi, PlatformError, WatchedTable};
+use crate::interface::{PlatformApi, WatchedTable};
 use crate::table_change::PackedChange;
 use crate::tables::StoredRow;
 
-/// Delay before a failed call to the store is retried.
-const RETRY_BACKOFF: Duration = Duration::from_millis(300);
-/// Time for which registrations and reads of the instances wait for an answer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The same after some that were not answered.
-const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time for which a starting instance waits for a table of its zone's reader, since the start or
 /// since a part of the table arrived.
 const PEER_TABLE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval at which a starting instance checks whether it has the table.
 const PEER_TABLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Interval between reads of the registered instances.
-const DISCOVERY_INTERVAL: Duration = Duration::from_secs(12);
-/// Delay before the second read of the registered instances: instances that start at the same time
-/// have registered by then.
-const FIRST_DISCOVERY_DELAY: Duration = Duration::from_millis(600);
 
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Waits until the table was fetched from an observer, or until no other instance is known to
@@ -113,47 +101,4 @@
             self.directory.borrow_mut().evacuations_mut().close_evacuated(self.now());
         }
     }
-
-    /// Registers this instance and discovers the others.
-    pub async fn register_and_discover(self: Rc<Self>) {
-        let mut timeout = CALL_TIMEOUT;
-        while let Err(error) = self.platform.register_instance(&self.settings.record, timeout).await
-        {
-            self.record_store_status(false, &error.to_string());
-            timeout = next_timeout(timeout, &error);
-            sleep(RETRY_BACKOFF).await;
-        }
-        self.record_store_status(true, "");
-        let mut delay = FIRST_DISCOVERY_DELAY;
-        loop {
-            match self.platform.read_instances(timeout).await {
-                Ok(records) => {
-                    timeout = CALL_TIMEOUT;
-                    records.iter().for_each(|record| self.add_peer(record));
-                    self.peers.is_discovered.set(true);
-                    self.peers.subscriptions_due.notify_one();
-                }
-                Err(error) => {
-                    self.record_store_status(false, &error.to_string());
-                    timeout = next_timeout(timeout, &error);
-                    sleep(RETRY_BACKOFF).await;
-                    continue;
-                }
-            }
-            // Observers report instances that start later; repeated reads find any missed ones.
-            sleep(delay).await;
-            delay = DISCOVERY_INTERVAL;
-            while self.has_zone_reader() {
-                sleep(DISCOVERY_INTERVAL).await;
-            }
-        }
-    }
-}
-
-/// Returns the timeout of the next call after one that failed: a slow store gets more time.
-fn next_timeout(timeout: Duration, error: &PlatformError) -> Duration {
-    match error {
-        PlatformError::NoAnswer { .. } => (2 * timeout).min(MAX_CALL_TIMEOUT),
-        _ => timeout,
-    }
 }
