Decide nothing by a document that a reachable instance has replaced

Callers could be served by an old document although an instance that was reached had a newer one. Cause: without recent evidence an instance decides nothing, unless its own read of the store failed. That others could do no better was assumed. Class: a guard that a failure opens. Evidence: lisboa-a-4 in docs/incidents/slow-store.md, outdated with version=7 newest=10, which decided again by version 7 after 0.2 s as its read had failed. Change: a failed read opens the guard only while no observer or subscriber has a newer document.

--- a/crates/coord/src/document_lag.rs
+++ b/crates/coord/src/document_lag.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Returns whether an instance that can be reached has a newer document.
+    pub fn has_newer_peer(&self) -> bool {
+        self.has_newer_peer
+    }
+
     /// Returns for how long the oldest missed document has been in force elsewhere.
     pub fn lag(&self, now: Instant) -> Duration {
         let oldest = self.missed.front();
--- a/crates/coord/src/document_state.rs
+++ b/crates/coord/src/document_state.rs
@@ -10,7 +10,8 @@
 pub enum DocumentState {
     /// Evidence from within the bound shows that it is the newest.
     Confirmed,
-    /// There is no such evidence, and the store gives none. The instance goes on with the document.
+    /// There is no such evidence, and neither the store nor any other instance that can be reached
+    /// has a newer one. The instance goes on with the document.
     Assumed,
     /// A newer document must be in force by now: nothing may be decided by this one.
     Outdated,
@@ -26,6 +27,8 @@
             Self::Outdated
         } else if age.is_confirmed(bound, now) {
             Self::Confirmed
+        } else if lag.has_newer_peer() {
+            Self::Outdated
         } else {
             Self::Assumed
         }
