Let starting instances decide only by evidence

Class: an age that counts from the wrong time. Change: a document without evidence is not confirmed. The first ping goes out with the subscription, and all observers are asked as long as there is no evidence, so it takes a round trip. Without the store, a failed read lets the instance go on as before.

--- a/crates/coord/src/table_age.rs
+++ b/crates/coord/src/table_age.rs
@@ -162,7 +162,7 @@
     /// Returns who should be asked for newer evidence.
     pub fn refresh_scope(&self, bound: Duration, now: Instant) -> RefreshScope {
         let age = self.excess_age(bound, now);
-        if age >= bound.mul_f64(WIDE_REFRESH_FRACTION) {
+        if self.confirmed_at.is_none() || age >= bound.mul_f64(WIDE_REFRESH_FRACTION) {
             RefreshScope::Observers
         } else if age >= bound.mul_f64(REFRESH_FRACTION) {
             RefreshScope::Reader
@@ -183,14 +183,16 @@
     }
 
     /// Returns whether evidence from within the `bound` shows that the cache holds all changes.
+    ///
+    /// An instance that has just started has none: its table may be as old as the store was away.
     pub fn is_confirmed(&self, bound: Duration, now: Instant) -> bool {
-        self.elapsed(now) <= bound.mul_f64(EXPIRY_FRACTION)
+        self.confirmed_at.is_some() && self.elapsed(now) <= bound.mul_f64(EXPIRY_FRACTION)
     }
 
     /// Returns whether a change may have been missed for the whole bound although the store can be
     /// read: nothing may be decided by the cache until it is confirmed again.
     pub fn is_expired(&self, bound: Duration, now: Instant) -> bool {
-        // Without the store nothing better is known, and others can do no better.
+        // Without the store nothing better is known here.
         let is_out_of_reach = self.failed_read.is_some_and(|(sent_at, _)| {
             self.confirmed_at.is_none_or(|confirmed_at| sent_at > confirmed_at)
         });
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -117,6 +117,8 @@
         link.is_subscription.set(true);
         link.send(&PeerRequest::Subscribe);
         link.send(&PeerRequest::Report(Box::new(self.report())));
+        // An instance that starts needs evidence about the tables that it fetches.
+        link.send_ping(now);
     }
 
     fn end_surplus_subscriptions(&self, wanted: &[InstanceKey], now: Instant) {
