Run no calls that a replaced document allowed

Class: a decision that nobody can check. Change: calls carry the version by which they were decided. An owner that has had a newer document in force for longer than the bound does not run the call; it has not run, the caller is told to retry at once, and the caller's instance reads the store. Open transactions go on, and newer versions than the owner's count. Ruled out: refusing any older version, which refuses calls in the time in which documents spread; the version in requests to quota owners, where the newer of both limits already wins by the owner's own document (read, not shown).

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -42,6 +42,8 @@
         backoff: Duration,
         origin: RetryOrigin,
     },
+    /// The statement did not run, as the connection owner has a newer document than this instance.
+    Outdated,
     /// The statement was sent and not answered.
     InDoubt {
         /// The connection owner was lost, which tells nothing about the member.
@@ -81,6 +83,9 @@
                 };
                 classify_answers(context, answers, answer_index, keep_pinned.then_some(transaction))
             }
+            ExecuteOutcome::NotSent { reason: NotSentReason::DocumentOutdated, .. } => {
+                AttemptOutcome::Outdated
+            }
             ExecuteOutcome::NotSent { reason, retry_ms } => AttemptOutcome::Retry {
                 code: RefusalCode::Busy,
                 cause: reason.label(),
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -121,6 +121,10 @@
         origin: CallOrigin,
         call: ExecuteCall,
     ) -> ExecuteReply {
+        if self.is_call_outdated(&call) {
+            let outcome = not_sent(NotSentReason::DocumentOutdated, Duration::ZERO);
+            return ExecuteReply::without_owner(outcome);
+        }
         if !self.may_send(&call) {
             let outcome = not_sent(NotSentReason::Evacuated, Duration::ZERO);
             return ExecuteReply::without_owner(outcome);
--- a/crates/engine/src/document_guard.rs
+++ b/crates/engine/src/document_guard.rs
@@ -60,18 +60,26 @@
         }
     }
 
-    /// Logs a call of another instance that was decided by an older document than the own one.
-    pub(crate) fn log_call_version(&self, call: &ExecuteCall) {
+    /// Returns whether a call was decided by a document that must have been replaced by now.
+    ///
+    /// Open transactions go on under the document that they began with.
+    pub(crate) fn is_call_outdated(&self, call: &ExecuteCall) -> bool {
         let own = self.directory.borrow().document().version;
-        if call.pinned || call.document_version >= own {
-            return;
+        let version = call.document_version;
+        if call.pinned || version >= own {
+            return false;
         }
-        counter!(meter::OUTDATED_CALLS).increment(1);
-        let (endpoint, team, version) = (&call.endpoint, &call.team, call.document_version);
-        log_event!(
-            LogEvent::CallOutdated,
-            "endpoint={endpoint} team={team} version={version} own={own}"
-        );
+        let (bound, now) = (self.settings.document_bound, self.now());
+        let is_outdated = self.document_history.borrow().is_replaced(version, bound, now);
+        if is_outdated {
+            counter!(meter::OUTDATED_CALLS).increment(1);
+            let (endpoint, team) = (&call.endpoint, &call.team);
+            log_event!(
+                LogEvent::CallOutdated,
+                "endpoint={endpoint} team={team} version={version} own={own}"
+            );
+        }
+        is_outdated
     }
 
     /// Updates the metrics of the document and of the tables' ages.
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -8,6 +8,7 @@
 
 use clock::SharedClock;
 use coord::congestion::CongestionDetector;
+use coord::document_history::DocumentHistory;
 use coord::document_lag::DocumentLag;
 use coord::document_state::DocumentState;
 use coord::evacuation::ZonePhase;
@@ -132,6 +133,8 @@
     store_reachable: Cell<bool>,
     was_validated: Cell<bool>,
     pub(crate) document_lag: RefCell<DocumentLag>,
+    /// Documents that came into force on this instance.
+    pub(crate) document_history: RefCell<DocumentHistory>,
     /// As of when the table caches hold all changes, in the order of [`WatchedTable::ALL`].
     pub(crate) table_ages: RefCell<[TableAge; WatchedTable::ALL.len()]>,
     /// Reads of the tables from the store, in the order of [`WatchedTable::ALL`].
@@ -177,6 +180,7 @@
             validation: RefCell::default(),
             was_validated: Cell::new(true),
             document_lag: RefCell::default(),
+            document_history: RefCell::default(),
             table_ages: RefCell::new(WatchedTable::ALL.map(|_| TableAge::new(started_at))),
             store_readers,
             logged_document_state: Cell::new(DocumentState::Outdated),
@@ -414,6 +418,7 @@
                 let (version, routes) = (document.version, document.routes.len());
                 let teams = document.teams.len();
                 if self.directory.borrow_mut().apply_document(document) {
+                    self.document_history.borrow_mut().record(version, now);
                     self.refusals.borrow_mut().clear();
                     log_event!(
                         LogEvent::DocumentInForce,
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -117,6 +117,8 @@
     NoOwner,
     /// The zone of the endpoint is evacuated.
     Evacuated,
+    /// The connection owner has replaced the document by which the call was decided.
+    DocumentOutdated,
 }
 
 impl NotSentReason {
@@ -130,6 +132,7 @@
             Self::UnknownEndpoint => "unknown_endpoint",
             Self::NoOwner => "no_holder",
             Self::Evacuated => "evacuated",
+            Self::DocumentOutdated => "document_outdated",
         }
     }
 }
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -154,7 +154,6 @@
             PeerRequest::Unsubscribe => self.unsubscribe_peer(connection),
             PeerRequest::Report(report) => self.receive_report(connection, *report),
             PeerRequest::Execute { call_id, body } => {
-                self.log_call_version(&body);
                 tokio::task::spawn_local(async move {
                     let body = Box::new(instance.execute_locally(origin, *body).await);
                     output.push(&PeerReply::Execute { call_id, body });
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -20,7 +20,7 @@
 use crate::dispatch::CallTimes;
 use crate::endpoint_choice::{ChosenEndpoint, request_scope};
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::interface::{ControlStatement, RefusalCode, WireCodec};
+use crate::interface::{ControlStatement, RefusalCode, WatchedTable, WireCodec};
 use crate::message::{ExecuteOutcome, NotSentReason, millis};
 use crate::peer_link::LinkLease;
 use crate::record::RouteRecord;
@@ -42,6 +42,9 @@
 /// the duration of a promotion.
 pub(crate) const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Cause of a refusal as the instance has missed a document. Others serve a retry at once.
+const OUTDATED_CAUSE: &str = "the document of this instance is not up to date";
+
 /// Open transaction that is pinned to a connection.
 #[derive(Clone, Debug)]
 pub struct PinnedTransaction {
@@ -209,6 +212,13 @@
                         break;
                     }
                 }
+                AttemptOutcome::Outdated => {
+                    self.store_readers[WatchedTable::Document.index()].request();
+                    if history.may_have_run {
+                        return failure(RefusalCode::Aborted, OUTDATED_CAUSE.to_owned());
+                    }
+                    return not_run(OUTDATED_CAUSE, Duration::ZERO);
+                }
                 AttemptOutcome::Retry { code, cause, backoff, origin } => {
                     history.record(code, cause, backoff, origin);
                     self.log_retry(context, &endpoint, cause, attempt);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -78,7 +78,7 @@
     StoreReadSlow = 1117, Info, "store_read_slow";
     /// This instance became ready for callers, or no longer is.
     ReadinessChanged = 1118, Info, "readiness_changed";
-    /// Another instance sent a call that it had decided by an older document than this one has.
+    /// A call was not run, as another instance had decided it by a document that must have been replaced.
     CallOutdated = 1119, Warn, "call_outdated";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -78,7 +78,7 @@
 /// Seconds that the store took to answer a read, without the wait for changes that the read asked
 /// for, by table and outcome: answered or failed.
 pub const STORE_READ_SECONDS: &str = "hibiscus_store_read_seconds";
-/// Calls of other instances that were decided by an older document.
+/// Calls that were not run, as a document that must have been replaced allowed them.
 pub const OUTDATED_CALLS: &str = "hibiscus_outdated_calls_total";
 /// Tokens that were returned for operations that did not run.
 pub const RETURNED_TOKENS: &str = "hibiscus_returned_tokens_total";
