Bound the values of the store's rows, and leave odd rows out

Reported by other operators: one odd entry among those of the members, very deeply nested, with a number too large or a port out of range, ended the machines that read the list again and again, or they stopped following it. Both can happen here. Cause: values from rows were used as they came, and a table was decoded as a whole or not at all. Class: one bad row takes the table, or the process, with it. Seen before, in platform/tests/odd_rows.rs: an endpoint that reports to stay cold for 1e22 ms ends every instance that reads the list (overflow when adding duration to instant; the deployed program aborts). A row of the table of instances that is a text, has port 70000 or a number too large, or an answer with a row in another form: no instance joins any more. A row under the name of another instance does the same. What makes no sense is left out, counted (hibiscus_refused_rows_total) and logged once for each row (HB4003). An odd lease counts as free; the next token comes from the store's clock, as the last one is not known. Read and left: callers' lines and peers' messages, whose numbers are small and which any_line_is_decoded and peer_messages fuzz; the delay of an admission that a peer grants has no bound of its own.

--- a/crates/coord/src/cold_budget.rs
+++ b/crates/coord/src/cold_budget.rs
@@ -28,6 +28,9 @@
 /// shorter than the 0.5 s of silence after which peers count an instance as lost.
 pub const OWNERSHIP_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Longest period for which a registration may report a member as cold.
+const MAX_REPORTED_PERIOD: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Time after which instances that disagree about the owner mostly agree again.
 const DISAGREEMENT_PERIOD: Duration = Duration::from_millis(200);
 
@@ -83,7 +86,8 @@
     /// Returns the period after another registration of the same process.
     pub fn reported(self, remaining: Duration, now: Instant) -> Self {
         let is_reported = !remaining.is_zero() || self.reported_end.is_some();
-        Self { reported_end: is_reported.then_some(now + remaining), ..self }
+        let end = now + remaining.min(MAX_REPORTED_PERIOD);
+        Self { reported_end: is_reported.then_some(end), ..self }
     }
 
     /// Returns whether a member whose service is cold for `cold_start` is cold at `now`.
--- a/crates/coord/src/refusal_cache.rs
+++ b/crates/coord/src/refusal_cache.rs
@@ -16,6 +16,9 @@
 /// know, as a higher reachable fraction, to half of the shortest target latency in use.
 pub const MAX_HOLD: Duration = Duration::from_millis(100);
 
+/// Longest time after which a quota owner may expect a token.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
+
 /// Refusal by a quota owner.
 #[derive(Clone, Copy, Debug)]
 pub struct CachedRefusal {
@@ -108,7 +111,8 @@
         retry_after: Duration,
     ) {
         let refused_until = sent_at + hold.min(MAX_HOLD);
-        let mut refusal = CachedRefusal { owner, refused_until, retry_at: sent_at + retry_after };
+        let retry_at = sent_at + retry_after.min(MAX_RETRY_DELAY);
+        let mut refusal = CachedRefusal { owner, refused_until, retry_at };
         if let Some(entry) = self.entry(team, priority) {
             if let Some(earlier) = entry.refusal.filter(|earlier| earlier.owner == owner) {
                 refusal.refused_until = refusal.refused_until.max(earlier.refused_until);
--- a/crates/engine/src/discovery.rs
+++ b/crates/engine/src/discovery.rs
@@ -12,8 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::interface::{PlatformApi, PlatformError};
-use crate::record::InstanceRecord;
+use crate::interface::{InstanceList, PlatformApi, PlatformError};
 
 /// Delay before a failed registration is repeated for the first time.
 const RETRY_BACKOFF: Duration = Duration::from_millis(300);
@@ -47,7 +46,7 @@
     }
 
     /// Reads the list of the registered instances, and repeats the read until one is answered.
-    async fn read_instances(self: &Rc<Self>) -> Vec<InstanceRecord> {
+    async fn read_instances(self: &Rc<Self>) -> InstanceList {
         let schedule = Rc::new(RefCell::new(ReadSchedule::new(self.settings.document_bound)));
         let mut reads = JoinSet::new();
         let mut handles = HashMap::new();
@@ -70,7 +69,7 @@
             }
             tokio::select! {
                 Some(finished) = reads.join_next() => match finished {
-                    Ok((_, Ok(records))) => return records,
+                    Ok((_, Ok(list))) => return list,
                     Ok((id, Err(error))) => {
                         log_event!(LogEvent::StoreReadFailed, "list=instances cause=\"{error}\"");
                         schedule.borrow_mut().finish(id, ReadEnd::Failed, self.now());
@@ -100,8 +99,11 @@
     async fn discover(self: &Rc<Self>) {
         let mut delay = FIRST_DISCOVERY_DELAY;
         loop {
-            let records = self.read_instances().await;
-            records.iter().for_each(|record| self.add_peer(record));
+            let list = self.read_instances().await;
+            list.records.iter().for_each(|record| self.add_peer(record));
+            for row in &list.refused {
+                self.refused_rows.borrow_mut().record("instances", row);
+            }
             self.peers.is_discovered.set(true);
             self.peers.subscriptions_due.notify_one();
             // Observers report instances that start later; repeated reads find any missed ones.
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -151,7 +151,12 @@
                 return;
             }
         };
-        let current = snapshot.lease.unwrap_or_default();
+        let mut current = snapshot.lease.unwrap_or_default();
+        if let Some(row) = &snapshot.refused {
+            self.refused_rows.borrow_mut().record("lease", row);
+            // The last token is not known; the store's clock has counted further than all holders.
+            current.token = snapshot.now_ms;
+        }
         let is_own = current.holder == self.name();
         if !is_own && current.ends_ms > snapshot.now_ms {
             // Postpones the next attempt until the lease expires. Both times are by the store's
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -27,9 +27,10 @@
 
 use crate::connection_owner::ConnectionPools;
 use crate::directory::FleetDirectory;
-use crate::interface::{PlatformApi, RowChange, WatchedTable, WireCodec};
+use crate::interface::{PlatformApi, RefusedRow, RowChange, WatchedTable, WireCodec};
 use crate::peer::PeerTable;
 use crate::record::InstanceRecord;
+use crate::refused_rows::RefusedRows;
 use crate::service_load::ServiceLoads;
 use crate::store_reader::StoreReader;
 use crate::table_server::TableServer;
@@ -139,6 +140,7 @@
     pub(crate) table_ages: RefCell<[TableAge; WatchedTable::ALL.len()]>,
     /// Reads of the tables from the store, in the order of [`WatchedTable::ALL`].
     pub(crate) store_readers: [StoreReader; WatchedTable::ALL.len()],
+    pub(crate) refused_rows: RefCell<RefusedRows>,
     pub(crate) logged_document_state: Cell<DocumentState>,
     pub(crate) logged_readiness: Cell<bool>,
     congestion: Cell<CongestionDetector>,
@@ -183,6 +185,7 @@
             document_history: RefCell::default(),
             table_ages: RefCell::new(WatchedTable::ALL.map(|_| TableAge::new(started_at))),
             store_readers,
+            refused_rows: RefCell::default(),
             logged_document_state: Cell::new(DocumentState::Outdated),
             logged_readiness: Cell::new(false),
             congestion: Cell::default(),
@@ -445,6 +448,8 @@
                 log_event!(LogEvent::DocumentRefused, "cause=\"{reason}\"");
             }
             RowChange::Endpoint(record) => {
+                let table = WatchedTable::Endpoints.label();
+                self.refused_rows.borrow_mut().forget(table, &record.name);
                 let line = format!(
                     "endpoint={} service={} zone={} leaving={} leads={}",
                     record.name, record.service, record.zone, record.leaving, record.leads
@@ -454,6 +459,14 @@
                 }
             }
             RowChange::EndpointRemoved { name, reason } => {
+                let table = WatchedTable::Endpoints.label();
+                match &reason {
+                    Some(reason) => {
+                        let row = RefusedRow { key: name.clone(), reason: reason.clone() };
+                        self.refused_rows.borrow_mut().record(table, &row);
+                    }
+                    None => self.refused_rows.borrow_mut().forget(table, &name),
+                }
                 if self.directory.borrow_mut().unregister_endpoint(&name, now) {
                     let reason = reason.unwrap_or_else(|| "row removed".to_owned());
                     log_event!(LogEvent::EndpointUnlisted, "endpoint={name} cause=\"{reason}\"");
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -37,6 +37,15 @@
     },
 }
 
+/// Row that is not used since it makes no sense.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RefusedRow {
+    /// Key; empty if the row has none that can be read.
+    pub key: String,
+    /// Cause.
+    pub reason: String,
+}
+
 /// Table of the platform whose changes instances watch.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub enum WatchedTable {
@@ -103,6 +112,17 @@
     pub rows: Vec<StoredRow>,
     /// Version of the store that the rows include; the next poll continues from it.
     pub version: u64,
+    /// Rows that could not be read.
+    pub refused: Vec<RefusedRow>,
+}
+
+/// Registered instances as read from the store.
+#[derive(Clone, Debug)]
+pub struct InstanceList {
+    /// Registrations of the instances.
+    pub records: Vec<InstanceRecord>,
+    /// Registrations that make no sense.
+    pub refused: Vec<RefusedRow>,
 }
 
 /// Promotion lease as read from the store.
@@ -114,6 +134,8 @@
     pub version: u64,
     /// Time of the read by the store's clock, in milliseconds.
     pub now_ms: u64,
+    /// Row of the lease, if it makes no sense; the lease counts as free then.
+    pub refused: Option<RefusedRow>,
 }
 
 /// Outcome of a conditional write of the lease.
@@ -168,7 +190,7 @@
     fn read_instances(
         &self,
         on_progress: &dyn Fn(),
-    ) -> impl Future<Output = Result<Vec<InstanceRecord>, PlatformError>>;
+    ) -> impl Future<Output = Result<InstanceList, PlatformError>>;
 
     /// Registers an instance.
     ///
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -38,6 +38,7 @@
 mod pool_upkeep;
 pub mod progress;
 pub mod record;
+mod refused_rows;
 mod service_load;
 pub mod statement;
 pub mod status;
--- a/crates/engine/src/store_reader.rs
+++ b/crates/engine/src/store_reader.rs
@@ -226,6 +226,9 @@
         let end = match result {
             Ok(answer) => {
                 self.record_store_status(true, "");
+                for row in &answer.refused {
+                    self.refused_rows.borrow_mut().record(table.label(), row);
+                }
                 // An answer without changes took the whole wait, and includes it.
                 let covers_wait = answer.rows.is_empty() && elapsed >= read.wait;
                 let waited = if covers_wait { read.wait } else { Duration::ZERO };
--- a/crates/engine/src/tables.rs
+++ b/crates/engine/src/tables.rs
@@ -132,8 +132,11 @@
             row.version <= version && row.value.is_some() && !is_listed(&row.key)
         };
         // The version of the removal is unknown; any version above the cached one replaces the row.
-        let removal =
-            |row: &StoredRow| StoredRow { version: row.version + 1, value: None, ..row.clone() };
+        let removal = |row: &StoredRow| StoredRow {
+            version: row.version.saturating_add(1),
+            value: None,
+            ..row.clone()
+        };
         rows.filter(is_missing).map(removal).collect()
     }
 
--- a/crates/standin/src/gateway_platform/row_store.rs
+++ b/crates/standin/src/gateway_platform/row_store.rs
@@ -55,11 +55,19 @@
     refuses_writes: bool,
     /// Table whose reads are refused with status 429.
     refused_table: Option<String>,
+    /// Rows that answers about a table contain as they are, by table.
+    raw_rows: Vec<(String, Value)>,
     promotions: Vec<PromotionRequest>,
     /// Number of reads and polls for changes that arrived.
     read_count: u64,
 }
 
+impl StoreState {
+    fn raw_rows<'a>(&'a self, table: &'a str) -> impl Iterator<Item = Value> + 'a {
+        self.raw_rows.iter().filter(move |(of, _)| of == table).map(|(_, row)| row.clone())
+    }
+}
+
 /// Stand-in for the row store and the promotion service; clones share their state.
 #[derive(Clone, Debug)]
 pub struct RowStore {
@@ -134,6 +142,15 @@
         self.state.lock().refused_table = table.map(str::to_owned);
     }
 
+    /// Adds a row to all answers about a table, in any form.
+    pub fn add_raw_row(&self, table: &str, row: Value) {
+        let mut state = self.state.lock();
+        state.version += 1;
+        state.raw_rows.push((table.to_owned(), row));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Discards the change history; polls from an earlier version get status 410.
     pub fn compact_history(&self) {
         let mut state = self.state.lock();
@@ -189,7 +206,8 @@
             return StatusCode::TOO_MANY_REQUESTS.into_response();
         }
         let is_present = |row: &&StoredRow| row.table == table && row.value.is_some();
-        state.rows.iter().filter(is_present).map(row_json).collect()
+        let rows = state.rows.iter().filter(is_present).map(row_json);
+        rows.chain(state.raw_rows(&table)).collect()
     };
     Json(store.rows_response(rows)).into_response()
 }
@@ -210,7 +228,12 @@
                 return StatusCode::GONE.into_response();
             }
             let is_newer = |row: &&StoredRow| row.table == table && row.version > after;
-            state.rows.iter().filter(is_newer).map(row_json).collect()
+            let rows: Vec<Value> = state.rows.iter().filter(is_newer).map(row_json).collect();
+            if rows.is_empty() {
+                rows
+            } else {
+                rows.into_iter().chain(state.raw_rows(&table)).collect()
+            }
         };
         let remaining = deadline.saturating_duration_since(Instant::now());
         if !rows.is_empty() || remaining.is_zero() {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -148,6 +148,8 @@
     PlatformLost = 4001, Warn, "platform_lost";
     /// A platform service responds again.
     PlatformFound = 4002, Info, "platform_found";
+    /// A row of the store makes no sense and is left out.
+    RowRefused = 4003, Warn, "row_refused";
     /// Another instance was listed or became reachable, or its record changed.
     PeerFound = 5001, Info, "peer_found";
     /// A connection to another instance failed, or the instance is no longer listed.
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -80,6 +80,8 @@
 pub const STORE_READ_SECONDS: &str = "hibiscus_store_read_seconds";
 /// Calls that were not run, as a document that must have been replaced allowed them.
 pub const OUTDATED_CALLS: &str = "hibiscus_outdated_calls_total";
+/// Rows of the store that were left out since they make no sense, by table.
+pub const REFUSED_ROWS: &str = "hibiscus_refused_rows_total";
 /// Tokens that were returned for operations that did not run.
 pub const RETURNED_TOKENS: &str = "hibiscus_returned_tokens_total";
 /// Answers of members that were presumed lost, as later ones had arrived.
