Hold decisions while a late answer of the store arrives

Cause: a read that is overdue counts as failed, which lets an instance without evidence go on by its document. Its answer may begin to arrive later and bring the successor of that document; until its end the instance went on all the same. Change: the first bytes of the answer withdraw the failure.

--- a/crates/coord/src/read_schedule.rs
+++ b/crates/coord/src/read_schedule.rs
@@ -122,21 +122,23 @@
         (id, given_up.map(|read| read.id))
     }
 
-    /// Records that bytes of the answer to a read arrived.
-    pub fn record_progress(&mut self, id: ReadId, now: Instant) {
+    /// Records that bytes of the answer to a read arrived; returns whether it counted as failed.
+    pub fn record_progress(&mut self, id: ReadId, now: Instant) -> bool {
         let Some(read) = self.outstanding.iter_mut().find(|read| read.id == id) else {
-            return;
+            return false;
         };
-        if read.progress_at.replace(now).is_some() {
-            return;
+        let is_first = read.progress_at.replace(now).is_none();
+        let was_overdue = std::mem::take(&mut read.is_overdue);
+        if !is_first {
+            return was_overdue;
         }
-        read.is_overdue = false;
         // The store answers earlier than it was asked to if it has changes.
         let due_at = read.due_at();
         if now >= due_at {
             let sample = now.saturating_duration_since(due_at);
             self.answer_time = sample.max((self.answer_time + sample) / 2);
         }
+        was_overdue
     }
 
     /// Records the end of a read, and returns those to give up: all that were sent before an
@@ -165,16 +167,16 @@
         pending.map(|read| self.overdue_at(read)).min()
     }
 
-    /// Returns the reads that count as failed since the last call, with the times at which they were
-    /// sent. Their answers are still welcome.
-    pub fn take_overdue(&mut self, now: Instant) -> Vec<(ReadId, Instant)> {
+    /// Returns the reads that have come to count as failed since the last call. Answers to them are
+    /// used all the same.
+    pub fn take_overdue(&mut self, now: Instant) -> Vec<ReadId> {
         let limits: Vec<Instant> =
             self.outstanding.iter().map(|read| self.overdue_at(read)).collect();
         let mut overdue = Vec::new();
         for (read, limit) in self.outstanding.iter_mut().zip(limits) {
             if !read.is_overdue && now >= limit {
                 read.is_overdue = true;
-                overdue.push((read.id, read.sent_at));
+                overdue.push(read.id);
             }
         }
         overdue
--- a/crates/coord/src/table_age.rs
+++ b/crates/coord/src/table_age.rs
@@ -159,6 +159,11 @@
         self.failed_read = Some((sent_at, now));
     }
 
+    /// Records that the answer to a read that counted as failed arrives: the store can be reached.
+    pub fn withdraw_failed_read(&mut self) {
+        self.failed_read = None;
+    }
+
     /// Returns who should be asked for newer evidence.
     pub fn refresh_scope(&self, bound: Duration, now: Instant) -> RefreshScope {
         let age = self.excess_age(bound, now);
--- a/crates/coord/tests/document_state.rs
+++ b/crates/coord/tests/document_state.rs
@@ -44,6 +44,17 @@
     assert_eq!(DocumentState::assess(&lag, &age, BOUND, at(20)), DocumentState::Confirmed);
 });
 
+// The successor of the document may be in the answer.
+state_case!(a_read_whose_answer_arrives_late_allows_no_decisions, lag, age, at => {
+    age.record(1, 1, at(0));
+    lag.record(1, 1, at(0));
+    age.record_failed_read(at(2_100), at(2_700));
+    age.withdraw_failed_read();
+    assert_eq!(DocumentState::assess(&lag, &age, BOUND, at(3_000)), DocumentState::Outdated);
+    age.record(1, 1, at(2_100));
+    assert_eq!(DocumentState::assess(&lag, &age, BOUND, at(3_100)), DocumentState::Confirmed);
+});
+
 state_case!(an_instance_that_starts_without_the_store_goes_on, lag, age, at => {
     lag.record(1, 1, at(10));
     age.record_failed_read(at(20), at(600));
--- a/crates/coord/tests/read_schedule.rs
+++ b/crates/coord/tests/read_schedule.rs
@@ -89,13 +89,14 @@
 });
 
 schedule_case!(a_silent_store_counts_as_failed_long_before_the_bound, schedule, at => {
-    schedule.send(Duration::ZERO, at(0));
+    let (id, _) = schedule.send(Duration::ZERO, at(0));
     assert!(schedule.has_pending());
     assert!(schedule.take_overdue(at(500)).is_empty());
-    let overdue = schedule.take_overdue(at(650));
-    assert_eq!(overdue.iter().map(|(_, sent_at)| *sent_at).collect::<Vec<_>>(), [at(0)]);
+    assert_eq!(schedule.take_overdue(at(650)), [id]);
     assert!(!schedule.has_pending());
     assert!(schedule.take_overdue(at(2_000)).is_empty(), "each read fails once");
+    assert!(schedule.record_progress(id, at(2_100)), "its answer arrives late");
+    assert!(schedule.has_pending());
 });
 
 // Another read of a large document took half of the link from the first one.
--- a/crates/engine/src/discovery.rs
+++ b/crates/engine/src/discovery.rs
@@ -23,7 +23,7 @@
 const MAX_REGISTRATION_BACKOFF: Duration = Duration::from_millis(2_400);
 /// Time for which a registration waits for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The same after some that were not answered: a slow store must not get them ever again.
+/// The same after some that were not answered, so that a slow store has the time to answer.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(6);
 /// Interval between reads of the registered instances.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(12);
@@ -61,7 +61,9 @@
                 }
                 let (instance, schedule) = (self.clone(), schedule.clone());
                 let handle = reads.spawn_local(async move {
-                    let on_progress = || schedule.borrow_mut().record_progress(id, instance.now());
+                    let on_progress = || {
+                        schedule.borrow_mut().record_progress(id, instance.now());
+                    };
                     (id, instance.platform.read_instances(&on_progress).await)
                 });
                 handles.insert(id, handle);
--- a/crates/engine/src/store_reader.rs
+++ b/crates/engine/src/store_reader.rs
@@ -196,7 +196,9 @@
         let handle = reads.tasks.spawn_local(async move {
             let on_progress = || {
                 let reader = &instance.store_readers[table.index()];
-                reader.schedule.borrow_mut().record_progress(id, instance.now());
+                if reader.schedule.borrow_mut().record_progress(id, instance.now()) {
+                    instance.update_table_age(table, |age| age.withdraw_failed_read());
+                }
             };
             let platform = &instance.platform;
             let result = match after {
@@ -259,7 +261,7 @@
     fn record_overdue_reads(&self, table: WatchedTable, reads: &ReadTasks) {
         let now = self.now();
         let overdue = self.store_readers[table.index()].schedule.borrow_mut().take_overdue(now);
-        for (id, _) in overdue {
+        for id in overdue {
             if let Some((read, _)) = reads.sent.get(&id) {
                 self.record_failed_read(table, read, "no answer in time");
             }
