--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -7,10 +7,10 @@
 //! [`rendezvous`] and [`validation`]. The proxy uses [`failover`], [`freshness`], [`ledger`],
 //! [`routing`] and, in its connection pools, [`queue`]; these modules speak of a database group and
 //! its primary. The engine uses the others, which speak of a service and its leader. It replicates
-//! the platform's tables with [`table_source`], [`transfer_gate`], [`table_age`] and
-//! [`document_lag`], keeps
-//! work out of zones and regions with [`evacuation`] and [`regions`], and sheds load with
-//! [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and [`retry_budget`].
+//! the platform's tables with [`read_schedule`], [`table_source`], [`transfer_gate`] and
+//! [`table_age`], judges its document with [`document_state`], [`document_lag`] and
+//! [`document_history`], keeps work out of zones and regions with [`evacuation`] and [`regions`],
+//! and sheds load with [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and [`retry_budget`].
 
 pub mod answer_order;
 pub mod cold_budget;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -28,6 +28,8 @@
     BlackholeStoreConnections(usize),
     /// Makes the row store fail its requests.
     MakeStoreUnavailable,
+    /// Delays all that the row store receives and sends by this latency.
+    SlowStore(Duration),
     /// Discards the change history of the row store.
     CompactStoreHistory,
     /// Makes a member accept statements without responding.
@@ -55,12 +57,15 @@
                 | Self::SetStoreRelay(..)
                 | Self::BlackholeStoreConnections(_)
                 | Self::MakeStoreUnavailable
+                | Self::SlowStore(_)
         )
     }
 }
 
 /// Separates the choices of the evacuations from those of the other faults of a seed.
 const EVACUATION_STREAM: u64 = 1 << 63;
+/// Separates the choices of the periods in which the row store is slow.
+const SLOW_STORE_STREAM: u64 = 1 << 62;
 
 /// Fault with its start time and duration.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -121,6 +126,7 @@
         starts_at += Duration::from_millis(rng.random_range(50..1_200));
     }
     faults.extend(schedule_evacuations(seed, fault_period, members));
+    faults.extend(schedule_slow_store(seed, fault_period));
     faults.sort_by_key(|fault| fault.starts_at);
     faults
 }
@@ -143,3 +149,19 @@
     }
     faults
 }
+
+/// Returns periods in which the row store is slow, with a document in the middle of each.
+fn schedule_slow_store(seed: u64, fault_period: Duration) -> Vec<ScheduledFault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ SLOW_STORE_STREAM);
+    let mut faults = Vec::new();
+    let mut starts_at = Duration::from_millis(rng.random_range(1_000..8_000));
+    while starts_at < fault_period {
+        let duration = Duration::from_millis(rng.random_range(1_000..5_000));
+        let action = FaultAction::SlowStore(Duration::from_millis(rng.random_range(100..1_200)));
+        faults.push(ScheduledFault { starts_at, duration, action });
+        let (starts_at_half, action) = (starts_at + duration / 2, FaultAction::PublishDocument);
+        faults.push(ScheduledFault { starts_at: starts_at_half, duration, action });
+        starts_at += duration + Duration::from_millis(rng.random_range(4_000..10_000));
+    }
+    faults
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -289,6 +289,14 @@
                 sleep(duration).await;
                 self.store_relays[index].set_mode(RelayMode::Forward);
             }
+            FaultAction::SlowStore(latency) => {
+                let set_mode = |mode| {
+                    self.store_relays.iter().for_each(|relay| relay.set_mode(mode));
+                };
+                set_mode(RelayMode::Latency(latency));
+                sleep(duration).await;
+                set_mode(RelayMode::Forward);
+            }
             FaultAction::BlackholeStoreConnections(index) => {
                 self.store_relays[index].blackhole_open_connections()
             }
