Retry a full read that the store refuses as expired history after a pause

Cause: an answer that the history has expired counts as answered and is followed by a full read at once. By the store's pages a full read is never answered so; if it were, reads would follow each other without a pause. Read in the code, not seen. Change: only polls for changes are followed at once. The explanation of a request also says that an instance has not found the others.

--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -317,6 +317,9 @@
         if self.is_document_outdated() {
             refusals.push(refusal("the document of this instance is not up to date"));
         }
+        if !self.has_joined() {
+            refusals.push(refusal("the instance has not found the other instances"));
+        }
         if !is_anonymous && !self.is_document_validated() {
             refusals.push(refusal("the instance cannot confirm that keys are still valid"));
         }
--- a/crates/engine/src/store_reader.rs
+++ b/crates/engine/src/store_reader.rs
@@ -242,7 +242,7 @@
                 self.record_up_to_date(table, read.sent_at, waited);
                 ReadEnd::Answered
             }
-            Err(PlatformError::HistoryExpired) => {
+            Err(PlatformError::HistoryExpired) if read.after.is_some() => {
                 *position = None;
                 ReadEnd::Answered
             }
