Keep an answer that arrives while later reads are outstanding

Cause: only the newest read was asked for the progress of its answer. Where a poll had been sent before an earlier read began to be answered, further polls followed every fraction of the bound, took their part of a slow link, and the fifth gave the arriving answer up. Change: no read is sent while bytes of any answer arrive, and a read of whose answer nothing has arrived is given up first. Finished reads of the list of instances leave no handle behind. Measured: an_answer_that_arrives_is_not_given_up_for_later_reads failed before; read_schedule, slow_store, joining, large_documents and silent_readers pass; arm64.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -10,7 +10,8 @@
 //! the platform's tables with [`read_schedule`], [`table_source`], [`transfer_gate`] and
 //! [`table_age`], judges its document with [`document_state`], [`document_lag`] and
 //! [`document_history`], keeps work out of zones and regions with [`evacuation`] and [`regions`],
-//! and sheds load with [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and [`retry_budget`].
+//! and sheds load with [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and
+//! [`retry_budget`].
 
 pub mod answer_order;
 pub mod cold_budget;
--- a/crates/coord/src/read_schedule.rs
+++ b/crates/coord/src/read_schedule.rs
@@ -18,8 +18,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 /// The same as a part of the bound, if that is shorter.
 pub const ANSWER_TIMEOUT_FRACTION: f64 = 0.2;
-/// The same as a multiple of the usual time, up to a part of the bound.
+/// The same as a multiple of the time that the store usually takes.
 const ANSWER_TIME_FACTOR: u32 = 2;
+/// Longest such time, as a part of the bound.
 const MAX_ANSWER_TIMEOUT_FRACTION: f64 = 0.5;
 /// Time without a byte of an answer that has begun after which another read is sent.
 const STALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -99,13 +100,13 @@
         let Some(newest) = self.outstanding.back() else {
             return self.retry_at;
         };
-        if let Some(progress_at) = newest.progress_at {
-            return Some(progress_at + STALL_TIMEOUT.max(ANSWER_TIME_FACTOR * self.answer_time));
-        }
         let doublings = u32::try_from(self.outstanding.len() - 1).unwrap_or(u32::MAX);
         let patience = self.bound.mul_f64(PATIENCE_FRACTION) * 2_u32.saturating_pow(doublings);
         let next = newest.due_at() + patience.min(self.bound.mul_f64(MAX_INTERVAL_FRACTION));
-        Some(self.retry_at.map_or(next, |retry_at| next.max(retry_at)))
+        let last_progress = self.outstanding.iter().filter_map(|read| read.progress_at).max();
+        let stalled_at =
+            last_progress.map(|at| at + STALL_TIMEOUT.max(ANSWER_TIME_FACTOR * self.answer_time));
+        [Some(next), self.retry_at, stalled_at].into_iter().max().flatten()
     }
 
     /// Records that a read was sent that asks the store to wait for changes for up to `wait`.
@@ -113,7 +114,7 @@
     /// Returns its identifier, and the read to give up for it, if any.
     pub fn send(&mut self, wait: Duration, now: Instant) -> (ReadId, Option<ReadId>) {
         let is_full = self.outstanding.len() >= MAX_OUTSTANDING;
-        let given_up = if is_full { self.outstanding.pop_front() } else { None };
+        let given_up = if is_full { self.give_up() } else { None };
         let id = ReadId(self.next_id);
         self.next_id = self.next_id.wrapping_add(1);
         let read = OutstandingRead { id, sent_at: now, wait, progress_at: None, is_overdue: false };
@@ -122,6 +123,12 @@
         (id, given_up.map(|read| read.id))
     }
 
+    /// Removes the oldest read of whose answer nothing has arrived, or the oldest one.
+    fn give_up(&mut self) -> Option<OutstandingRead> {
+        let without_answer = self.outstanding.iter().position(|read| read.progress_at.is_none());
+        self.outstanding.remove(without_answer.unwrap_or(0))
+    }
+
     /// Records that bytes of the answer to a read arrived; returns whether it counted as failed.
     pub fn record_progress(&mut self, id: ReadId, now: Instant) -> bool {
         let Some(read) = self.outstanding.iter_mut().find(|read| read.id == id) else {
--- a/crates/coord/tests/read_schedule.rs
+++ b/crates/coord/tests/read_schedule.rs
@@ -110,6 +110,22 @@
     assert!(schedule.next_send().is_some_and(|next| next <= at(300 * 19 + 1_000)), "it stalled");
 });
 
+// A poll that was sent before the answer began was followed by others, until the answer was given up.
+schedule_case!(an_answer_that_arrives_is_not_given_up_for_later_reads, schedule, at => {
+    let (first, _) = schedule.send(Duration::ZERO, at(0));
+    schedule.send(Duration::from_millis(1_260), at(160));
+    for step in 1..100 {
+        let now = at(100 + 100 * step);
+        schedule.record_progress(first, now);
+        assert!(schedule.next_send().is_some_and(|next| next > now), "{step}");
+    }
+    let mut given_up = Vec::new();
+    for step in 0..10 {
+        given_up.extend(schedule.send(Duration::ZERO, at(20_000 + 2_000 * step)).1);
+    }
+    assert!(!given_up.is_empty() && !given_up.contains(&first), "{given_up:?}");
+});
+
 schedule_case!(a_refused_read_is_not_repeated_at_once, schedule, at => {
     let (id, _) = schedule.send(Duration::ZERO, at(0));
     schedule.finish(id, ReadEnd::Failed, at(10));
--- a/crates/engine/src/discovery.rs
+++ b/crates/engine/src/discovery.rs
@@ -75,6 +75,7 @@
                     Ok((id, Err(error))) => {
                         log_event!(LogEvent::StoreReadFailed, "list=instances cause=\"{error}\"");
                         schedule.borrow_mut().finish(id, ReadEnd::Failed, self.now());
+                        handles.remove(&id);
                     }
                     // The read was given up.
                     Err(_) => {}
