Use the poll interval of the tables in the schedule of reads

Cause: the longest interval between unanswered reads stood as a number of its own, equal to the part of the bound for which polls wait; the time-outs of all outstanding reads were collected into a list to get around a borrow; a sent read held the identifier that its map has as the key. Change: one constant (POLL_FRACTION); the time-out is computed once and passed to the read; the field is gone. A comment of a test names the failure. No decision, bound or assertion changes.

--- a/crates/coord/src/read_schedule.rs
+++ b/crates/coord/src/read_schedule.rs
@@ -10,10 +10,10 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::table_age::POLL_FRACTION;
+
 /// Part of the bound for which the next read waits once an answer is due.
 const PATIENCE_FRACTION: f64 = 0.05;
-/// Longest time between reads that are not answered, as a part of the bound.
-const MAX_INTERVAL_FRACTION: f64 = 0.42;
 /// Time after which a read without an answer counts as failed, unless the store usually takes longer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 /// The same as a part of the bound, if that is shorter.
@@ -59,6 +59,14 @@
     fn due_at(&self) -> Instant {
         self.sent_at + self.wait
     }
+
+    /// Returns when the read counts as failed if the store should answer within `timeout`.
+    fn overdue_at(&self, timeout: Duration) -> Instant {
+        match self.progress_at {
+            Some(progress_at) => progress_at + timeout.max(STALL_TIMEOUT),
+            None => self.due_at() + timeout,
+        }
+    }
 }
 
 /// Reads of one table by one instance.
@@ -102,7 +110,8 @@
         };
         let doublings = u32::try_from(self.outstanding.len() - 1).unwrap_or(u32::MAX);
         let patience = self.bound.mul_f64(PATIENCE_FRACTION) * 2_u32.saturating_pow(doublings);
-        let next = newest.due_at() + patience.min(self.bound.mul_f64(MAX_INTERVAL_FRACTION));
+        // A silent store is asked no less often than one that is polled.
+        let next = newest.due_at() + patience.min(self.bound.mul_f64(POLL_FRACTION));
         let last_progress = self.outstanding.iter().filter_map(|read| read.progress_at).max();
         let stalled_at =
             last_progress.map(|at| at + STALL_TIMEOUT.max(ANSWER_TIME_FACTOR * self.answer_time));
@@ -170,18 +179,18 @@
 
     /// Returns the time at which the next outstanding read will count as failed.
     pub fn next_overdue(&self) -> Option<Instant> {
+        let timeout = self.answer_timeout();
         let pending = self.outstanding.iter().filter(|read| !read.is_overdue);
-        pending.map(|read| self.overdue_at(read)).min()
+        pending.map(|read| read.overdue_at(timeout)).min()
     }
 
     /// Returns the reads that have come to count as failed since the last call. Answers to them are
     /// used all the same.
     pub fn take_overdue(&mut self, now: Instant) -> Vec<ReadId> {
-        let limits: Vec<Instant> =
-            self.outstanding.iter().map(|read| self.overdue_at(read)).collect();
+        let timeout = self.answer_timeout();
         let mut overdue = Vec::new();
-        for (read, limit) in self.outstanding.iter_mut().zip(limits) {
-            if !read.is_overdue && now >= limit {
+        for read in &mut self.outstanding {
+            if !read.is_overdue && now >= read.overdue_at(timeout) {
                 read.is_overdue = true;
                 overdue.push(read.id);
             }
@@ -189,10 +198,10 @@
         overdue
     }
 
-    fn overdue_at(&self, read: &OutstandingRead) -> Instant {
+    /// Returns the time after which a read without an answer counts as failed.
+    fn answer_timeout(&self) -> Duration {
         let shortest = ANSWER_TIMEOUT.min(self.bound.mul_f64(ANSWER_TIMEOUT_FRACTION));
         let longest = self.bound.mul_f64(MAX_ANSWER_TIMEOUT_FRACTION).max(shortest);
-        let timeout = (ANSWER_TIME_FACTOR * self.answer_time).clamp(shortest, longest);
-        read.progress_at.map_or(read.due_at() + timeout, |at| at + timeout.max(STALL_TIMEOUT))
+        (ANSWER_TIME_FACTOR * self.answer_time).clamp(shortest, longest)
     }
 }
--- a/crates/coord/tests/read_schedule.rs
+++ b/crates/coord/tests/read_schedule.rs
@@ -73,7 +73,7 @@
     }
 }
 
-// Connections through which nothing comes back must not keep others from being tried.
+// Guards against silent connections that keep new reads from being sent.
 schedule_case!(a_store_that_falls_silent_is_asked_again_at_bounded_intervals, schedule, at => {
     let mut sent_at = Vec::new();
     for step in 0..4_000 {
--- a/crates/engine/src/store_reader.rs
+++ b/crates/engine/src/store_reader.rs
@@ -78,7 +78,6 @@
 /// Read that was sent.
 #[derive(Clone, Copy, Debug)]
 struct SentRead {
-    id: ReadId,
     turn: ReadTurn,
     sent_at: Instant,
     /// Time for which the store may wait for changes.
@@ -207,7 +206,7 @@
             };
             (id, result)
         });
-        reads.sent.insert(id, (SentRead { id, turn, sent_at, wait, after }, handle));
+        reads.sent.insert(id, (SentRead { turn, sent_at, wait, after }, handle));
     }
 
     /// Applies the answer to a read.
@@ -252,7 +251,7 @@
             }
         };
         let schedule = &self.store_readers[table.index()].schedule;
-        for superseded in schedule.borrow_mut().finish(read.id, end, now) {
+        for superseded in schedule.borrow_mut().finish(id, end, now) {
             reads.give_up(superseded);
         }
     }
