Log and count what the store and the cached tables disagree about

Change: HB1120 and a counter for expired reads, HB1121 for a document with a lower number, HB1122 and a gauge for rows of a full read that differ from newer cached ones, HB4004 and a gauge for the store's history. The history is read from the header of the answers. No decision changes.

--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -146,6 +146,10 @@
     congestion: Cell<CongestionDetector>,
     /// Instance that last read the store for the availability zone.
     pub(crate) last_reader: Cell<Option<InstanceKey>>,
+    /// History that the store last answered with.
+    pub(crate) store_history: Cell<Option<u64>>,
+    /// Rows of the last full read of each table that were ignored, as the cached ones are newer.
+    pub(crate) ignored_rows: Cell<[usize; WatchedTable::ALL.len()]>,
     promotion_token: Cell<Option<u64>>,
     next_transaction_id: Cell<u32>,
     next_session_id: Cell<u32>,
@@ -190,6 +194,8 @@
             logged_readiness: Cell::new(false),
             congestion: Cell::default(),
             last_reader: Cell::new(None),
+            store_history: Cell::new(None),
+            ignored_rows: Cell::default(),
             started_at,
             caller_count: Cell::new(0),
             leaving_since: Cell::new(None),
@@ -420,6 +426,10 @@
             RowChange::Document(document) => {
                 let (version, routes) = (document.version, document.routes.len());
                 let teams = document.teams.len();
+                let in_force = self.directory.borrow().document().version;
+                if version < in_force {
+                    log_event!(LogEvent::DocumentIgnored, "version={version} in_force={in_force}");
+                }
                 if self.directory.borrow_mut().apply_document(document) {
                     self.document_history.borrow_mut().record(version, now);
                     self.refusals.borrow_mut().clear();
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -112,6 +112,8 @@
     pub rows: Vec<StoredRow>,
     /// Version of the store that the rows include; the next poll continues from it.
     pub version: u64,
+    /// History of the store that the version belongs to, if the store says so.
+    pub history: Option<u64>,
     /// Rows that could not be read.
     pub refused: Vec<RefusedRow>,
 }
--- a/crates/engine/src/store_reader.rs
+++ b/crates/engine/src/store_reader.rs
@@ -7,7 +7,7 @@
 
 use coord::read_schedule::{ReadEnd, ReadId, ReadSchedule};
 use coord::table_age::{POLL_FRACTION, ReadRank};
-use metrics::histogram;
+use metrics::{counter, gauge, histogram};
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::sync::Notify;
@@ -227,6 +227,7 @@
         let end = match result {
             Ok(answer) => {
                 self.record_store_status(true, "");
+                self.record_store_history(answer.history);
                 for row in &answer.refused {
                     self.refused_rows.borrow_mut().record(table.label(), row);
                 }
@@ -242,6 +243,9 @@
                 ReadEnd::Answered
             }
             Err(PlatformError::HistoryExpired) if read.after.is_some() => {
+                counter!(meter::EXPIRED_READS, "table" => table.label()).increment(1);
+                let after = read.after.unwrap_or_default();
+                log_event!(LogEvent::HistoryExpired, "table={table:?} after={after}");
                 *position = None;
                 ReadEnd::Answered
             }
@@ -256,6 +260,18 @@
         }
     }
 
+    /// Records the history that the store answers with.
+    fn record_store_history(&self, history: Option<u64>) {
+        let Some(history) = history else {
+            return;
+        };
+        gauge!(meter::STORE_HISTORY).set(history as f64);
+        let known = self.store_history.replace(Some(history));
+        if let Some(known) = known.filter(|known| *known != history) {
+            log_event!(LogEvent::StoreHistoryChanged, "history={history} before={known}");
+        }
+    }
+
     /// Takes note of reads that the store should have answered by now.
     fn record_overdue_reads(&self, table: WatchedTable, reads: &ReadTasks) {
         let now = self.now();
--- a/crates/engine/src/tables.rs
+++ b/crates/engine/src/tables.rs
@@ -112,6 +112,16 @@
         changed
     }
 
+    /// Returns how many of the rows differ from the cached ones and have lower versions.
+    pub fn count_older(&self, rows: &[StoredRow]) -> usize {
+        let is_older = |row: &&StoredRow| {
+            self.rows.get(&row.key).is_some_and(|known| {
+                known.row.version > row.version && known.row.value != row.value
+            })
+        };
+        rows.iter().filter(is_older).count()
+    }
+
     /// Merges all rows of the table as of `version` and returns those that changed.
     ///
     /// Cached rows that are missing from `rows` are treated as removed. The cache has the version of
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use metrics::gauge;
 use telemetry::event::LogEvent;
-use telemetry::log_event;
+use telemetry::{log_event, meter};
 use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
@@ -81,7 +82,12 @@
 
     /// Merges a full read of a table; cached rows missing from it are removed.
     pub(crate) fn merge_snapshot(&self, table: WatchedTable, rows: Vec<StoredRow>, version: u64) {
-        let changed = self.tables.borrow_mut().table(table).merge_snapshot(rows, version);
+        let (ignored, changed) = {
+            let mut tables = self.tables.borrow_mut();
+            let cache = tables.table(table);
+            (cache.count_older(&rows), cache.merge_snapshot(rows, version))
+        };
+        self.record_ignored_rows(table, ignored);
         self.apply_changed_rows(table, &changed);
         if table == WatchedTable::Endpoints {
             self.directory.borrow_mut().set_endpoints_loaded();
@@ -89,6 +95,16 @@
         self.peers.changed.notify_one();
     }
 
+    /// Measures the rows of a full read that were ignored, and logs a change of their number.
+    fn record_ignored_rows(&self, table: WatchedTable, count: usize) {
+        gauge!(meter::IGNORED_ROWS, "table" => table.label()).set(count as f64);
+        let mut known = self.ignored_rows.get();
+        if std::mem::replace(&mut known[table.index()], count) != count {
+            log_event!(LogEvent::RowsIgnored, "table={table:?} rows={count}");
+        }
+        self.ignored_rows.set(known);
+    }
+
     fn apply_changed_rows(&self, table: WatchedTable, rows: &[StoredRow]) {
         let is_first = self.directory.borrow().document().version == 0;
         for row in rows {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -80,6 +80,13 @@
     ReadinessChanged = 1118, Info, "readiness_changed";
     /// A call was not run, as another instance had decided it by a document that must have been replaced.
     CallOutdated = 1119, Warn, "call_outdated";
+    /// The store no longer has the changes after the cached version of a table, which is read in full.
+    HistoryExpired = 1120, Info, "history_expired";
+    /// A document was not applied, as its version is lower than that of the one in force.
+    DocumentIgnored = 1121, Warn, "document_ignored";
+    /// Rows of the store differ from the cached ones and were ignored for their lower versions, or
+    /// none are ignored any more.
+    RowsIgnored = 1122, Warn, "rows_ignored";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
     /// A caller's connection closed.
@@ -150,6 +157,8 @@
     PlatformFound = 4002, Info, "platform_found";
     /// A row of the store makes no sense and is left out.
     RowRefused = 4003, Warn, "row_refused";
+    /// The store answers with another history: it came back from an older copy.
+    StoreHistoryChanged = 4004, Warn, "store_history_changed";
     /// Another instance was listed or became reachable, or its record changed.
     PeerFound = 5001, Info, "peer_found";
     /// A connection to another instance failed, or the instance is no longer listed.
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -78,6 +78,13 @@
 /// Seconds that the store took to answer a read, without the wait for changes that the read asked
 /// for, by table and outcome: answered or failed.
 pub const STORE_READ_SECONDS: &str = "hibiscus_store_read_seconds";
+/// Reads of changes that the store no longer had, by table.
+pub const EXPIRED_READS: &str = "hibiscus_expired_reads_total";
+/// Rows of the last full read of a table that differ from the cached ones and were ignored for their
+/// lower versions, by table.
+pub const IGNORED_ROWS: &str = "hibiscus_ignored_rows";
+/// History of the store, as last answered.
+pub const STORE_HISTORY: &str = "hibiscus_store_history";
 /// Calls that were not run, as a document that must have been replaced allowed them.
 pub const OUTDATED_CALLS: &str = "hibiscus_outdated_calls_total";
 /// Rows of the store that were left out since they make no sense, by table.
