Let the stand-in of the row store come back from a copy

Callers: none; the tests had no store that comes back older, so nothing showed what instances do then. Cause: the stand-in kept one history for ever, sent no `Store-Era`, and served polls from versions that it never gave out. Its reads took the rows and the newest version under two locks, and a transaction checked and wrote under two, so on several threads an answer could name a version whose row it lacked, and two conditional writes could both succeed. Change: `copy` and `restore`; a restore starts a new history (number in `Store-Era` of every answer about rows, from 1), keeps the promotions, and answers 410 to polls from above the newest version, from below the copy and from before the restore. `set_answer_delay` holds an answer that was decided, so that one of the old history can arrive late. Each answer is decided under one lock. The rows are in a file of their own.

--- a/crates/standin/src/gateway_platform.rs
+++ b/crates/standin/src/gateway_platform.rs
@@ -4,3 +4,4 @@
 pub mod group;
 pub mod member;
 pub mod row_store;
+pub mod store_content;
--- a/crates/standin/src/gateway_platform/row_store.rs
+++ b/crates/standin/src/gateway_platform/row_store.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use axum::extract::{Query, State};
-use axum::http::{HeaderMap, StatusCode};
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
+use axum::middleware::map_response;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
@@ -18,18 +19,12 @@
 use tokio::sync::Notify;
 
 use super::group::SharedGroup;
+use super::store_content::{StoreContent, StoreCopy, StoredRow};
 
 /// Time between the acceptance of a promotion and the change of the leader.
 const PROMOTION_DURATION: Duration = Duration::from_millis(60);
-
-/// Stored row; its value is `None` if the row was deleted.
-#[derive(Clone, Debug)]
-struct StoredRow {
-    table: String,
-    key: String,
-    value: Option<Vec<u8>>,
-    version: u64,
-}
+/// Header that numbers the histories of the store.
+const ERA_HEADER: &str = "Store-Era";
 
 /// Promotion request that the service accepted.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -44,15 +39,22 @@
     pub token: u64,
 }
 
+/// Time for which an answer is held after it was decided.
+#[derive(Clone, Copy, Debug)]
+struct AnswerDelay(Duration);
+
 #[derive(Debug, Default)]
 struct StoreState {
-    rows: Vec<StoredRow>,
-    version: u64,
+    content: StoreContent,
+    /// Number of times that the store was restored from a copy.
+    restore_count: u64,
     /// Lowest version from which a poll for changes can continue.
     history_start: u64,
     unavailable: bool,
     /// Transactions are refused with status 429.
     refuses_writes: bool,
+    /// Time for which answers are held after they were decided.
+    answer_delay: Duration,
     /// Table whose reads are refused with status 429.
     refused_table: Option<String>,
     /// Rows that answers about a table contain as they are, by table.
@@ -63,6 +65,26 @@
 }
 
 impl StoreState {
+    /// Returns the number of the present history, from one.
+    fn era(&self) -> u64 {
+        self.restore_count + 1
+    }
+
+    /// Names the present history in an answer.
+    fn answer(&self, answer: impl IntoResponse) -> Response {
+        let mut response = answer.into_response();
+        response.headers_mut().insert(ERA_HEADER, HeaderValue::from(self.era()));
+        response.extensions_mut().insert(AnswerDelay(self.answer_delay));
+        response
+    }
+
+    fn answer_rows(&self, rows: Vec<Value>, now_ms: u64) -> Response {
+        let version = self.content.version;
+        self.answer(Json(
+            json!({ "rows": rows, "has_more": false, "row_version": version, "now_ms": now_ms }),
+        ))
+    }
+
     fn raw_rows<'a>(&'a self, table: &'a str) -> impl Iterator<Item = Value> + 'a {
         self.raw_rows.iter().filter(move |(of, _)| of == table).map(|(_, row)| row.clone())
     }
@@ -98,6 +120,7 @@
             .route("/v1/rows-get", get(rows_get))
             .route("/v1/rows-feed", get(rows_feed))
             .route("/v1/rows-tx", post(rows_tx))
+            .layer(map_response(delay_answer))
             .route("/promotion", post(promote))
             .with_state(self.clone());
         tokio::spawn(async move { axum::serve(listener, router).await });
@@ -117,11 +140,28 @@
 
     /// Writes a row with arbitrary content, or deletes it if `value` is `None`.
     pub fn put_bytes(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        self.state.lock().content.put(table, key, value);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns whether a row exists.
+    pub fn has_row(&self, table: &str, key: &str) -> bool {
+        self.state.lock().content.row(table, key).is_some()
+    }
+
+    /// Copies the present rows.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().content.clone())
+    }
+
+    /// Replaces all rows and their version counter by a copy, and starts a new history.
+    ///
+    /// Promotions, which belong to another service, stay.
+    pub fn restore(&self, copy: StoreCopy) {
         let mut state = self.state.lock();
-        state.version += 1;
-        let version = state.version;
-        state.rows.retain(|row| row.table != table || row.key != key);
-        state.rows.push(StoredRow { table: table.to_owned(), key: key.to_owned(), value, version });
+        state.content = copy.0;
+        state.history_start = state.content.version;
+        state.restore_count += 1;
         drop(state);
         self.changed.notify_waiters();
     }
@@ -137,6 +177,11 @@
         self.state.lock().refuses_writes = refused;
     }
 
+    /// Holds the answers that are decided from now on for this long.
+    pub fn set_answer_delay(&self, delay: Duration) {
+        self.state.lock().answer_delay = delay;
+    }
+
     /// Makes reads of this table fail with status 429, and those of all others work.
     pub fn refuse_table(&self, table: Option<&str>) {
         self.state.lock().refused_table = table.map(str::to_owned);
@@ -145,7 +190,7 @@
     /// Adds a row to all answers about a table, in any form.
     pub fn add_raw_row(&self, table: &str, row: Value) {
         let mut state = self.state.lock();
-        state.version += 1;
+        state.content.version += 1;
         state.raw_rows.push((table.to_owned(), row));
         drop(state);
         self.changed.notify_waiters();
@@ -154,7 +199,7 @@
     /// Discards the change history; polls from an earlier version get status 410.
     pub fn compact_history(&self) {
         let mut state = self.state.lock();
-        state.history_start = state.version;
+        state.history_start = state.content.version;
     }
 
     /// Returns the accepted promotion requests in order of arrival.
@@ -170,11 +215,6 @@
     fn now_ms(&self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
-
-    fn rows_response(&self, rows: Vec<Value>) -> Value {
-        let version = self.state.lock().version;
-        json!({ "rows": rows, "has_more": false, "row_version": version, "now_ms": self.now_ms() })
-    }
 }
 
 fn row_json(row: &StoredRow) -> Value {
@@ -195,49 +235,51 @@
 }
 
 async fn rows_get(State(store): State<RowStore>, Query(query): StoreQuery) -> Response {
-    let rows: Vec<Value> = {
-        let mut state = store.state.lock();
-        state.read_count += 1;
-        if state.unavailable {
-            return StatusCode::SERVICE_UNAVAILABLE.into_response();
-        }
-        let table = query.get("table").cloned().unwrap_or_default();
-        if state.refused_table.as_ref() == Some(&table) {
-            return StatusCode::TOO_MANY_REQUESTS.into_response();
-        }
-        let is_present = |row: &&StoredRow| row.table == table && row.value.is_some();
-        let rows = state.rows.iter().filter(is_present).map(row_json);
-        rows.chain(state.raw_rows(&table)).collect()
-    };
-    Json(store.rows_response(rows)).into_response()
+    let mut state = store.state.lock();
+    state.read_count += 1;
+    if state.unavailable {
+        return state.answer(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let table = query.get("table").cloned().unwrap_or_default();
+    if state.refused_table.as_ref() == Some(&table) {
+        return state.answer(StatusCode::TOO_MANY_REQUESTS);
+    }
+    let is_present = |row: &&StoredRow| row.table == table && row.value.is_some();
+    let rows = state.content.rows.iter().filter(is_present).map(row_json);
+    let rows = rows.chain(state.raw_rows(&table)).collect();
+    state.answer_rows(rows, store.now_ms())
 }
 
 async fn rows_feed(State(store): State<RowStore>, Query(query): StoreQuery) -> Response {
     let (after, wait) = (query_number(&query, "after"), query_number(&query, "wait_ms"));
     let table = query.get("table").cloned().unwrap_or_default();
     let deadline = Instant::now() + Duration::from_millis(wait);
-    store.state.lock().read_count += 1;
+    let era = {
+        let mut state = store.state.lock();
+        state.read_count += 1;
+        state.era()
+    };
     loop {
         let changed = store.changed.notified();
-        let rows: Vec<Value> = {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        {
             let state = store.state.lock();
             if state.unavailable {
-                return StatusCode::SERVICE_UNAVAILABLE.into_response();
+                return state.answer(StatusCode::SERVICE_UNAVAILABLE);
             }
-            if after < state.history_start {
-                return StatusCode::GONE.into_response();
+            let is_known = (state.history_start..=state.content.version).contains(&after);
+            if !is_known || state.era() != era {
+                return state.answer(StatusCode::GONE);
             }
             let is_newer = |row: &&StoredRow| row.table == table && row.version > after;
-            let rows: Vec<Value> = state.rows.iter().filter(is_newer).map(row_json).collect();
-            if rows.is_empty() {
-                rows
-            } else {
-                rows.into_iter().chain(state.raw_rows(&table)).collect()
+            let rows = state.content.rows.iter().filter(is_newer);
+            let mut rows: Vec<Value> = rows.map(row_json).collect();
+            if !rows.is_empty() {
+                rows.extend(state.raw_rows(&table));
+            }
+            if !rows.is_empty() || remaining.is_zero() {
+                return state.answer_rows(rows, store.now_ms());
             }
-        };
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        if !rows.is_empty() || remaining.is_zero() {
-            return Json(store.rows_response(rows)).into_response();
         }
         // When the wait times out, the response has no rows.
         let _ = tokio::time::timeout(remaining, changed).await;
@@ -247,33 +289,39 @@
 async fn rows_tx(State(store): State<RowStore>, Json(body): Json<Value>) -> Response {
     let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
     let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-    {
-        let state = store.state.lock();
-        if state.unavailable {
-            return StatusCode::SERVICE_UNAVAILABLE.into_response();
-        }
-        if state.refuses_writes {
-            return StatusCode::TOO_MANY_REQUESTS.into_response();
-        }
-        let version_matches = |expected: &Value| {
-            let (table, key) = (text(expected, "table"), text(expected, "key"));
-            let found = state.rows.iter().find(|row| row.table == table && row.key == key);
-            let version = found.filter(|row| row.value.is_some()).map_or(0, |row| row.version);
-            expected["row_version"].as_u64() == Some(version)
-        };
-        if !entries("expected").iter().all(version_matches) {
-            return StatusCode::PRECONDITION_FAILED.into_response();
-        }
+    let mut state = store.state.lock();
+    if state.unavailable {
+        return state.answer(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    if state.refuses_writes {
+        return state.answer(StatusCode::TOO_MANY_REQUESTS);
+    }
+    let version_matches = |expected: &Value| {
+        let (table, key) = (text(expected, "table"), text(expected, "key"));
+        let version = state.content.row(&table, &key).map_or(0, |row| row.version);
+        expected["row_version"].as_u64() == Some(version)
+    };
+    if !entries("expected").iter().all(version_matches) {
+        return state.answer(StatusCode::PRECONDITION_FAILED);
     }
     for put in entries("puts") {
         let value = STANDARD.decode(text(&put, "value")).unwrap_or_default();
-        store.put_bytes(&text(&put, "table"), &text(&put, "key"), Some(value));
+        state.content.put(&text(&put, "table"), &text(&put, "key"), Some(value));
     }
     for delete in entries("deletes") {
-        store.put_bytes(&text(&delete, "table"), &text(&delete, "key"), None);
+        state.content.put(&text(&delete, "table"), &text(&delete, "key"), None);
+    }
+    store.changed.notify_waiters();
+    let version = state.content.version;
+    state.answer(Json(json!({ "row_version": version, "now_ms": store.now_ms() })))
+}
+
+/// Holds an answer; what happens meanwhile does not change it.
+async fn delay_answer(response: Response) -> Response {
+    if let Some(AnswerDelay(delay)) = response.extensions().get().copied() {
+        tokio::time::sleep(delay).await;
     }
-    let version = store.state.lock().version;
-    Json(json!({ "row_version": version, "now_ms": store.now_ms() })).into_response()
+    response
 }
 
 async fn promote(
