Reproduce the shape of the record with real processes

Conclusion: the store's answers belong to another history, and nothing notices. The readers also ask the store without a pause.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -319,6 +319,53 @@
         .collect())
 }
 
+/// CONFIG: the store comes back from a copy that is older than some manifests, and the next one adds a key.
+/// Every daemon is probed with that key.
+pub fn store_drill_added_key(trouble: bool, record: &SharedRecorder) -> CaseResult {
+    let services = ["boekingen", "zalen", "muziek"].map(ServiceSettings::new);
+    let world = World::start(services.to_vec(), 6, record, None)?;
+    thread::sleep(seconds(5.0));
+    let copy = world.store.copy();
+    record.line("store: a copy is taken".to_owned());
+    for version in 2..42 {
+        world.publish(version, &["key-1", "key-2"]);
+        thread::sleep(seconds(0.06));
+    }
+    if trouble {
+        world.store.go_away();
+        thread::sleep(seconds(0.8));
+        world.store.come_back(copy);
+        // What the operator and the members wrote is written again.
+        world.publish(41, &["key-1", "key-2"]);
+        world.services.iter().for_each(|service| service.report_all());
+    }
+    let stable_at = record.now_ms();
+    thread::sleep(seconds(1.5));
+    let acked_at = world.publish(43, &["key-1", "key-2", "key-3"]).unwrap_or_default();
+    let counted_from = (acked_at + CONFIG_APPLY_MS).max(stable_at + STABLE_WINDOW_MS);
+    let mut violations = Vec::new();
+    while record.now_ms() < counted_from + 6_000 {
+        thread::sleep(seconds(0.25));
+        for (index, daemon) in world.daemons.iter().enumerate() {
+            let at = record.now_ms();
+            let name = format!("p{index}");
+            let opened = Consumer::open(&name, daemon.address(), "boekingen-primary", "key-3", record);
+            match opened {
+                Ok(mut consumer) => consumer.leave(),
+                Err(error) if at > counted_from => {
+                    let after = at - acked_at;
+                    violations.push(format!(
+                        "CONFIG: {}, {after} ms after the ack of version 43, with an added key: {error}",
+                        daemon.name
+                    ));
+                }
+                Err(_) => {}
+            }
+        }
+    }
+    Ok(violations)
+}
+
 /// LOST: a daemon is stopped while consumers are in transactions.
 pub fn stop_in_transaction(trouble: bool, record: &SharedRecorder) -> CaseResult {
     let services = ["boekingen", "zalen", "muziek"].map(|name| ServiceSettings {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -31,6 +31,7 @@
         "store-drill-lease" => cases::store_drill_lease(trouble, &record),
         "session-values" => cases::session_values(trouble, &record),
         "store-drill-key" => cases::store_drill_key(trouble, &record),
+        "store-drill-added-key" => cases::store_drill_added_key(trouble, &record),
         "stop-in-transaction" => cases::stop_in_transaction(trouble, &record),
         "drain-restart" => cases::drain_restart(trouble, &record),
         _ => Err(format!("no case {name}")),
