--- a/crates/coord/src/document_history.rs
+++ b/crates/coord/src/document_history.rs
@@ -11,14 +11,14 @@
 
 /// Documents that came into force on this instance.
 #[derive(Clone, Debug, Default)]
-pub struct DocumentHistory {
+pub struct DocumentHistory<V> {
     /// Versions in ascending order, with the times at which they came into force.
-    documents: VecDeque<(u64, Instant)>,
+    documents: VecDeque<(V, Instant)>,
 }
 
-impl DocumentHistory {
+impl<V: Copy + Default + Ord> DocumentHistory<V> {
     /// Records that a document came into force.
-    pub fn record(&mut self, version: u64, now: Instant) {
+    pub fn record(&mut self, version: V, now: Instant) {
         if self.documents.back().is_some_and(|(newest, _)| *newest >= version) {
             return;
         }
@@ -30,7 +30,7 @@
 
     /// Returns whether a document must have been replaced everywhere by now, according to the `bound`
     /// within which documents are in force.
-    pub fn is_replaced(&self, version: u64, bound: Duration, now: Instant) -> bool {
+    pub fn is_replaced(&self, version: V, bound: Duration, now: Instant) -> bool {
         let next = self.documents.iter().find(|(newer, _)| *newer > version);
         next.is_some_and(|(_, since)| now.saturating_duration_since(*since) > bound)
     }
--- a/crates/coord/src/document_lag.rs
+++ b/crates/coord/src/document_lag.rs
@@ -15,16 +15,16 @@
 
 /// Documents that other instances have in force and this one has not.
 #[derive(Clone, Debug, Default)]
-pub struct DocumentLag {
+pub struct DocumentLag<V> {
     /// Missed documents in their order, with the time at which another instance reported them.
-    missed: VecDeque<(u64, Instant)>,
+    missed: VecDeque<(V, Instant)>,
     /// A live instance has a newer document.
     has_newer_peer: bool,
 }
 
-impl DocumentLag {
+impl<V: Copy + Default + Ord> DocumentLag<V> {
     /// Records the own document and the newest one that a live instance reports.
-    pub fn record(&mut self, own: u64, newest_elsewhere: u64, now: Instant) {
+    pub fn record(&mut self, own: V, newest_elsewhere: V, now: Instant) {
         while self.missed.front().is_some_and(|(version, _)| *version <= own) {
             self.missed.pop_front();
         }
@@ -53,7 +53,7 @@
     }
 
     /// Returns the newest missed document.
-    pub fn newest_missed(&self) -> Option<u64> {
+    pub fn newest_missed(&self) -> Option<V> {
         self.missed.back().map(|(version, _)| *version)
     }
 
--- a/crates/coord/src/document_state.rs
+++ b/crates/coord/src/document_state.rs
@@ -22,7 +22,12 @@
     pub const ALL: [Self; 3] = [Self::Confirmed, Self::Assumed, Self::Outdated];
 
     /// Returns the state of a document that must be replaced within the `bound`.
-    pub fn assess(lag: &DocumentLag, age: &TableAge, bound: Duration, now: Instant) -> Self {
+    pub fn assess<V: Copy + Default + Ord>(
+        lag: &DocumentLag<V>,
+        age: &TableAge<V>,
+        bound: Duration,
+        now: Instant,
+    ) -> Self {
         if lag.is_outdated(bound, now) || age.is_expired(bound, now) {
             Self::Outdated
         } else if age.is_confirmed(bound, now) {
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod replica_lag;
 pub mod retry_budget;
 pub mod routing;
+pub mod row_order;
 pub mod service_time;
 pub mod session;
 pub mod table_age;
--- a/crates/coord/src/table_age.rs
+++ b/crates/coord/src/table_age.rs
@@ -44,8 +44,8 @@
 
 /// Evidence about a version of a table.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-struct VersionEvidence {
-    version: u64,
+struct VersionEvidence<V> {
+    version: V,
     as_of: Instant,
 }
 
@@ -84,19 +84,19 @@
 
 /// Evidence about the cache of one table.
 #[derive(Clone, Debug)]
-pub struct TableAge {
+pub struct TableAge<V> {
     started_at: Instant,
     /// Time up to which the cache holds all changes.
     confirmed_at: Option<Instant>,
     /// Evidence for versions that the cache has not reached, both values ascending.
-    pending: VecDeque<VersionEvidence>,
+    pending: VecDeque<VersionEvidence<V>>,
     /// Time at which the last failed read of the store was sent, and when it failed.
     failed_read: Option<(Instant, Instant)>,
     /// Time that the store took for the answer that the evidence comes from.
     answer_time: Duration,
 }
 
-impl TableAge {
+impl<V: Copy + Ord> TableAge<V> {
     /// Creates the tracker of an empty cache.
     pub fn new(started_at: Instant) -> Self {
         Self {
@@ -110,7 +110,7 @@
 
     /// Records that a cache of `version` holds all changes before `as_of`; `own` is the version of
     /// the own cache.
-    pub fn record(&mut self, own: u64, version: u64, as_of: Instant) {
+    pub fn record(&mut self, own: V, version: V, as_of: Instant) {
         if version > own {
             self.insert_pending(VersionEvidence { version, as_of });
         } else {
@@ -120,7 +120,7 @@
     }
 
     /// Applies the evidence for versions that the own cache has reached.
-    pub fn advance(&mut self, own: u64) {
+    pub fn advance(&mut self, own: V) {
         while let Some(evidence) = self.pending.pop_front_if(|evidence| evidence.version <= own) {
             self.confirm(evidence.as_of);
         }
@@ -211,8 +211,8 @@
         self.failed_read = self.failed_read.filter(|(sent_at, _)| *sent_at > as_of);
     }
 
-    fn insert_pending(&mut self, evidence: VersionEvidence) {
-        let is_implied = |known: &VersionEvidence| {
+    fn insert_pending(&mut self, evidence: VersionEvidence<V>) {
+        let is_implied = |known: &VersionEvidence<V>| {
             known.version <= evidence.version && known.as_of >= evidence.as_of
         };
         if self.pending.iter().any(is_implied) {
--- a/crates/coord/src/table_source.rs
+++ b/crates/coord/src/table_source.rs
@@ -28,11 +28,11 @@
 
 /// Peer from which a table may be fetched.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct SourceCandidate<K> {
+pub struct SourceCandidate<K, V> {
     /// Key of the peer.
     pub key: K,
     /// Version of the peer's table, as far as is known.
-    pub version: u64,
+    pub version: V,
     /// The peer is in the own availability zone.
     pub is_in_zone: bool,
 }
@@ -58,14 +58,14 @@
 
 /// Sources of one table, as one instance has experienced them.
 #[derive(Clone, Debug)]
-pub struct SourcePlanner<K> {
+pub struct SourcePlanner<K, V> {
     own_name: String,
     /// Time behind after which the store is read if no source answers; after twice that time it is
     /// read in any case.
     store_delay: Duration,
     avoided: HashMap<K, AvoidedSource>,
     /// Peers that a busy source named, with the version that they have.
-    referred: Vec<SourceCandidate<K>>,
+    referred: Vec<SourceCandidate<K, V>>,
     behind_since: Option<Instant>,
     /// A version was announced whose change is not pushed.
     is_offered: bool,
@@ -75,7 +75,7 @@
     attempts: u32,
 }
 
-impl<K: Copy + Eq + Hash> SourcePlanner<K> {
+impl<K: Copy + Eq + Hash, V: Copy + Default + Ord> SourcePlanner<K, V> {
     /// Creates a planner for the instance `own_name`, which reads the store if it has been behind for
     /// `store_delay`.
     pub fn new(own_name: &str, store_delay: Duration) -> Self {
@@ -96,13 +96,13 @@
     /// Returns what to do with a table of version `own`; `name` returns a candidate's name.
     pub fn next_step<'a>(
         &mut self,
-        own: u64,
-        candidates: impl IntoIterator<Item = SourceCandidate<K>>,
+        own: V,
+        candidates: impl IntoIterator<Item = SourceCandidate<K, V>>,
         name: impl Fn(K) -> &'a str,
         now: Instant,
     ) -> SourceStep<K> {
         self.referred.retain(|candidate| candidate.version > own);
-        let mut newer: Vec<SourceCandidate<K>> =
+        let mut newer: Vec<SourceCandidate<K, V>> =
             candidates.into_iter().filter(|candidate| candidate.version > own).collect();
         for referred in &self.referred {
             if newer.iter().all(|candidate| candidate.key != referred.key) {
@@ -117,7 +117,7 @@
         }
         let behind_since = *self.behind_since.get_or_insert(now);
         let behind = now.saturating_duration_since(behind_since);
-        if own > 0 && !self.is_offered && behind < PUSH_DELAY {
+        if own > V::default() && !self.is_offered && behind < PUSH_DELAY {
             return SourceStep::Wait;
         }
         let is_store_due =
@@ -126,22 +126,22 @@
         let was_answered =
             self.answered_at.is_some_and(|at| now.saturating_duration_since(at) < answer_limit);
         let patience = if was_answered { 2 * self.store_delay } else { self.store_delay };
-        if own > 0 && behind >= patience && is_store_due {
+        if own > V::default() && behind >= patience && is_store_due {
             self.store_read_at = Some(now);
             return SourceStep::Store;
         }
         self.avoided.retain(|_, source| now < source.until + MAX_FAILURE_BACKOFF);
-        let avoided = |candidate: &SourceCandidate<K>| self.avoided.get(&candidate.key);
-        let has_failed = |candidate: &SourceCandidate<K>| {
+        let avoided = |candidate: &SourceCandidate<K, V>| self.avoided.get(&candidate.key);
+        let has_failed = |candidate: &SourceCandidate<K, V>| {
             avoided(candidate).is_some_and(|source| !source.backoff.is_zero())
         };
-        let is_near = |candidate: &SourceCandidate<K>| {
-            candidate.is_in_zone || own == 0 || behind >= REMOTE_DELAY
+        let is_near = |candidate: &SourceCandidate<K, V>| {
+            candidate.is_in_zone || own == V::default() || behind >= REMOTE_DELAY
         };
         // To wait for a busy source costs less than to find a failed one still silent.
         let has_sound_source =
             newer.iter().any(|candidate| is_near(candidate) && !has_failed(candidate));
-        let may_ask = |candidate: &&SourceCandidate<K>| {
+        let may_ask = |candidate: &&SourceCandidate<K, V>| {
             let is_avoided = avoided(candidate).is_some_and(|source| now < source.until);
             is_near(candidate) && !is_avoided && !(has_sound_source && has_failed(candidate))
         };
@@ -178,7 +178,7 @@
         &mut self,
         source: K,
         retry_after: Duration,
-        holders: impl IntoIterator<Item = SourceCandidate<K>>,
+        holders: impl IntoIterator<Item = SourceCandidate<K, V>>,
         now: Instant,
     ) {
         self.answered_at = Some(now);
--- a/crates/coord/src/transfer_gate.rs
+++ b/crates/coord/src/transfer_gate.rs
@@ -41,18 +41,18 @@
 
 /// Receivers of one version of a table.
 #[derive(Clone, Debug)]
-pub struct TransferGate<K> {
-    version: u64,
+pub struct TransferGate<K, V> {
+    version: V,
     served: Vec<ServedReceiver<K>>,
     holders: VecDeque<K>,
     /// Duration of the last complete transfer.
     last_duration: Duration,
 }
 
-impl<K> Default for TransferGate<K> {
+impl<K, V: Default> Default for TransferGate<K, V> {
     fn default() -> Self {
         Self {
-            version: 0,
+            version: V::default(),
             served: Vec::new(),
             holders: VecDeque::new(),
             last_duration: MIN_RETRY_DELAY,
@@ -60,9 +60,9 @@
     }
 }
 
-impl<K: Copy + Eq> TransferGate<K> {
+impl<K: Copy + Eq, V: Copy + Ord> TransferGate<K, V> {
     /// Decides about a request for a part of the table's `version`.
-    pub fn request(&mut self, receiver: K, version: u64, now: Instant) -> GateDecision<K> {
+    pub fn request(&mut self, receiver: K, version: V, now: Instant) -> GateDecision<K> {
         if version > self.version {
             self.version = version;
             self.holders.clear();
--- a/crates/coord/src/validation.rs
+++ b/crates/coord/src/validation.rs
@@ -28,11 +28,11 @@
 
 /// Outcome of a heartbeat to one peer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum HeartbeatOutcome {
+pub enum HeartbeatOutcome<V = u64> {
     /// The peer answered.
     Answered {
         /// Version on which the peer acts.
-        version: u64,
+        version: V,
         /// Age of the peer's last validation; none if it has none.
         validation_age: Option<Duration>,
         /// The table service does not answer the peer.
@@ -46,18 +46,18 @@
 
 /// Tracks the validations of one version on one instance.
 #[derive(Clone, Debug, Default)]
-pub struct ValidationTracker {
-    version: u64,
+pub struct ValidationTracker<V = u64> {
+    version: V,
     validated_at: Option<Instant>,
     store_failing_since: Option<Instant>,
     round_started_at: Option<Instant>,
     /// Outcomes of the current heartbeat round, by peer id.
-    outcomes: HashMap<u64, HeartbeatOutcome>,
+    outcomes: HashMap<u64, HeartbeatOutcome<V>>,
 }
 
-impl ValidationTracker {
+impl<V: Copy + Default + Ord> ValidationTracker<V> {
     /// Returns the current version; zero before the first.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> V {
         self.version
     }
 
@@ -65,12 +65,12 @@
     ///
     /// The last validation carries over: the higher version cannot have been superseded earlier
     /// than the lower one, so its validity still ends in time.
-    pub fn adopt(&mut self, version: u64) {
+    pub fn adopt(&mut self, version: V) {
         self.version = self.version.max(version);
     }
 
     /// Records that the table service returned `version` to a request sent at `sent_at`.
-    pub fn record_store_version(&mut self, sent_at: Instant, version: u64) {
+    pub fn record_store_version(&mut self, sent_at: Instant, version: V) {
         self.store_failing_since = None;
         if version == self.version {
             self.record_validation(sent_at);
@@ -95,7 +95,7 @@
     }
 
     /// Records the outcome of a heartbeat to a peer that was sent at `sent_at`.
-    pub fn record_peer(&mut self, peer: u64, sent_at: Instant, outcome: HeartbeatOutcome) {
+    pub fn record_peer(&mut self, peer: u64, sent_at: Instant, outcome: HeartbeatOutcome<V>) {
         if let HeartbeatOutcome::Answered { version, validation_age: Some(age), .. } = outcome
             && version == self.version
             && let Some(validated_at) = sent_at.checked_sub(age)
@@ -115,7 +115,7 @@
         let Some(round_started_at) = self.round_started_at.take() else {
             return;
         };
-        let confirms_outage = |outcome: &HeartbeatOutcome| match outcome {
+        let confirms_outage = |outcome: &HeartbeatOutcome<V>| match outcome {
             HeartbeatOutcome::Answered { version, store_down, .. } => {
                 *store_down && *version == self.version
             }
@@ -126,7 +126,7 @@
             self.outcomes.len() >= peer_count && self.outcomes.values().all(confirms_outage);
         // The list of peers lags: an instance that no peer answers may have missed new peers.
         let has_answered =
-            |outcome: &HeartbeatOutcome| matches!(outcome, HeartbeatOutcome::Answered { .. });
+            |outcome: &HeartbeatOutcome<V>| matches!(outcome, HeartbeatOutcome::Answered { .. });
         let isolated = peer_count > 0 && !self.outcomes.values().any(has_answered);
         if unanimous && !isolated && self.is_store_down(now) {
             self.record_validation(round_started_at);
@@ -145,7 +145,7 @@
 
     /// Returns whether the version may be acted on at `now`.
     pub fn is_valid(&self, now: Instant) -> bool {
-        self.version > 0 && self.valid_until().is_some_and(|until| now <= until)
+        self.version > V::default() && self.valid_until().is_some_and(|until| now <= until)
     }
 
     fn record_validation(&mut self, at: Instant) {
--- a/crates/coord/tests/table_age.rs
+++ b/crates/coord/tests/table_age.rs
@@ -19,7 +19,7 @@
         fn $name() {
             let start = Instant::now();
             let $at = |millis: u64| start + Duration::from_millis(millis);
-            let mut $age = TableAge::new(start);
+            let mut $age = TableAge::<u64>::new(start);
             $body
         }
     };
@@ -122,7 +122,7 @@
 
 /// Instance whose reads of the store succeed, and whose evidence from others comes at random.
 struct SimulatedInstance {
-    age: TableAge,
+    age: TableAge<u64>,
     version: u64,
     rank: ReadRank,
 }
--- a/crates/coord/tests/table_sources.rs
+++ b/crates/coord/tests/table_sources.rs
@@ -17,23 +17,23 @@
         fn $name() {
             let start = Instant::now();
             let $at = |millis: u64| start + Duration::from_millis(millis);
-            let mut $planner = SourcePlanner::new("own", STORE_DELAY);
+            let mut $planner = SourcePlanner::<usize, u64>::new("own", STORE_DELAY);
             $body
         }
     };
 }
 
-fn near(key: usize) -> SourceCandidate<usize> {
+fn near(key: usize) -> SourceCandidate<usize, u64> {
     SourceCandidate { key, version: 2, is_in_zone: true }
 }
 
-fn remote(key: usize) -> SourceCandidate<usize> {
+fn remote(key: usize) -> SourceCandidate<usize, u64> {
     SourceCandidate { is_in_zone: false, ..near(key) }
 }
 
 fn next(
-    planner: &mut SourcePlanner<usize>,
-    candidates: &[SourceCandidate<usize>],
+    planner: &mut SourcePlanner<usize, u64>,
+    candidates: &[SourceCandidate<usize, u64>],
     now: Instant,
 ) -> SourceStep<usize> {
     planner.next_step(1, candidates.iter().copied(), |key| NAMES[key], now)
--- a/crates/coord/tests/table_transfer.rs
+++ b/crates/coord/tests/table_transfer.rs
@@ -57,8 +57,8 @@
     zone: usize,
     bytes_per_s: f64,
     apply_time: Duration,
-    planner: SourcePlanner<usize>,
-    gate: TransferGate<usize>,
+    planner: SourcePlanner<usize, u64>,
+    gate: TransferGate<usize, u64>,
     transfer: Option<RunningTransfer>,
     received: f64,
     has_since: Option<Instant>,
@@ -196,7 +196,7 @@
     let zone = fleet[index].zone;
     let is_published =
         |has_since: Option<Instant>| has_since.is_some_and(|at| now >= at + PUBLICATION_DELAY);
-    let observers: Vec<SourceCandidate<usize>> = (0..OBSERVERS)
+    let observers: Vec<SourceCandidate<usize, u64>> = (0..OBSERVERS)
         .map(|rank| zone + rank * plan.zones)
         .filter(|observer| *observer != index)
         .map(|key| {
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -7,6 +7,7 @@
     ForwardPlan, SessionMachine, StatementAction, StatementClass, StatementError, TransactionState,
 };
 use metrics::{counter, histogram};
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::io::AsyncWriteExt;
@@ -63,7 +64,7 @@
     route: Rc<RouteRecord>,
     team: Rc<str>,
     /// Version of the document that both are from.
-    document_version: u64,
+    document_version: StoreVersion,
 }
 
 /// Event that a session waits for.
@@ -371,7 +372,7 @@
             }
         }
         let document = self.document();
-        let document_version = document.version;
+        let document_version = document.store_version;
         let Some(route) = document.route(&self.database) else {
             return Err((RefusalCode::UnknownDatabase, "unknown database"));
         };
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -15,6 +15,7 @@
 use coord::service_time::ServiceClass;
 use coord::watermark::{Watermark, WatermarkRing};
 use state::position::LogPosition;
+use state::store_version::StoreVersion;
 
 use crate::document_index::DocumentIndex;
 use crate::instance::ZoneSettings;
@@ -144,12 +145,16 @@
         self.endpoints_loaded = true;
     }
 
-    /// Applies a document if it is newer than the one in force; returns whether it was applied.
-    pub fn apply_document(&mut self, document: FleetDocument) -> bool {
-        if document.version <= self.document.version {
+    /// Applies the document of a row of this version, if the row is newer than that of the document in
+    /// force; returns whether it was applied.
+    ///
+    /// The number of the document does not matter: a store that came back from an older copy may get a
+    /// document with a lower one.
+    pub fn apply_document(&mut self, document: FleetDocument, version: StoreVersion) -> bool {
+        if version <= self.document.store_version {
             return false;
         }
-        self.document = Rc::new(DocumentIndex::new(document));
+        self.document = Rc::new(DocumentIndex::new(document, version));
         true
     }
 
--- a/crates/engine/src/discovery.rs
+++ b/crates/engine/src/discovery.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use coord::read_schedule::{ReadEnd, ReadSchedule};
+use coord::rendezvous;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::task::{AbortHandle, JoinSet};
@@ -25,6 +26,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The same after some that were not answered, so that a slow store has the time to answer.
 const MAX_CALL_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time over which the instances of a fleet spread their registrations in a store that came back from
+/// an older copy.
+const REGISTRATION_SPREAD: Duration = Duration::from_secs(1);
 /// Interval between reads of the registered instances.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(12);
 /// Delay before the second read of the registered instances: instances that start at the same time
@@ -36,12 +40,28 @@
     ///
     /// Others learn of this instance when it connects to them, so it need not be registered to join.
     pub async fn register_and_discover(self: Rc<Self>) {
-        let registration = self.register();
+        let registration = self.keep_registered();
         tokio::pin!(registration);
-        if timeout(REGISTRATION_HEAD_START, &mut registration).await.is_ok() {
-            self.discover().await;
-        } else {
-            tokio::join!(registration, self.discover());
+        let head_start = timeout(REGISTRATION_HEAD_START, async {
+            tokio::select! {
+                () = &mut registration => {}
+                () = self.registered.notified() => {}
+            }
+        });
+        let _ = head_start.await;
+        tokio::join!(registration, self.discover());
+    }
+
+    /// Registers this instance, and does so again when the store comes back from an older copy, which
+    /// may lack the registration; never returns.
+    async fn keep_registered(&self) {
+        loop {
+            let history_changed = self.history_changed.notified();
+            self.register().await;
+            self.registered.notify_one();
+            history_changed.await;
+            let spread = rendezvous::weight(self.name(), "register") as f64 / u64::MAX as f64;
+            sleep(REGISTRATION_SPREAD.mul_f64(spread)).await;
         }
     }
 
--- a/crates/engine/src/document_guard.rs
+++ b/crates/engine/src/document_guard.rs
@@ -5,6 +5,7 @@
 use coord::document_state::DocumentState;
 use coord::table_age::TableAge;
 use metrics::{counter, gauge};
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 
@@ -36,7 +37,7 @@
     /// readiness of the instance changes.
     pub(crate) fn update_document_state(&self) {
         let (own, newest) =
-            (self.directory.borrow().document().version, self.newest_peer_document());
+            (self.directory.borrow().document().store_version, self.newest_peer_document());
         self.document_lag.borrow_mut().record(own, newest, self.now());
         let (lag, age) = (self.document_lag(), self.table_age(WatchedTable::Document));
         let state = self.document_state();
@@ -64,7 +65,7 @@
     ///
     /// Open transactions go on under the document that they began with.
     pub(crate) fn is_call_outdated(&self, call: &ExecuteCall) -> bool {
-        let own = self.directory.borrow().document().version;
+        let own = self.directory.borrow().document().store_version;
         let version = call.document_version;
         if call.pinned || version >= own {
             return false;
@@ -103,7 +104,7 @@
     pub(crate) fn update_table_age<T>(
         &self,
         table: WatchedTable,
-        update: impl FnOnce(&mut TableAge) -> T,
+        update: impl FnOnce(&mut TableAge<StoreVersion>) -> T,
     ) -> T {
         let version = self.tables.borrow().versions()[table.index()];
         let age = &mut self.table_ages.borrow_mut()[table.index()];
@@ -116,7 +117,7 @@
     pub(crate) fn record_evidence(
         &self,
         table: WatchedTable,
-        version: u64,
+        version: StoreVersion,
         as_of: Instant,
         answer_time: Duration,
     ) {
--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -240,7 +240,7 @@
             plan: &plan,
             route: &route,
             team,
-            document_version: version,
+            document_version: document.store_version,
             request_id: "explain",
             text: "",
             machine: &machine,
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -21,6 +21,7 @@
 use metrics::gauge;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::sync::Notify;
@@ -112,7 +113,7 @@
     /// Changes of tables that other instances fetch.
     pub(crate) table_server: RefCell<TableServer>,
     /// Tracks when the document in force was last validated as the newest.
-    pub validation: RefCell<ValidationTracker>,
+    pub validation: RefCell<ValidationTracker<StoreVersion>>,
     /// Links to peer instances.
     pub peers: PeerTable,
     /// Endpoint connections that this instance owns.
@@ -133,11 +134,11 @@
     leave_signal: Notify,
     store_reachable: Cell<bool>,
     was_validated: Cell<bool>,
-    pub(crate) document_lag: RefCell<DocumentLag>,
+    pub(crate) document_lag: RefCell<DocumentLag<StoreVersion>>,
     /// Documents that came into force on this instance.
-    pub(crate) document_history: RefCell<DocumentHistory>,
+    pub(crate) document_history: RefCell<DocumentHistory<StoreVersion>>,
     /// As of when the table caches hold all changes, in the order of [`WatchedTable::ALL`].
-    pub(crate) table_ages: RefCell<[TableAge; WatchedTable::ALL.len()]>,
+    pub(crate) table_ages: RefCell<[TableAge<StoreVersion>; WatchedTable::ALL.len()]>,
     /// Reads of the tables from the store, in the order of [`WatchedTable::ALL`].
     pub(crate) store_readers: [StoreReader; WatchedTable::ALL.len()],
     pub(crate) refused_rows: RefCell<RefusedRows>,
@@ -146,10 +147,14 @@
     congestion: Cell<CongestionDetector>,
     /// Instance that last read the store for the availability zone.
     pub(crate) last_reader: Cell<Option<InstanceKey>>,
-    /// History that the store last answered with.
+    /// Newest history of the store that is known.
     pub(crate) store_history: Cell<Option<u64>>,
-    /// Rows of the last full read of each table that were ignored, as the cached ones are newer.
-    pub(crate) ignored_rows: Cell<[usize; WatchedTable::ALL.len()]>,
+    /// Notified when the store has another history.
+    pub(crate) history_changed: Notify,
+    /// Notified when this instance is registered.
+    pub(crate) registered: Notify,
+    /// Rows of each table that the store has older, as it came back from an older copy.
+    pub(crate) kept_rows: Cell<[usize; WatchedTable::ALL.len()]>,
     promotion_token: Cell<Option<u64>>,
     next_transaction_id: Cell<u32>,
     next_session_id: Cell<u32>,
@@ -181,7 +186,10 @@
             clock,
             platform,
             pools: ConnectionPools::default(),
-            tables: RefCell::default(),
+            tables: RefCell::new(TableCaches::new(
+                E::Platform::document_recency,
+                E::Platform::endpoint_recency,
+            )),
             table_server: RefCell::default(),
             validation: RefCell::default(),
             was_validated: Cell::new(true),
@@ -195,7 +203,9 @@
             congestion: Cell::default(),
             last_reader: Cell::new(None),
             store_history: Cell::new(None),
-            ignored_rows: Cell::default(),
+            history_changed: Notify::new(),
+            registered: Notify::new(),
+            kept_rows: Cell::default(),
             started_at,
             caller_count: Cell::new(0),
             leaving_since: Cell::new(None),
@@ -419,23 +429,21 @@
         }
     }
 
-    /// Applies a changed row of a watched table to the directory.
-    pub fn apply_row_change(&self, change: RowChange) {
+    /// Applies a changed row of a watched table to the directory; `row_version` is that of the row.
+    pub fn apply_row_change(&self, change: RowChange, row_version: StoreVersion) {
         let now = self.now();
         match change {
             RowChange::Document(document) => {
                 let (version, routes) = (document.version, document.routes.len());
                 let teams = document.teams.len();
                 let in_force = self.directory.borrow().document().version;
-                if version < in_force {
-                    log_event!(LogEvent::DocumentIgnored, "version={version} in_force={in_force}");
-                }
-                if self.directory.borrow_mut().apply_document(document) {
-                    self.document_history.borrow_mut().record(version, now);
+                if self.directory.borrow_mut().apply_document(document, row_version) {
+                    self.document_history.borrow_mut().record(row_version, now);
                     self.refusals.borrow_mut().clear();
                     log_event!(
                         LogEvent::DocumentInForce,
-                        "version={version} routes={routes} teams={teams}"
+                        "version={version} before={in_force} routes={routes} teams={teams} \
+                         row={row_version}"
                     );
                 }
             }
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use coord::promotion::MemberReport;
+use coord::row_order::RowRecency;
 use coord::session::{StatementClass, TransactionState};
 use snafu::Snafu;
 use state::position::LogPosition;
+use state::store_version::StoreVersion;
 
 use crate::record::{EndpointRecord, FleetDocument, InstanceRecord, PromotionLease};
 use crate::tables::StoredRow;
@@ -111,9 +113,7 @@
     /// Rows of a full read in key order, or changed rows in the order of their changes.
     pub rows: Vec<StoredRow>,
     /// Version of the store that the rows include; the next poll continues from it.
-    pub version: u64,
-    /// History of the store that the version belongs to, if the store says so.
-    pub history: Option<u64>,
+    pub version: StoreVersion,
     /// Rows that could not be read.
     pub refused: Vec<RefusedRow>,
 }
@@ -176,12 +176,12 @@
 
     /// Long-polls for changes after `version`.
     ///
-    /// The store looks for changes for up to `wait`. Waits for the answer without a limit;
+    /// The store looks for changes for up to `wait`, and may answer from another history. Waits for the answer without a limit;
     /// `on_progress` is called when bytes of it arrive.
     fn poll_changes(
         &self,
         table: WatchedTable,
-        version: u64,
+        version: StoreVersion,
         wait: Duration,
         on_progress: &dyn Fn(),
     ) -> impl Future<Output = Result<TableRows, PlatformError>>;
@@ -225,6 +225,12 @@
         token: u64,
     ) -> impl Future<Output = Result<PromotionAnswer, PlatformError>>;
 
+    /// Returns the number of a document's row.
+    fn document_recency(row: &StoredRow) -> Option<RowRecency>;
+
+    /// Returns the start and the number of an endpoint's registration.
+    fn endpoint_recency(row: &StoredRow) -> Option<RowRecency>;
+
     /// Decodes a row; returns `None` if the row is irrelevant to the engine.
     fn decode_row(&self, table: WatchedTable, row: &StoredRow) -> Option<RowChange>;
 }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use state::position::LogPosition;
+use state::store_version::StoreVersion;
 
 use crate::frame::{FrameLane, MAX_MESSAGE_BYTES};
 use crate::interface::{RefusalCode, WatchedTable};
@@ -46,8 +47,8 @@
     pub endpoint: String,
     /// Team on whose behalf the statements run.
     pub team: String,
-    /// Version of the document by which the sender decided that they may run.
-    pub document_version: u64,
+    /// Version of the document's row by which the sender decided that they may run.
+    pub document_version: StoreVersion,
     /// Identifier of the transaction, unique on the sending instance; zero for none.
     pub transaction_id: u32,
     /// The transaction already has a pinned connection.
@@ -214,9 +215,9 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FleetHeads {
     /// Versions of the table caches, in the order of [`WatchedTable::ALL`].
-    pub table_versions: [u64; 2],
-    /// Number of the document in force.
-    pub document_version: u64,
+    pub table_versions: [StoreVersion; 2],
+    /// Version of the row of the document in force.
+    pub document_version: StoreVersion,
     /// Known leaders: service, endpoint, term.
     pub leaders: Vec<(String, String, u64)>,
 }
@@ -245,7 +246,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TableEvidence {
     /// Version of the cache.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Age of the evidence in milliseconds, rounded up.
     pub age_ms: u32,
     /// Time that the store took for the answer that the evidence comes from, in milliseconds.
@@ -254,7 +255,7 @@
 
 impl TableEvidence {
     /// Creates evidence of this age.
-    pub fn new(version: u64, age: Duration) -> Self {
+    pub fn new(version: StoreVersion, age: Duration) -> Self {
         Self { version, age_ms: millis(age).saturating_add(1), answer_ms: 0 }
     }
 
@@ -352,7 +353,7 @@
         /// Table.
         table: WatchedTable,
         /// Version of the sender's cache.
-        version: u64,
+        version: StoreVersion,
     },
     /// Requests one part of the changes of a table.
     Fetch {
@@ -361,7 +362,7 @@
         /// Table.
         table: WatchedTable,
         /// Version after which changes are wanted; zero for all rows.
-        since: u64,
+        since: StoreVersion,
         /// Transfer to go on with, and the bytes of it that were received.
         resume: Option<(u64, u32)>,
     },
@@ -393,7 +394,7 @@
         /// Table.
         table: WatchedTable,
         /// Version of the sender's cache.
-        version: u64,
+        version: StoreVersion,
     },
     /// Answer to [`PeerRequest::Execute`].
     Execute {
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use coord::membership::{InstanceKey, InstanceRecord};
+use state::store_version::StoreVersion;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
@@ -78,9 +79,9 @@
     /// This instance has subscribed to the views of the peer.
     pub(crate) is_subscription: Cell<bool>,
     /// Versions of the peer's table caches, as far as is known.
-    pub(crate) table_versions: Cell<[u64; 2]>,
+    pub(crate) table_versions: Cell<[StoreVersion; 2]>,
     /// Document that the peer has in force, as far as is known.
-    pub(crate) document_version: Cell<u64>,
+    pub(crate) document_version: Cell<StoreVersion>,
     /// Connections to the peer fail; when to try again, and the delay after the next failure.
     pub(crate) retry: Cell<Option<(Instant, Duration)>>,
     /// The connection is closed because nothing uses it.
@@ -105,8 +106,8 @@
             unanswered_since: Cell::new(None),
             evidence_ping: Cell::new(None),
             is_subscription: Cell::new(false),
-            table_versions: Cell::new([0; 2]),
-            document_version: Cell::new(0),
+            table_versions: Cell::default(),
+            document_version: Cell::default(),
             retry: Cell::new(None),
             is_closed_idle: Cell::new(false),
             leases: Rc::default(),
@@ -138,7 +139,7 @@
     }
 
     /// Records the version of one of the peer's table caches.
-    pub(crate) fn set_table_version(&self, index: usize, version: u64) {
+    pub(crate) fn set_table_version(&self, index: usize, version: StoreVersion) {
         let mut versions = self.table_versions.get();
         versions[index] = version;
         self.table_versions.set(versions);
@@ -210,7 +211,7 @@
     pub async fn fetch_part(
         &self,
         table: WatchedTable,
-        since: u64,
+        since: StoreVersion,
         resume: Option<(u64, u32)>,
         now: impl Fn() -> Instant,
     ) -> Option<TransferPart> {
--- a/crates/engine/src/store_reader.rs
+++ b/crates/engine/src/store_reader.rs
@@ -8,6 +8,7 @@
 use coord::read_schedule::{ReadEnd, ReadId, ReadSchedule};
 use coord::table_age::{POLL_FRACTION, ReadRank};
 use metrics::{counter, gauge, histogram};
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::sync::Notify;
@@ -83,7 +84,7 @@
     /// Time for which the store may wait for changes.
     wait: Duration,
     /// Version after which changes are read; `None` for the whole table.
-    after: Option<u64>,
+    after: Option<StoreVersion>,
 }
 
 type ReadResult = Result<TableRows, PlatformError>;
@@ -110,7 +111,7 @@
         let mut reads = ReadTasks::default();
         let cached_version = self.tables.borrow().versions()[table.index()];
         // Version from which changes are polled; the whole table is read where there is none.
-        let mut position = Some(cached_version).filter(|version| *version > 0);
+        let mut position = Some(cached_version).filter(|version| !version.is_empty());
         let mut was_delegated = false;
         loop {
             self.record_overdue_reads(table, &reads);
@@ -139,7 +140,7 @@
     fn next_read_step(
         &self,
         table: WatchedTable,
-        position: Option<u64>,
+        position: Option<StoreVersion>,
         was_delegated: &mut bool,
     ) -> ReadStep {
         let now = self.now();
@@ -170,7 +171,7 @@
         self: &Rc<Self>,
         table: WatchedTable,
         turn: ReadTurn,
-        position: Option<u64>,
+        position: Option<StoreVersion>,
         reads: &mut ReadTasks,
     ) {
         let sent_at = self.now();
@@ -215,7 +216,7 @@
         table: WatchedTable,
         id: ReadId,
         result: ReadResult,
-        position: &mut Option<u64>,
+        position: &mut Option<StoreVersion>,
         reads: &mut ReadTasks,
     ) {
         let Some((read, _)) = reads.sent.remove(&id) else {
@@ -227,20 +228,11 @@
         let end = match result {
             Ok(answer) => {
                 self.record_store_status(true, "");
-                self.record_store_history(answer.history);
+                self.record_store_history(answer.version.history);
                 for row in &answer.refused {
                     self.refused_rows.borrow_mut().record(table.label(), row);
                 }
-                // An answer without changes took the whole wait, and includes it.
-                let covers_wait = answer.rows.is_empty() && elapsed >= read.wait;
-                let waited = if covers_wait { read.wait } else { Duration::ZERO };
-                *position = Some(position.unwrap_or_default().max(answer.version));
-                match read.after {
-                    Some(_) => self.merge_store_changes(table, answer.rows),
-                    None => self.merge_snapshot(table, answer.rows, answer.version),
-                }
-                self.record_up_to_date(table, read.sent_at, waited);
-                ReadEnd::Answered
+                self.apply_answer(table, &read, answer, elapsed, position)
             }
             Err(PlatformError::HistoryExpired) if read.after.is_some() => {
                 counter!(meter::EXPIRED_READS, "table" => table.label()).increment(1);
@@ -260,15 +252,49 @@
         }
     }
 
-    /// Records the history that the store answers with.
-    fn record_store_history(&self, history: Option<u64>) {
-        let Some(history) = history else {
+    /// Merges the rows of an answer into the cache of a table.
+    fn apply_answer(
+        &self,
+        table: WatchedTable,
+        read: &SentRead,
+        answer: TableRows,
+        elapsed: Duration,
+        position: &mut Option<StoreVersion>,
+    ) -> ReadEnd {
+        let history = answer.version.history;
+        if self.store_history.get().is_some_and(|newest| history < newest) {
+            // The store was replaced by an older copy while the answer was on its way.
+            return ReadEnd::Failed;
+        }
+        if read.after.is_some_and(|after| after.history != history) {
+            // The changes count from a version of another history, so they are not all.
+            *position = None;
+            return ReadEnd::Answered;
+        }
+        // An answer without changes took the whole wait, and includes it.
+        let covers_wait = answer.rows.is_empty() && elapsed >= read.wait;
+        let waited = if covers_wait { read.wait } else { Duration::ZERO };
+        *position = Some(position.unwrap_or_default().max(answer.version));
+        match read.after {
+            Some(_) => self.merge_store_changes(table, answer.rows),
+            None => self.merge_snapshot(table, answer.rows, answer.version),
+        }
+        self.record_up_to_date(table, read.sent_at, waited);
+        ReadEnd::Answered
+    }
+
+    /// Records a history of the store, learnt from itself or from another instance.
+    pub(crate) fn record_store_history(&self, history: u64) {
+        let known = self.store_history.get();
+        if known.is_some_and(|known| known >= history) {
             return;
-        };
+        }
+        self.store_history.set(Some(history));
         gauge!(meter::STORE_HISTORY).set(history as f64);
-        let known = self.store_history.replace(Some(history));
-        if let Some(known) = known.filter(|known| *known != history) {
+        if let Some(known) = known {
+            counter!(meter::STORE_HISTORY_CHANGES).increment(1);
             log_event!(LogEvent::StoreHistoryChanged, "history={history} before={known}");
+            self.history_changed.notify_waiters();
         }
     }
 
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -6,6 +6,7 @@
 use bytes::BytesMut;
 use coord::membership::{InstanceKey, MemberStatus, ViewScope};
 use slotmap::new_key_type;
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::time::{sleep, timeout};
@@ -38,9 +39,9 @@
     incarnation: u64,
     pub(crate) scope: ViewScope,
     output: Rc<OutputQueue>,
-    pub(crate) table_versions: [u64; 2],
+    pub(crate) table_versions: [StoreVersion; 2],
     /// Document that the subscriber has in force, as far as is known.
-    pub(crate) document_version: u64,
+    pub(crate) document_version: StoreVersion,
 }
 
 /// What was last published to subscribers and reported to observers.
@@ -70,7 +71,7 @@
     fn heads(&self) -> FleetHeads {
         FleetHeads {
             table_versions: self.tables.borrow().versions(),
-            document_version: self.directory.borrow().document().version,
+            document_version: self.directory.borrow().document().store_version,
             leaders: self.directory.borrow().leaders(),
         }
     }
@@ -225,7 +226,7 @@
         let scope = self.peers.membership.borrow().scope_of(key);
         let incarnation = record.incarnation;
         let output = connection.output.clone();
-        let (table_versions, document_version) = ([0; 2], 0);
+        let (table_versions, document_version) = Default::default();
         let subscriber =
             Subscriber { key, incarnation, scope, output, table_versions, document_version };
         connection.subscriber.set(Some(self.peers.subscribers.borrow_mut().insert(subscriber)));
@@ -375,7 +376,12 @@
     }
 
     /// Records a version that an observer announced, to be fetched at once.
-    pub(crate) fn receive_offer(&self, link: &PeerLink, table: WatchedTable, version: u64) {
+    pub(crate) fn receive_offer(
+        &self,
+        link: &PeerLink,
+        table: WatchedTable,
+        version: StoreVersion,
+    ) {
         link.set_table_version(table.index(), version);
         self.schedule_fetch(table, version);
     }
@@ -385,7 +391,7 @@
         &self,
         connection: &InboundConnection,
         table: WatchedTable,
-        version: u64,
+        version: StoreVersion,
     ) {
         let mut subscribers = self.peers.subscribers.borrow_mut();
         let subscriber = connection.subscriber.get().and_then(|key| subscribers.get_mut(key));
@@ -395,7 +401,7 @@
         }
     }
 
-    fn schedule_fetch(&self, table: WatchedTable, version: u64) {
+    fn schedule_fetch(&self, table: WatchedTable, version: StoreVersion) {
         if version > self.tables.borrow().versions()[table.index()] {
             let offers = &self.peers.table_offers[table.index()];
             offers.is_offered.set(true);
@@ -404,7 +410,7 @@
     }
 
     /// Returns the newest document that a connected observer or subscriber has in force.
-    pub(crate) fn newest_peer_document(&self) -> u64 {
+    pub(crate) fn newest_peer_document(&self) -> StoreVersion {
         let links = self.peers.links.borrow();
         let observers = links
             .values()
--- a/crates/engine/src/table_change.rs
+++ b/crates/engine/src/table_change.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
+use state::store_version::StoreVersion;
 use zstd::zstd_safe::{CCtx, CParameter, DCtx, DParameter, get_error_name};
 
 /// Maximum size of unpacked changes, in bytes.
@@ -91,7 +92,9 @@
     /// Key.
     pub key: String,
     /// Version of the change.
-    pub version: u64,
+    pub version: StoreVersion,
+    /// History of the store in which the content was written.
+    pub origin: u64,
     /// New content.
     pub content: DeltaContent,
 }
@@ -108,7 +111,7 @@
     /// The value as a patch of an earlier one.
     Patch {
         /// Version of the row that the patch applies to.
-        base_version: u64,
+        base_version: StoreVersion,
         /// Patch.
         patch: PackedBytes,
     },
@@ -118,9 +121,9 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TableChange {
     /// Version after which these are all changes.
-    pub after: u64,
+    pub after: StoreVersion,
     /// Version that a cache has after these changes.
-    pub version: u64,
+    pub version: StoreVersion,
     /// All rows are listed, so those that are not were removed.
     pub is_full: bool,
     /// Changed rows; several changes of one row are in their order.
--- a/crates/engine/src/table_fetch.rs
+++ b/crates/engine/src/table_fetch.rs
@@ -5,6 +5,7 @@
 
 use coord::membership::{InstanceKey, ViewScope};
 use coord::table_source::{SourceCandidate, SourcePlanner, SourceStep};
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::time::timeout;
@@ -28,7 +29,7 @@
 /// Changes that were received in part; any source of the same changes can send the rest.
 #[derive(Debug)]
 struct PartialTransfer {
-    since: u64,
+    since: StoreVersion,
     transfer: u64,
     bytes: Vec<u8>,
 }
@@ -77,7 +78,7 @@
                         planner.failed(source, started_at);
                         continue;
                     };
-                    let since = if needs_all { 0 } else { own };
+                    let since = if needs_all { StoreVersion::default() } else { own };
                     let end = self.fetch_table(&link, table, since, &mut partial).await;
                     self.log_fetch(table, &link, own, started_at, &end);
                     let now = self.now();
@@ -92,7 +93,7 @@
                         // What was known of the source is outdated, so it need not be asked soon.
                         FetchEnd::UpToDate => planner.failed(source, now),
                         FetchEnd::Busy { retry_after, holders } => {
-                            let version = link.table_versions.get()[index].max(own + 1);
+                            let version = link.table_versions.get()[index].max(own.successor());
                             let holders = self.source_candidates(&holders, version);
                             planner.busy(source, retry_after, holders, now);
                         }
@@ -107,8 +108,8 @@
     fn source_candidates(
         &self,
         holders: &[InstanceKey],
-        version: u64,
-    ) -> Vec<SourceCandidate<InstanceKey>> {
+        version: StoreVersion,
+    ) -> Vec<SourceCandidate<InstanceKey, StoreVersion>> {
         let membership = self.peers.membership.borrow();
         let candidate = |key: &InstanceKey| {
             let is_in_zone = membership.scope_of(*key) == ViewScope::Zone;
@@ -119,9 +120,9 @@
 
     fn plan_fetch(
         &self,
-        planner: &mut SourcePlanner<InstanceKey>,
+        planner: &mut SourcePlanner<InstanceKey, StoreVersion>,
         index: usize,
-        own: u64,
+        own: StoreVersion,
     ) -> SourceStep<InstanceKey> {
         let membership = self.peers.membership.borrow();
         let links = self.peers.links.borrow();
@@ -145,7 +146,7 @@
         &self,
         link: &PeerLink,
         table: WatchedTable,
-        since: u64,
+        since: StoreVersion,
         partial: &mut Option<PartialTransfer>,
     ) -> FetchEnd {
         loop {
@@ -196,7 +197,7 @@
         &self,
         table: WatchedTable,
         link: &PeerLink,
-        own: u64,
+        own: StoreVersion,
         started_at: Instant,
         end: &FetchEnd,
     ) {
--- a/crates/engine/src/table_server.rs
+++ b/crates/engine/src/table_server.rs
@@ -6,6 +6,7 @@
 use coord::membership::InstanceKey;
 use coord::rendezvous;
 use coord::transfer_gate::{GateDecision, TransferGate};
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 
@@ -27,8 +28,8 @@
 #[derive(Clone, Debug)]
 struct TransferContent {
     table: WatchedTable,
-    since: u64,
-    version: u64,
+    since: StoreVersion,
+    version: StoreVersion,
     transfer: u64,
     bytes: Rc<[u8]>,
 }
@@ -38,7 +39,7 @@
 pub(crate) struct TableServer {
     /// Encoded changes, the last used first.
     contents: VecDeque<TransferContent>,
-    gates: [TransferGate<InstanceKey>; WatchedTable::ALL.len()],
+    gates: [TransferGate<InstanceKey, StoreVersion>; WatchedTable::ALL.len()],
 }
 
 impl TableServer {
@@ -62,7 +63,7 @@
         &self,
         connection: &InboundConnection,
         table: WatchedTable,
-        since: u64,
+        since: StoreVersion,
         resume: Option<(u64, u32)>,
     ) -> TransferPart {
         let busy = |retry_ms, holders| TransferPart::Busy { retry_ms, holders };
@@ -112,7 +113,7 @@
     fn transfer_content(
         &self,
         table: WatchedTable,
-        since: u64,
+        since: StoreVersion,
         resume: Option<(u64, u32)>,
     ) -> Result<Option<TransferContent>, ChangeError> {
         let mut server = self.table_server.borrow_mut();
--- a/crates/engine/src/tables.rs
+++ b/crates/engine/src/tables.rs
@@ -3,9 +3,12 @@
 //! Calls to the store cost money, and change feeds make up most of them. One instance of each
 //! availability zone therefore reads the feed and pushes the changes to the others of its zone.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 
+use coord::row_order::{RowRecency, RowTrail};
 use serde::{Deserialize, Serialize};
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 
@@ -25,7 +28,7 @@
     /// Key.
     pub key: String,
     /// Version of the last change to the row.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Content; `None` marks a removed row.
     pub value: Option<Vec<u8>>,
 }
@@ -33,37 +36,70 @@
 /// Change of a large row from one version to the next.
 #[derive(Clone, Debug)]
 struct RowPatch {
-    base_version: u64,
-    version: u64,
+    base_version: StoreVersion,
+    version: StoreVersion,
     patch: PackedBytes,
 }
 
+/// Returns the order of a row's content that its writer states, if there is one.
+pub type RecencyReader = fn(&StoredRow) -> Option<RowRecency>;
+
 /// Cached row, with the patches that led to its version.
 #[derive(Debug)]
 struct CachedRow {
     row: StoredRow,
     /// Successive patches, the last of which led to the row's version.
     patches: VecDeque<RowPatch>,
+    trail: RowTrail,
+    /// History in which the content was written.
+    origin: u64,
+    /// The store has older content, as it came back from an older copy.
+    is_kept: bool,
+}
+
+/// Row to cache.
+#[derive(Debug)]
+struct AcceptedRow {
+    row: StoredRow,
+    /// History in which the content was written.
+    origin: u64,
+    /// The content is that of the cached row, as the store has an older one.
+    is_kept: bool,
+}
+
+impl AcceptedRow {
+    fn new(row: StoredRow, origin: u64) -> Self {
+        Self { row, origin, is_kept: false }
+    }
 }
 
 impl CachedRow {
     fn new(row: StoredRow) -> Self {
-        Self { row, patches: VecDeque::new() }
+        let (patches, trail) = Default::default();
+        Self { row, patches, trail, origin: 0, is_kept: false }
     }
 
-    /// Replaces the row by the result of a patch.
-    fn apply_patch(&mut self, row: StoredRow, patch: PackedBytes) {
-        let (base_version, version) = (self.row.version, row.version);
-        self.patches.push_back(RowPatch { base_version, version, patch });
-        if self.patches.len() > MAX_PATCHES {
-            self.patches.pop_front();
+    /// Returns whether a row with a higher version has older content, written in the history `origin`.
+    fn is_newer_than(&self, row: &StoredRow, origin: u64, recency: RecencyReader) -> bool {
+        let (known, received) = (recency(&self.row), recency(row));
+        match origin.cmp(&self.origin) {
+            Ordering::Less => true,
+            Ordering::Equal => match (known, received) {
+                (Some(known @ RowRecency::Document { .. }), Some(received)) => received < known,
+                _ => false,
+            },
+            Ordering::Greater => {
+                let is_first = self.row.version.history < row.version.history;
+                is_first && self.trail.is_older(known, received, row.version)
+            }
         }
-        self.row = row;
     }
 
     /// Appends what a cache that has all changes up to `since` lacks of the row.
-    fn append_changes(&self, since: u64, deltas: &mut Vec<RowDelta>) {
-        let delta = |version, content| RowDelta { key: self.row.key.clone(), version, content };
+    fn append_changes(&self, since: StoreVersion, deltas: &mut Vec<RowDelta>) {
+        let origin = self.origin;
+        let delta =
+            |version, content| RowDelta { key: self.row.key.clone(), version, origin, content };
         let Some(value) = &self.row.value else {
             deltas.push(delta(self.row.version, DeltaContent::Removed));
             return;
@@ -84,18 +120,73 @@
 }
 
 /// Cache of one table. Removed rows stay in it, so that an older version cannot restore them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TableCache {
+    recency: RecencyReader,
     rows: BTreeMap<String, CachedRow>,
     /// Version up to which changes were received.
-    version: u64,
+    version: StoreVersion,
     /// Version from which on the cache knows all removed rows.
-    complete_since: u64,
+    complete_since: StoreVersion,
+    /// Rows whose content was kept.
+    kept_count: usize,
+}
+
+impl Default for TableCache {
+    fn default() -> Self {
+        Self::new(|_| None)
+    }
 }
 
 impl TableCache {
+    /// Creates an empty cache; `recency` orders the contents of a row from different histories.
+    pub fn new(recency: RecencyReader) -> Self {
+        let (version, complete_since) = Default::default();
+        Self { recency, rows: BTreeMap::new(), version, complete_since, kept_count: 0 }
+    }
+
+    /// Returns the row to cache for one that was received, or `None` if the cached one is newer.
+    ///
+    /// A row with a higher version may have older content: the first one of a new history, or a document
+    /// with a lower number than one of its history. The cached content is kept under the higher version
+    /// then.
+    fn accept(&self, row: StoredRow, origin: u64) -> Option<AcceptedRow> {
+        let Some(cached) = self.rows.get(&row.key) else {
+            return Some(AcceptedRow::new(row, origin));
+        };
+        if cached.row.version >= row.version {
+            return None;
+        }
+        if cached.row.value == row.value || !cached.is_newer_than(&row, origin, self.recency) {
+            return Some(AcceptedRow::new(row, origin));
+        }
+        let row = StoredRow { value: cached.row.value.clone(), ..row };
+        Some(AcceptedRow { row, origin: cached.origin, is_kept: true })
+    }
+
+    /// Caches a row that was accepted.
+    fn insert(&mut self, accepted: AcceptedRow) {
+        let AcceptedRow { row, origin, is_kept } = accepted;
+        let (recency, version) = ((self.recency)(&row), row.version);
+        let key = row.key.clone();
+        let cached = self.rows.entry(key).or_insert_with(|| CachedRow::new(row.clone()));
+        self.kept_count += usize::from(is_kept);
+        self.kept_count -= usize::from(cached.is_kept);
+        cached.row = row;
+        cached.origin = origin;
+        cached.is_kept = is_kept;
+        cached.patches.clear();
+        cached.trail.record(recency, version);
+    }
+
+    /// Returns the number of rows of which the store has older content, as it came back from an older
+    /// copy.
+    pub fn kept_count(&self) -> usize {
+        self.kept_count
+    }
+
     /// Returns the version up to which the cache has received changes.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> StoreVersion {
         self.version
     }
 
@@ -103,30 +194,24 @@
     pub fn merge_rows(&mut self, rows: Vec<StoredRow>) -> Vec<StoredRow> {
         let mut changed = Vec::new();
         for row in rows {
-            if self.rows.get(&row.key).is_some_and(|known| known.row.version >= row.version) {
-                continue;
+            let origin = row.version.history;
+            if let Some(accepted) = self.accept(row, origin) {
+                changed.push(accepted.row.clone());
+                self.insert(accepted);
             }
-            self.rows.insert(row.key.clone(), CachedRow::new(row.clone()));
-            changed.push(row);
         }
         changed
     }
 
-    /// Returns how many of the rows differ from the cached ones and have lower versions.
-    pub fn count_older(&self, rows: &[StoredRow]) -> usize {
-        let is_older = |row: &&StoredRow| {
-            self.rows.get(&row.key).is_some_and(|known| {
-                known.row.version > row.version && known.row.value != row.value
-            })
-        };
-        rows.iter().filter(is_older).count()
-    }
-
     /// Merges all rows of the table as of `version` and returns those that changed.
     ///
     /// Cached rows that are missing from `rows` are treated as removed. The cache has the version of
     /// the read afterwards, even if the table is empty.
-    pub fn merge_snapshot(&mut self, rows: Vec<StoredRow>, version: u64) -> Vec<StoredRow> {
+    pub fn merge_snapshot(
+        &mut self,
+        rows: Vec<StoredRow>,
+        version: StoreVersion,
+    ) -> Vec<StoredRow> {
         let removed = self.missing_rows(version, |key| rows.iter().any(|row| row.key == key));
         self.complete_since = self.complete_since.max(version);
         self.raise_version(version);
@@ -136,14 +221,19 @@
     }
 
     /// Returns removals of the cached rows up to `version` that are not listed.
-    fn missing_rows(&self, version: u64, is_listed: impl Fn(&str) -> bool) -> Vec<StoredRow> {
+    fn missing_rows(
+        &self,
+        version: StoreVersion,
+        is_listed: impl Fn(&str) -> bool,
+    ) -> Vec<StoredRow> {
         let rows = self.rows.values().map(|cached| &cached.row);
         let is_missing = |row: &&StoredRow| {
             row.version <= version && row.value.is_some() && !is_listed(&row.key)
         };
-        // The version of the removal is unknown; any version above the cached one replaces the row.
+        // The version of the removal is unknown; any version above the cached one replaces the row. In
+        // a new history the row may be written again under any number.
         let removal = |row: &StoredRow| StoredRow {
-            version: row.version.saturating_add(1),
+            version: row.version.successor().max(StoreVersion::start_of(version.history)),
             value: None,
             ..row.clone()
         };
@@ -155,17 +245,17 @@
     /// Returns the rows that changed, and the change as other instances need it.
     pub fn merge_store_changes(
         &mut self,
-        after: u64,
+        after: StoreVersion,
         rows: Vec<StoredRow>,
     ) -> (Vec<StoredRow>, TableChange) {
         let newest = rows.iter().map(|row| row.version).max().unwrap_or_default();
         let (mut changed, mut deltas) = (Vec::new(), Vec::new());
         for row in rows {
-            if self.rows.get(&row.key).is_some_and(|known| known.row.version >= row.version) {
-                continue;
+            let origin = row.version.history;
+            if let Some(accepted) = self.accept(row, origin) {
+                changed.push(accepted.row.clone());
+                deltas.push(self.replace_row(accepted));
             }
-            deltas.push(self.replace_row(row.clone()));
-            changed.push(row);
         }
         if self.version >= after {
             self.raise_version(newest);
@@ -176,37 +266,59 @@
     }
 
     /// Replaces a row, and returns the change: a patch if both values are large.
-    fn replace_row(&mut self, row: StoredRow) -> RowDelta {
-        let (key, version) = (row.key.clone(), row.version);
-        let content = match (self.rows.get_mut(&key), &row.value) {
-            (Some(cached), Some(value)) if value.len() >= MIN_PATCHED_BYTES => {
-                let base_version = cached.row.version;
-                let base = cached.row.value.as_deref().unwrap_or_default();
-                match PackedBytes::pack(value, base) {
-                    Ok(patch) if !base.is_empty() => {
-                        cached.apply_patch(row, patch.clone());
-                        return RowDelta {
-                            key,
-                            version,
-                            content: DeltaContent::Patch { base_version, patch },
-                        };
-                    }
-                    Ok(_) => {}
-                    Err(error) => {
-                        log_event!(LogEvent::TableFetchFailed, "key={key} cause=\"{error}\"");
-                    }
-                }
-                DeltaContent::Whole(value.clone())
-            }
-            (_, Some(value)) => DeltaContent::Whole(value.clone()),
-            (_, None) => DeltaContent::Removed,
+    fn replace_row(&mut self, accepted: AcceptedRow) -> RowDelta {
+        let (key, version) = (accepted.row.key.clone(), accepted.row.version);
+        let origin = accepted.origin;
+        let delta = |content| RowDelta { key: key.clone(), version, origin, content };
+        let Some(value) = accepted.row.value.clone() else {
+            self.insert(accepted);
+            return delta(DeltaContent::Removed);
+        };
+        let Some((base_version, patch)) = self.pack_patch(&key, &value) else {
+            self.insert(accepted);
+            return delta(DeltaContent::Whole(value));
         };
-        self.rows.insert(key.clone(), CachedRow::new(row));
-        RowDelta { key, version, content }
+        self.apply_patch(accepted, base_version, patch.clone());
+        delta(DeltaContent::Patch { base_version, patch })
+    }
+
+    /// Returns a value as a patch of the cached one, with the version of that one, if both are large.
+    fn pack_patch(&self, key: &str, value: &[u8]) -> Option<(StoreVersion, PackedBytes)> {
+        if value.len() < MIN_PATCHED_BYTES {
+            return None;
+        }
+        let cached = &self.rows.get(key)?.row;
+        let base = cached.value.as_deref().filter(|base| !base.is_empty())?;
+        match PackedBytes::pack(value, base) {
+            Ok(patch) => Some((cached.version, patch)),
+            Err(error) => {
+                log_event!(LogEvent::TableFetchFailed, "key={key} cause=\"{error}\"");
+                None
+            }
+        }
+    }
+
+    /// Replaces a row by the result of a patch of it.
+    fn apply_patch(
+        &mut self,
+        accepted: AcceptedRow,
+        base_version: StoreVersion,
+        patch: PackedBytes,
+    ) {
+        let (key, version) = (accepted.row.key.clone(), accepted.row.version);
+        let earlier = self.rows.get_mut(&key).map(|cached| std::mem::take(&mut cached.patches));
+        self.insert(accepted);
+        if let Some(cached) = self.rows.get_mut(&key) {
+            cached.patches = earlier.unwrap_or_default();
+            cached.patches.push_back(RowPatch { base_version, version, patch });
+            if cached.patches.len() > MAX_PATCHES {
+                cached.patches.pop_front();
+            }
+        }
     }
 
     /// Returns what a cache lacks that has all changes up to `since`; zero for an empty one.
-    pub fn changes_since(&self, since: u64) -> TableChange {
+    pub fn changes_since(&self, since: StoreVersion) -> TableChange {
         let is_full = since < self.complete_since;
         let mut rows = Vec::new();
         for cached in self.rows.values() {
@@ -216,8 +328,8 @@
                     cached.append_changes(since, &mut rows);
                 }
             } else if is_full && !is_removed {
-                let (key, version) = (row.key.clone(), row.version);
-                rows.push(RowDelta { key, version, content: DeltaContent::Unchanged });
+                let (key, version, origin) = (row.key.clone(), row.version, cached.origin);
+                rows.push(RowDelta { key, version, origin, content: DeltaContent::Unchanged });
             }
         }
         TableChange { after: since, version: self.version, is_full, rows }
@@ -258,9 +370,9 @@
     /// Merges one change; returns the row if it is newer than the cached one, and an error if the
     /// cache lacks what the change refers to.
     fn merge_delta(&mut self, delta: RowDelta) -> Result<Option<StoredRow>, ()> {
-        let RowDelta { key, version, content } = delta;
-        let known = self.rows.get_mut(&key);
-        if known.as_ref().is_some_and(|cached| cached.row.version >= version) {
+        let RowDelta { key, version, origin, content } = delta;
+        let known = self.rows.get(&key).map(|cached| &cached.row);
+        if known.is_some_and(|known| known.version >= version) {
             return Ok(None);
         }
         let value = match content {
@@ -268,18 +380,21 @@
             DeltaContent::Whole(value) => Some(value),
             DeltaContent::Unchanged => return Err(()),
             DeltaContent::Patch { base_version, patch } => {
-                let cached = known.filter(|cached| cached.row.version == base_version).ok_or(())?;
-                let base = cached.row.value.as_deref().unwrap_or_default();
+                let known = known.filter(|known| known.version == base_version).ok_or(())?;
+                let base = known.value.as_deref().unwrap_or_default();
                 let value = patch.unpack(base).map_err(|error| {
                     log_event!(LogEvent::TableFetchFailed, "key={key} cause=\"{error}\"");
                 })?;
                 let row = StoredRow { key, version, value: Some(value) };
-                cached.apply_patch(row.clone(), patch);
+                self.apply_patch(AcceptedRow::new(row.clone(), origin), base_version, patch);
                 return Ok(Some(row));
             }
         };
-        let row = StoredRow { key: key.clone(), version, value };
-        self.rows.insert(key, CachedRow::new(row.clone()));
+        let Some(accepted) = self.accept(StoredRow { key, version, value }, origin) else {
+            return Ok(None);
+        };
+        let row = accepted.row.clone();
+        self.insert(accepted);
         Ok(Some(row))
     }
 
@@ -289,19 +404,24 @@
     }
 
     /// Raises the version to that of another instance's cache that is merged in full.
-    pub fn raise_version(&mut self, version: u64) {
+    pub fn raise_version(&mut self, version: StoreVersion) {
         self.version = self.version.max(version);
     }
 }
 
 /// Caches of all watched tables.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TableCaches {
     document: TableCache,
     endpoints: TableCache,
 }
 
 impl TableCaches {
+    /// Creates empty caches of the documents' and the endpoints' rows.
+    pub fn new(document: RecencyReader, endpoint: RecencyReader) -> Self {
+        Self { document: TableCache::new(document), endpoints: TableCache::new(endpoint) }
+    }
+
     /// Returns the cache of a table.
     pub fn table(&mut self, table: WatchedTable) -> &mut TableCache {
         match table {
@@ -311,7 +431,7 @@
     }
 
     /// Returns the versions of the caches, in the order of [`WatchedTable::ALL`].
-    pub fn versions(&self) -> [u64; 2] {
+    pub fn versions(&self) -> [StoreVersion; 2] {
         [self.document.version, self.endpoints.version]
     }
 }
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use metrics::gauge;
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::time::sleep;
@@ -26,7 +27,7 @@
     pub(crate) async fn await_peer_table(&self, table: WatchedTable) {
         let started_at = self.now();
         loop {
-            let is_loaded = self.tables.borrow_mut().table(table).version() > 0;
+            let is_loaded = !self.tables.borrow_mut().table(table).version().is_empty();
             let is_reader = self.peers.is_discovered.get()
                 && !self.peers.membership.borrow().subscribed().is_empty()
                 && !self.has_zone_reader();
@@ -70,6 +71,7 @@
             }
         };
         let is_full = change.is_full;
+        self.record_store_history(change.version.history);
         let (changed, is_complete) = self.tables.borrow_mut().table(table).merge_change(change);
         self.apply_changed_rows(table, &changed);
         // Endpoints of the first full read are not known to have started just now.
@@ -81,13 +83,13 @@
     }
 
     /// Merges a full read of a table; cached rows missing from it are removed.
-    pub(crate) fn merge_snapshot(&self, table: WatchedTable, rows: Vec<StoredRow>, version: u64) {
-        let (ignored, changed) = {
-            let mut tables = self.tables.borrow_mut();
-            let cache = tables.table(table);
-            (cache.count_older(&rows), cache.merge_snapshot(rows, version))
-        };
-        self.record_ignored_rows(table, ignored);
+    pub(crate) fn merge_snapshot(
+        &self,
+        table: WatchedTable,
+        rows: Vec<StoredRow>,
+        version: StoreVersion,
+    ) {
+        let changed = self.tables.borrow_mut().table(table).merge_snapshot(rows, version);
         self.apply_changed_rows(table, &changed);
         if table == WatchedTable::Endpoints {
             self.directory.borrow_mut().set_endpoints_loaded();
@@ -95,21 +97,23 @@
         self.peers.changed.notify_one();
     }
 
-    /// Measures the rows of a full read that were ignored, and logs a change of their number.
-    fn record_ignored_rows(&self, table: WatchedTable, count: usize) {
-        gauge!(meter::IGNORED_ROWS, "table" => table.label()).set(count as f64);
-        let mut known = self.ignored_rows.get();
+    /// Measures the rows that the store has older, and logs a change of their number.
+    fn record_kept_rows(&self, table: WatchedTable) {
+        let count = self.tables.borrow_mut().table(table).kept_count();
+        let mut known = self.kept_rows.get();
         if std::mem::replace(&mut known[table.index()], count) != count {
-            log_event!(LogEvent::RowsIgnored, "table={table:?} rows={count}");
+            gauge!(meter::KEPT_ROWS, "table" => table.label()).set(count as f64);
+            log_event!(LogEvent::RowsKept, "table={table:?} rows={count}");
         }
-        self.ignored_rows.set(known);
+        self.kept_rows.set(known);
     }
 
     fn apply_changed_rows(&self, table: WatchedTable, rows: &[StoredRow]) {
+        self.record_kept_rows(table);
         let is_first = self.directory.borrow().document().version == 0;
         for row in rows {
             if let Some(change) = self.platform.decode_row(table, row) {
-                self.apply_row_change(change);
+                self.apply_row_change(change, row.version);
             }
         }
         if table == WatchedTable::Document && is_first {
--- a/crates/engine/tests/peer_messages.rs
+++ b/crates/engine/tests/peer_messages.rs
@@ -9,6 +9,7 @@
 };
 use engine::table_change::{DeltaContent, PackedChange, RowDelta, TableChange};
 use quickcheck::quickcheck;
+use state::store_version::StoreVersion;
 
 fn record() -> InstanceRecord {
     InstanceRecord {
@@ -22,7 +23,12 @@
 
 fn heads() -> FleetHeads {
     let leader = ("bookings".to_owned(), "m-1".to_owned(), 3);
-    FleetHeads { table_versions: [4, 9], document_version: 2, leaders: vec![leader] }
+    let [document, endpoints] = [4, 9].map(|number| StoreVersion::new(1, number));
+    FleetHeads {
+        table_versions: [document, endpoints],
+        document_version: StoreVersion::new(1, 2),
+        leaders: vec![leader],
+    }
 }
 
 fn view() -> PeerReply {
@@ -35,8 +41,9 @@
 
 fn change() -> PeerReply {
     let content = DeltaContent::Whole(vec![1, 2, 3]);
-    let row = RowDelta { key: "config".to_owned(), version: 4, content };
-    let change = TableChange { after: 3, version: 4, is_full: false, rows: vec![row] };
+    let [after, version] = [3, 4].map(|number| StoreVersion::new(1, number));
+    let row = RowDelta { key: "config".to_owned(), version, origin: 1, content };
+    let change = TableChange { after, version, is_full: false, rows: vec![row] };
     let change = PackedChange::pack(&change).expect("the change is packed");
     PeerReply::Change { table: WatchedTable::Document, change }
 }
@@ -103,9 +110,9 @@
 fn only_changed_leaders_are_published() {
     let mut current = heads();
     current.leaders.push(("register".to_owned(), "m-4".to_owned(), 1));
-    current.table_versions = [5, 9];
+    current.table_versions[0] = StoreVersion::new(1, 5);
     let changes = current.changes_since(&heads());
-    assert_eq!(changes.table_versions, [5, 9]);
+    assert_eq!(changes.table_versions, current.table_versions);
     assert_eq!(changes.leaders, [("register".to_owned(), "m-4".to_owned(), 1)]);
 }
 
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod document;
 pub mod position;
 pub mod session;
+pub mod store_version;
 pub mod token;
--- /dev/null
+++ b/crates/state/src/store_version.rs
@@ -0,0 +1,47 @@
+//! Versions of the platform's store, which may come back from an older copy.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Version of the store, of one of its rows or of a table.
+///
+/// A store that comes back from an older copy gives out the numbers after the copy's a second time,
+/// and begins a new history. Versions of a later history are newer whatever their numbers are.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct StoreVersion {
+    /// History of the store; rises by one each time that the store comes back from an older copy.
+    pub history: u64,
+    /// Number of the change within the history.
+    pub number: u64,
+}
+
+impl StoreVersion {
+    /// Creates a version.
+    pub fn new(history: u64, number: u64) -> Self {
+        Self { history, number }
+    }
+
+    /// Returns whether any change is included.
+    pub fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+
+    /// Returns the lowest version above this one.
+    pub fn successor(self) -> Self {
+        Self { number: self.number.saturating_add(1), ..self }
+    }
+
+    /// Returns the version below all changes of a history.
+    pub fn start_of(history: u64) -> Self {
+        Self { history, number: 0 }
+    }
+}
+
+impl fmt::Display for StoreVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.history, self.number)
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -82,11 +82,8 @@
     CallOutdated = 1119, Warn, "call_outdated";
     /// The store no longer has the changes after the cached version of a table, which is read in full.
     HistoryExpired = 1120, Info, "history_expired";
-    /// A document was not applied, as its version is lower than that of the one in force.
-    DocumentIgnored = 1121, Warn, "document_ignored";
-    /// Rows of the store differ from the cached ones and were ignored for their lower versions, or
-    /// none are ignored any more.
-    RowsIgnored = 1122, Warn, "rows_ignored";
+    /// The content of some rows is kept, or no longer is: the store came back with older content.
+    RowsKept = 1121, Warn, "rows_kept";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
     /// A caller's connection closed.
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -80,11 +80,12 @@
 pub const STORE_READ_SECONDS: &str = "hibiscus_store_read_seconds";
 /// Reads of changes that the store no longer had, by table.
 pub const EXPIRED_READS: &str = "hibiscus_expired_reads_total";
-/// Rows of the last full read of a table that differ from the cached ones and were ignored for their
-/// lower versions, by table.
-pub const IGNORED_ROWS: &str = "hibiscus_ignored_rows";
-/// History of the store, as last answered.
+/// Rows of a table whose content is kept, as the store came back with older content, by table.
+pub const KEPT_ROWS: &str = "hibiscus_kept_rows";
+/// Newest history of the store that is known.
 pub const STORE_HISTORY: &str = "hibiscus_store_history";
+/// Changes of the store's history that were noticed.
+pub const STORE_HISTORY_CHANGES: &str = "hibiscus_store_history_changes_total";
 /// Calls that were not run, as a document that must have been replaced allowed them.
 pub const OUTDATED_CALLS: &str = "hibiscus_outdated_calls_total";
 /// Rows of the store that were left out since they make no sense, by table.
