Count the statements of a session's setup in 32 bits, and bound them

Cause: the number of statements that give a connection the values and names of a session travelled in 8 bits. From 255 on (the reset counts too) it wrapped, so too few answers were read and the next one was taken for the caller's. The statements of an open transaction were cut off at 255 in the same way.

Ruled out: `count`, `answer_index` and `confirming_answer_index` are the constants 0 to 2 and never computed; the other `as` casts of crates/engine, crates/coord and platform are of frame parts (at most 8 KiB), ranks and clamped shares, or lengths of table transfers in table_fetch.rs and table_server.rs, which are left as they are.

Change: `setup_count` has 32 bits. A session holds at most 4,096 values and names, whose statements have at most 2 MiB, and as much again while they wait for the connection of an open transaction. What cannot be held is refused at once with MALFORMED and changes nothing.

--- a/crates/coord/src/session.rs
+++ b/crates/coord/src/session.rs
@@ -8,6 +8,17 @@
 
 use state::position::LogPosition;
 
+/// Maximum number of parameters and prepared statements of a session.
+///
+/// The member's answers to them must fit into the buffers of a connection, as they are read only
+/// after all of these statements have been sent.
+pub const MAX_SETUP_ENTRIES: usize = 4_096;
+/// Maximum length of the statements that set a session's parameters and prepare its statements, in
+/// bytes.
+///
+/// They travel between instances in one message with a statement of up to 1 MiB.
+pub const MAX_SETUP_BYTES: usize = 2 << 20;
+
 /// Statement of a caller, reduced to what the session must know about it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StatementClass {
@@ -72,6 +83,8 @@
     RolledBack,
     /// The statement writes in a read-only transaction.
     ReadOnly,
+    /// The session cannot hold more parameters and prepared statements.
+    SetupFull,
 }
 
 /// Action to take for a statement.
@@ -226,19 +239,16 @@
                 self.phase = TransactionPhase::Begun { read_only: *read_only, began_at };
                 StatementAction::Acknowledge
             }
-            Class::Set { name } => {
-                self.add_setup(name, text, false, false);
-                StatementAction::Acknowledge
-            }
-            Class::Prepare { name, writes } => {
-                self.add_setup(name, text, true, *writes);
-                StatementAction::Acknowledge
-            }
+            Class::Set { name } => self.add_setup(name, text, false, false),
+            Class::Prepare { name, writes } => self.add_setup(name, text, true, *writes),
             Class::Deallocate { name } => {
                 let exists = self.find_prepared(name).is_some();
                 if !exists {
                     return StatementAction::Refuse(StatementError::UnknownStatement);
                 }
+                if !self.may_add_pending(text) {
+                    return StatementAction::Refuse(StatementError::SetupFull);
+                }
                 self.setup.retain(|entry| !(entry.is_prepared && entry.name == *name));
                 self.record_setup_change(text);
                 StatementAction::Acknowledge
@@ -372,11 +382,30 @@
         self.setup.iter().find(|entry| entry.is_prepared && entry.name == name)
     }
 
-    fn add_setup(&mut self, name: &str, text: &str, is_prepared: bool, writes: bool) {
-        self.setup.retain(|entry| !(entry.is_prepared == is_prepared && entry.name == name));
+    /// Adds a parameter or a prepared statement, in place of one of the same name.
+    fn add_setup(
+        &mut self,
+        name: &str,
+        text: &str,
+        is_prepared: bool,
+        writes: bool,
+    ) -> StatementAction {
+        let is_replaced =
+            |entry: &SetupEntry| entry.is_prepared == is_prepared && entry.name == name;
+        let kept = self.setup.iter().filter(|entry| !is_replaced(entry));
+        if !has_room(kept.map(|entry| entry.text.as_str()), text) || !self.may_add_pending(text) {
+            return StatementAction::Refuse(StatementError::SetupFull);
+        }
+        self.setup.retain(|entry| !is_replaced(entry));
         let (name, owned_text) = (name.to_owned(), text.to_owned());
         self.setup.push(SetupEntry { name, text: owned_text, is_prepared, writes });
         self.record_setup_change(text);
+        StatementAction::Acknowledge
+    }
+
+    /// Returns whether the statements that wait for the pinned connection leave room for this one.
+    fn may_add_pending(&self, text: &str) -> bool {
+        !self.is_pinned() || has_room(self.pending_setup.iter().map(String::as_str), text)
     }
 
     fn record_setup_change(&mut self, text: &str) {
@@ -386,3 +415,10 @@
         }
     }
 }
+
+/// Returns whether a session can hold one more statement beside these.
+fn has_room<'a>(texts: impl Iterator<Item = &'a str>, text: &str) -> bool {
+    let (count, length) =
+        texts.fold((1, text.len()), |(count, length), text| (count + 1, length + text.len()));
+    count <= MAX_SETUP_ENTRIES && length <= MAX_SETUP_BYTES
+}
--- a/crates/coord/tests/sessions.rs
+++ b/crates/coord/tests/sessions.rs
@@ -10,7 +10,8 @@
     MemberObservation, MemberReport, PromotionCause, PromotionDecision, PromotionMachine,
 };
 use coord::session::{
-    ForwardPlan, SessionMachine, StatementAction, StatementClass, StatementError, TransactionState,
+    ForwardPlan, MAX_SETUP_BYTES, MAX_SETUP_ENTRIES, SessionMachine, StatementAction,
+    StatementClass, StatementError, TransactionState,
 };
 use coord::watermark::{Watermark, WatermarkRing};
 use state::position::LogPosition;
@@ -100,6 +101,40 @@
     assert_eq!(machine.setup_statements().collect::<Vec<_>>(), ["SET a 1"]);
 }
 
+#[test]
+fn settings_beyond_the_limits_of_a_session_are_refused() {
+    let now = Instant::now();
+    let set_class = |name: &str| StatementClass::Set { name: name.to_owned() };
+    let refused = StatementAction::Refuse(StatementError::SetupFull);
+    let mut machine = SessionMachine::default();
+    for number in 0..MAX_SETUP_ENTRIES {
+        let name = format!("s{number}");
+        let action = machine.handle_statement(&set_class(&name), &format!("SET {name} 1"), now);
+        assert_eq!(action, StatementAction::Acknowledge);
+    }
+    let version = machine.setup_version();
+    assert_eq!(machine.handle_statement(&set_class("new"), "SET new 1", now), refused);
+    assert_eq!(machine.setup_version(), version, "a refused statement changes nothing");
+    let action = machine.handle_statement(&set_class("s7"), "SET s7 2", now);
+    assert_eq!(action, StatementAction::Acknowledge, "a value that is replaced takes no more room");
+    assert_eq!(machine.setup_statements().count(), MAX_SETUP_ENTRIES);
+
+    let mut machine = SessionMachine::default();
+    let long_text = format!("SET a {}", "x".repeat(MAX_SETUP_BYTES / 2));
+    machine.handle_statement(&set_class("a"), &long_text, now);
+    assert_eq!(machine.handle_statement(&set_class("b"), &long_text, now), refused);
+    machine.handle_statement(&begin_class(false), "BEGIN", now);
+    let plan = forward_plan(machine.handle_statement(&StatementClass::Write, "w", now));
+    machine.record_success(&plan, None);
+    let mut set_again = || machine.handle_statement(&set_class("a"), &long_text, now);
+    assert_eq!(set_again(), StatementAction::Acknowledge);
+    assert_eq!(set_again(), refused, "the connection has not executed the first one yet");
+    assert_eq!(machine.transaction_state(), TransactionState::Open);
+    machine.take_pending_setup();
+    let action = machine.handle_statement(&set_class("a"), &long_text, now);
+    assert_eq!(action, StatementAction::Acknowledge);
+}
+
 /// Compares the transaction state that callers see with a model of the statements.
 #[test]
 fn transaction_state_matches_a_model() {
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -459,5 +459,9 @@
         }
         StatementError::RolledBack => (RefusalCode::Aborted, "the transaction was rolled back"),
         StatementError::ReadOnly => (RefusalCode::ReadOnly, "the transaction is read-only"),
+        StatementError::SetupFull => (
+            RefusalCode::Malformed,
+            "the session has too many or too long values and prepared statements",
+        ),
     }
 }
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -71,7 +71,7 @@
     /// Statements that apply these settings to a connection, as sent to the endpoint.
     pub setup_bytes: Vec<u8>,
     /// Number of statements in `setup_bytes`.
-    pub setup_count: u8,
+    pub setup_count: u32,
     /// Statement that opens a transaction, as sent to the endpoint; empty for none.
     ///
     /// It must succeed before the other statements are sent: a member that refuses it would run
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -286,11 +286,11 @@
         let mut call =
             self.build_call(context, &transaction.endpoint, batch, transaction.transaction_id);
         call.pinned = true;
-        call.setup_bytes.clear();
+        (call.setup_bytes, call.setup_count) = (Vec::new(), 0);
         for text in &context.pending_setup {
             E::Codec::encode_control(&mut call.setup_bytes, ControlStatement::Setup(text));
+            call.setup_count += 1;
         }
-        call.setup_count = u8::try_from(context.pending_setup.len()).unwrap_or(u8::MAX);
         call.answer_timeout_ms = millis(context.route.statement_timeout);
         let admits = |instance: &Self| {
             let now = instance.now();
