Track what a transaction sets on its connection

Cause: a connection is labelled with the setup that it has. Statements that changed the setup within a transaction were sent to its pinned connection, but the label stayed that of the transaction's first call. After the transaction the connection went back to the pool as one without values, and the next session without values got it without a reset.

Ruled out: values that are set before the first statement, which are sent with the label of the call.

Change: `ConnectionSetup` says what a connection has: a known setup, one that holds if the open transaction commits, or an unknown one, which is reset before the next call. A commit without an error makes the changes known. After a rollback, an error, or a caller that left, they are unknown, as nothing says whether a member takes them back; a connection whose answers are lost is closed as before. A liveness check whose reset is answered by an error no longer counts as a reset.

The paths back to the pool: the end of a call (recycle_connection), a call that was not sent (recycle_unsent), a rollback (roll_back, for sessions that end, expire or fail, and for lost peers), the liveness check.

The stand-in for members records session values.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cold_budget;
 pub mod congestion;
 pub mod connection_reuse;
+pub mod connection_setup;
 pub mod document_history;
 pub mod document_lag;
 pub mod document_state;
--- a/crates/engine/src/connection_acquire.rs
+++ b/crates/engine/src/connection_acquire.rs
@@ -265,12 +265,12 @@
         let mut bytes = Vec::new();
         E::Codec::encode_control(&mut bytes, ControlStatement::Reset);
         pool.charge_cold(self.now());
-        connection.applied_setup_id = 0;
         let check = async {
             connection.send(&bytes).await.ok()?;
             connection.read_answer::<E::Codec>().await.ok()
         };
-        timeout(CLEANUP_TIMEOUT, check).await.ok().flatten()?;
+        let answer = timeout(CLEANUP_TIMEOUT, check).await.ok().flatten()?;
+        connection.setup.record_reset(0, answer.error.is_some());
         Some(connection)
     }
 }
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -20,6 +20,7 @@
 
 use crate::connection_acquire::{request_kind, team_hash};
 use crate::endpoint_connection::EndpointConnection;
+use crate::exchange::needs_setup;
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
 use crate::message::{
@@ -31,8 +32,6 @@
 
 /// Bounds a rollback and the liveness check of an idle connection.
 pub(crate) const CLEANUP_TIMEOUT: Duration = Duration::from_millis(400);
-/// Setup identifier of a connection whose session settings are not known.
-pub(crate) const UNKNOWN_SETUP_ID: u64 = u64::MAX;
 
 /// Identifies the source of calls: a connection from a peer instance, or zero for this instance.
 pub type CallOrigin = u64;
@@ -291,7 +290,7 @@
         connection.is_new = false;
         // Only a cold endpoint has a budget.
         if pool.cold.borrow().is_some() {
-            let needs_setup = call.pinned || connection.applied_setup_id != call.setup_id;
+            let needs_setup = needs_setup(&connection, call);
             if let Err(retry) = self.wait_while_cold(pool, call, needs_setup, latest_send).await {
                 self.recycle_unsent(pool, call, connection);
                 return not_sent(NotSentReason::QueueDelay, retry);
@@ -405,7 +404,8 @@
         answers: &[StatementAnswer],
     ) {
         let state = answers.last().map_or(TransactionState::Failed, |answer| answer.state);
-        let pooled = PooledConnection { pool: pool.clone(), team: call.team.clone(), connection };
+        let mut pooled =
+            PooledConnection { pool: pool.clone(), team: call.team.clone(), connection };
         // A failed statement may leave the transaction open at the endpoint, but its session
         // abandons it.
         let failed = answers.iter().any(|answer| answer.error.is_some());
@@ -414,7 +414,10 @@
             TransactionState::Open if kept => {
                 self.pools.pinned.borrow_mut().insert((origin, call.transaction_id), pooled);
             }
-            TransactionState::Idle => self.return_idle(pooled),
+            TransactionState::Idle => {
+                pooled.connection.setup.end_transaction(!call.keep_pinned && !failed);
+                self.return_idle(pooled);
+            }
             TransactionState::Open | TransactionState::Failed => self.roll_back(pooled),
         }
     }
@@ -461,7 +464,10 @@
                 (answer.state == TransactionState::Idle).then_some(())
             };
             match timeout(CLEANUP_TIMEOUT, rolled_back).await {
-                Ok(Some(())) => instance.return_idle(pooled),
+                Ok(Some(())) => {
+                    pooled.connection.setup.end_transaction(false);
+                    instance.return_idle(pooled);
+                }
                 Ok(None) | Err(_) => pooled.pool.close_connection(pooled.connection),
             }
         });
--- a/crates/engine/src/endpoint_connection.rs
+++ b/crates/engine/src/endpoint_connection.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use coord::connection_setup::ConnectionSetup;
 use coord::session::TransactionState;
 use snafu::Snafu;
 use state::position::LogPosition;
@@ -51,9 +52,8 @@
 pub struct EndpointConnection {
     stream: TcpStream,
     input: LineBuffer,
-    /// Identifier of the session settings and prepared statements that the connection has; zero for
-    /// none.
-    pub applied_setup_id: u64,
+    /// Session values and prepared statements that the connection has.
+    pub setup: ConnectionSetup,
     /// The connection has not carried a call yet.
     pub is_new: bool,
 }
@@ -80,8 +80,12 @@
             Ok(Ok(stream)) => stream,
         };
         stream.set_nodelay(true).map_err(|source| EndpointError::Io { source })?;
-        let mut connection =
-            Self { stream, input: LineBuffer::default(), applied_setup_id: 0, is_new: true };
+        let mut connection = Self {
+            stream,
+            input: LineBuffer::default(),
+            setup: ConnectionSetup::default(),
+            is_new: true,
+        };
         connection.send(startup).await?;
         connection.read_startup::<C>().await?;
         Ok(connection)
--- a/crates/engine/src/exchange.rs
+++ b/crates/engine/src/exchange.rs
@@ -9,7 +9,6 @@
 use telemetry::meter;
 use tokio::time::timeout;
 
-use crate::connection_owner::UNKNOWN_SETUP_ID;
 use crate::endpoint_connection::EndpointConnection;
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::message::{ExecuteCall, StatementAnswer};
@@ -75,7 +74,7 @@
         connection: &mut EndpointConnection,
         call: &ExecuteCall,
     ) -> Option<Vec<StatementAnswer>> {
-        let needs_setup = call.pinned || connection.applied_setup_id != call.setup_id;
+        let needs_setup = needs_setup(connection, call);
         let setup_count = if needs_setup { call.setup_count } else { 0 };
         let setup_bytes = if setup_count > 0 { call.setup_bytes.as_slice() } else { &[] };
         let opens_transaction = !call.begin_bytes.is_empty();
@@ -85,14 +84,15 @@
         } else {
             connection.send(&[setup_bytes, first_bytes].concat()).await.ok()?;
         }
-        if !call.pinned {
-            connection.applied_setup_id = call.setup_id;
-        }
+        let mut has_failed = false;
         for _ in 0..setup_count {
             let answer = self.read_answer_or_probe(pool, connection, call).await?;
-            if answer.error.is_some() {
-                connection.applied_setup_id = UNKNOWN_SETUP_ID;
-            }
+            has_failed |= answer.error.is_some();
+        }
+        match (setup_count, call.pinned) {
+            (0, _) => {}
+            (_, true) => connection.setup.record_change(call.setup_id, has_failed),
+            (_, false) => connection.setup.record_reset(call.setup_id, has_failed),
         }
         if opens_transaction {
             let begin_answer = self.read_answer_or_probe(pool, connection, call).await?;
@@ -113,3 +113,9 @@
         Some(answers)
     }
 }
+
+/// Returns whether the setup of a call must be sent: what the transaction has changed, or all that a
+/// connection with another setup must have.
+pub(crate) fn needs_setup(connection: &EndpointConnection, call: &ExecuteCall) -> bool {
+    call.pinned || !connection.setup.is_current(call.setup_id)
+}
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -1,5 +1,6 @@
 //! The soak detects each kind of violation, and a seed always gives the same fault schedule.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use soak::caller::{AttemptedWrite, CallerHistory, ReportedOutcome};
@@ -14,7 +15,14 @@
 
 fn statement(id: &str, connection: u64, in_transaction: bool) -> ExecutedStatement {
     let (id, team) = (id.to_owned(), CALLER_TEAM.to_owned());
-    ExecutedStatement { id, text: "READ a".to_owned(), team, connection, in_transaction }
+    ExecutedStatement {
+        id,
+        text: "READ a".to_owned(),
+        team,
+        connection,
+        in_transaction,
+        values: BTreeMap::new(),
+    }
 }
 
 /// Defines a case: committed data, attempted writes, executed statements, number of violations.
--- a/crates/standin/src/gateway_platform/group.rs
+++ b/crates/standin/src/gateway_platform/group.rs
@@ -1,6 +1,6 @@
 //! Shared state of a replicated database: its log, its term, and what each member applied and ran.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,8 @@
     pub connection: u64,
     /// Whether a transaction was open on the connection.
     pub in_transaction: bool,
+    /// Session values of the connection.
+    pub values: BTreeMap<String, String>,
 }
 
 /// Faults that are injected into a member.
--- a/crates/standin/src/gateway_platform/member.rs
+++ b/crates/standin/src/gateway_platform/member.rs
@@ -1,6 +1,6 @@
 //! Database member that speaks the gateway's line protocol.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -41,6 +41,7 @@
     writes: Vec<(String, String)>,
     /// Whether each prepared statement is a write, by statement name.
     prepared: HashMap<String, bool>,
+    values: BTreeMap<String, String>,
 }
 
 async fn serve_connection(group: SharedGroup, member: usize, stream: TcpStream) {
@@ -78,6 +79,7 @@
         is_writable: false,
         writes: Vec::new(),
         prepared: HashMap::new(),
+        values: BTreeMap::new(),
     };
     let ready_line = connection.ready_line();
     if writer.write_all(ready_line.as_bytes()).await.is_ok() {
@@ -164,13 +166,21 @@
             }
             "RESET" => {
                 self.prepared.clear();
+                self.values.clear();
+                complete()
+            }
+            "SET" => {
+                self.values.insert(words[1].to_owned(), words[2..].join(" "));
                 complete()
             }
-            "SET" => complete(),
             "PREPARE" => {
                 self.prepared.insert(words[1].to_owned(), words[2] == "WRITE");
                 complete()
             }
+            "DEALLOCATE" => match self.prepared.remove(words[1]) {
+                Some(_) => complete(),
+                None => Some(Err("NOSTMT")),
+            },
             "BEGIN" if self.transaction_state != 'I' => Some(Err("MALFORMED")),
             "BEGIN" if words.len() == 1 && !is_leader => Some(Err("READONLY")),
             "BEGIN" => {
@@ -225,6 +235,7 @@
             team: self.team.clone(),
             connection: self.connection_id,
             in_transaction,
+            values: self.values.clone(),
         });
         if !is_write && faults.fails_reads {
             return Some(Err("FAILED"));
