Name the requests that the end of a process or a close cuts

Callers saw connections end without an answer around planned stops, and no line named a request: HB6002 had the number of sessions only.

HB6002 now says how many sessions are open, how many of them wait for an answer, how many have a transaction, and how many calls of other instances wait. Nothing else changes.

No tests were run for this commit alone.

--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -19,6 +19,7 @@
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{CallerRequest, RefusalCode, WireCodec};
 use crate::line_buffer::LineBuffer;
+use crate::open_sessions::SessionProgress;
 use crate::progress;
 use crate::record::RouteRecord;
 use crate::statement::{PinnedTransaction, StatementContext, StatementResult};
@@ -55,6 +56,7 @@
     machine: SessionMachine,
     session_id: u64,
     pinned: Option<PinnedTransaction>,
+    progress: Rc<SessionProgress>,
     /// Time at which the current statement arrived.
     arrived_at: Instant,
 }
@@ -107,8 +109,10 @@
         return;
     }
     let (reader, writer) = stream.into_split();
+    let session_id = instance.new_session_id();
     let mut session = CallerSession {
-        session_id: instance.new_session_id(),
+        progress: instance.open_sessions.add(session_id),
+        session_id,
         arrived_at: instance.now(),
         instance: instance.clone(),
         reader,
@@ -123,6 +127,7 @@
         session.serve().await;
     }
     session.release_transaction();
+    instance.open_sessions.remove(session_id);
 }
 
 impl<E: EngineTypes> CallerSession<E> {
@@ -199,11 +204,15 @@
                         CallerRequest::Terminate => return,
                         CallerRequest::Statement { id, text, class } => {
                             self.arrived_at = arrived_at;
+                            self.progress.begin_request(&id, &self.database, arrived_at);
                             let answer =
                                 self.answer_statement(&id, &text, &class, arrived_at).await;
                             if self.write(&answer).await.is_none() {
+                                self.progress.cut_request("write_failed", self.instance.now());
                                 return;
                             }
+                            let state = self.machine.transaction_state();
+                            self.progress.end_request(state != TransactionState::Idle);
                         }
                         CallerRequest::Startup { .. } | CallerRequest::Malformed => {
                             let mut out = Vec::new();
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -29,6 +29,7 @@
 use crate::connection_owner::ConnectionPools;
 use crate::directory::FleetDirectory;
 use crate::interface::{PlatformApi, RefusedRow, RowChange, WatchedTable, WireCodec};
+use crate::open_sessions::OpenSessions;
 use crate::peer::PeerTable;
 use crate::record::InstanceRecord;
 use crate::refused_rows::RefusedRows;
@@ -128,6 +129,8 @@
     pub(crate) service_loads: ServiceLoads,
     /// Number of open caller sessions.
     pub caller_count: Cell<usize>,
+    /// Open caller sessions and calls of peers.
+    pub open_sessions: OpenSessions,
     grace_period: Cell<Duration>,
     started_at: Instant,
     leaving_since: Cell<Option<Instant>>,
@@ -208,6 +211,7 @@
             kept_rows: Cell::default(),
             started_at,
             caller_count: Cell::new(0),
+            open_sessions: OpenSessions::default(),
             leaving_since: Cell::new(None),
             leave_signal: Notify::new(),
             store_reachable: Cell::new(false),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -30,6 +30,7 @@
 mod link_upkeep;
 mod member_load;
 pub mod message;
+pub mod open_sessions;
 mod output_queue;
 pub mod peer;
 pub mod peer_link;
--- a/crates/engine/src/lifecycle.rs
+++ b/crates/engine/src/lifecycle.rs
@@ -114,6 +114,15 @@
             }
             sleep(DRAIN_POLL_INTERVAL).await;
         }
-        log_event!(LogEvent::DrainEnded, "callers={}", self.caller_count.get());
+        let work = self.open_sessions.work();
+        log_event!(
+            LogEvent::DrainEnded,
+            "callers={} waiting={} transactions={} peer_calls={}",
+            work.callers,
+            work.waiting,
+            work.transactions,
+            work.peer_calls
+        );
+        self.open_sessions.log_cut_requests(self.now());
     }
 }
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -154,9 +154,11 @@
             PeerRequest::Unsubscribe => self.unsubscribe_peer(connection),
             PeerRequest::Report(report) => self.receive_report(connection, *report),
             PeerRequest::Execute { call_id, body } => {
+                self.open_sessions.begin_peer_call();
                 tokio::task::spawn_local(async move {
                     let body = Box::new(instance.execute_locally(origin, *body).await);
                     output.push(&PeerReply::Execute { call_id, body });
+                    instance.open_sessions.end_peer_call();
                 });
             }
             PeerRequest::Release { transaction_id } => self.release_locally(origin, transaction_id),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -174,6 +174,8 @@
     DrainStarted = 6001, Info, "drain_started";
     /// The instance has drained or reached its drain deadline.
     DrainEnded = 6002, Info, "drain_ended";
+    /// A request that was read gets no answer, or only a part of it.
+    RequestCut = 6003, Warn, "request_cut";
 }
 
 impl fmt::Display for LogEvent {
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -19,6 +19,9 @@
 pub const QUOTA_REQUESTS: &str = "hibiscus_quota_requests_total";
 /// Teams that crossed their limit, by direction.
 pub const TEAM_LOAD_CHANGES: &str = "hibiscus_team_load_changes_total";
+/// Requests that were read and got no complete answer, by cause: process_end, peer_call or
+/// write_failed.
+pub const CUT_REQUESTS: &str = "hibiscus_cut_requests_total";
 /// Retried requests, by reason.
 pub const RETRIES: &str = "hibiscus_retries_total";
 /// Requests refused before any member was asked, by cause.
