Keep acknowledged commits over promotions with synchronous replicas

Callers saw: about 30 acknowledged writes were gone after a planned replacement of a leader (`sync_replicas` 1), if the member that took over received nothing between its choice and its promotion. Cause: positions were compared once, before the request. The old leader acknowledges until the promotion takes effect, with the confirmation of any replica, while the promoted member keeps only what it has received itself. Ruled out: a wrong choice (the replicas were level when it was made); a lost request (one POST, answered with 200). Change: before the request, the other replicas are held with PAUSE at a term above all reported ones, so many that the rest cannot confirm a commit without the candidate: replicas less `sync_replicas`. Commits that were confirmed before were received by a held replica, so the promotion waits until the candidate has received as much as each of them. It does not start if too few replicas can be held. Writes go on meanwhile, confirmed by the candidate. The replicas are resumed once the member leads. An instance that acquires the lease looks for held replicas; before it resumes them it requests the promotion of the leader itself with its own token, so that an unanswered earlier request is refused. Services without synchronous replicas take the path they took. The stand-in members of the tests and of the review answer PAUSE and RESUME as PROTOCOL.md describes; the review's reported its term as the term held and knew neither.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -9,7 +9,7 @@
 //! its primary. The engine uses the others, which speak of a service and its leader. It replicates
 //! the platform's tables with [`read_schedule`], [`table_source`], [`transfer_gate`] and
 //! [`table_age`], judges its document with [`document_state`], [`document_lag`] and
-//! [`document_history`], keeps work out of zones and regions with [`evacuation`] and [`regions`],
+//! [`document_history`], keeps acknowledged commits over a promotion with [`replica_hold`], keeps work out of zones and regions with [`evacuation`] and [`regions`],
 //! and sheds load with [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and
 //! [`retry_budget`].
 
@@ -38,6 +38,7 @@
 pub mod refusal_cache;
 pub mod regions;
 pub mod rendezvous;
+pub mod replica_hold;
 pub mod replica_lag;
 pub mod retry_budget;
 pub mod routing;
--- a/crates/coord/src/promotion.rs
+++ b/crates/coord/src/promotion.rs
@@ -29,6 +29,8 @@
 /// leader would hardly ever be replaced before its zone is closed. A candidate receives the rest
 /// during the promotion, which takes longer than the lag.
 pub const MAX_CANDIDATE_GAP: u64 = 8;
+/// Interval between rounds of probes that look for replicas which are still held.
+const INSPECTION_INTERVAL: Duration = Duration::from_secs(1);
 /// Consecutive rounds of probes without progress after which a candidate has received all that a
 /// closed leader had to send.
 const MIN_SETTLED_ROUNDS: u32 = 1;
@@ -45,6 +47,8 @@
     pub term: u64,
     /// Last log position that it received.
     pub received: LogPosition,
+    /// Term for which its replication is held; zero if it receives.
+    pub held_term: u64,
 }
 
 /// Member of a service as observed in the last round of probes.
@@ -96,16 +100,40 @@
     settled_rounds: u32,
     /// Consecutive rounds in which the zone of the leader was closed.
     closed_rounds: u32,
+    /// All members answered that they are not held.
+    is_inspected: bool,
+    /// Time of the last round of probes that looked for held replicas.
+    inspected_at: Option<Instant>,
 }
 
 impl PromotionMachine {
     /// Returns whether members must be probed before a decision: the leader is suspected, and no
     /// promotion was requested recently.
     pub fn needs_probe(&self, suspected: bool, now: Instant) -> bool {
-        let is_promoting = self
-            .promotion_requested_at
-            .is_some_and(|at| now.saturating_duration_since(at) < PROMOTION_RETRY_INTERVAL);
-        suspected && !is_promoting
+        suspected && !self.is_promoting(now)
+    }
+
+    fn is_promoting(&self, now: Instant) -> bool {
+        self.promotion_requested_at
+            .is_some_and(|at| now.saturating_duration_since(at) < PROMOTION_RETRY_INTERVAL)
+    }
+
+    /// Returns whether members must be probed for replicas that a promotion left held, by this
+    /// holder of the lease or an earlier one.
+    pub fn needs_inspection(&self, now: Instant) -> bool {
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= INSPECTION_INTERVAL;
+        !self.is_inspected && !self.is_promoting(now) && self.inspected_at.is_none_or(is_due)
+    }
+
+    /// Requires an inspection: replicas may be held.
+    pub fn require_inspection(&mut self) {
+        self.is_inspected = false;
+    }
+
+    /// Records whether all members answered a round of probes that they are not held.
+    pub fn record_inspection(&mut self, none_held: bool, now: Instant) {
+        self.is_inspected = none_held;
+        self.inspected_at = Some(now);
     }
 
     /// Records the result of a round of probes: whether any instance reached the leader.
--- a/crates/coord/tests/evacuation.rs
+++ b/crates/coord/tests/evacuation.rs
@@ -181,6 +181,7 @@
                 leads: *leads,
                 term: 1,
                 received: LogPosition::new(1, index),
+                held_term: 0,
             }),
         })
         .collect();
--- a/crates/coord/tests/sessions.rs
+++ b/crates/coord/tests/sessions.rs
@@ -210,7 +210,7 @@
 }
 
 fn report(leads: bool, index: u64) -> Option<MemberReport> {
-    Some(MemberReport { leads, term: 1, received: LogPosition::new(1, index) })
+    Some(MemberReport { leads, term: 1, received: LogPosition::new(1, index), held_term: 0 })
 }
 
 /// Returns a machine after rounds of probes that did not reach the leader.
--- a/crates/engine/src/endpoint_probe.rs
+++ b/crates/engine/src/endpoint_probe.rs
@@ -11,6 +11,7 @@
 use crate::interface::{ControlStatement, WireCodec};
 use crate::message::{ExecuteCall, StatementAnswer};
 use crate::pool::EndpointPool;
+use crate::replication::{ReplicationCodec, ReplicationStatement};
 
 /// Time without any response to outstanding statements after which the endpoint is probed on a new
 /// connection.
@@ -26,6 +27,26 @@
     /// Returns `None` if the endpoint does not answer within `PROBE_TIMEOUT`, or if its zone is
     /// closed, so that nothing may be sent to it.
     pub async fn probe_member(&self, endpoint: &str) -> Option<MemberReport> {
+        self.request_status(endpoint, |out| E::Codec::encode_control(out, ControlStatement::Status))
+            .await
+    }
+
+    /// Changes whether a replica receives commits, and returns its status afterwards; `None` as for
+    /// a probe, or if the replica refused.
+    pub(crate) async fn set_replication(
+        &self,
+        endpoint: &str,
+        statement: ReplicationStatement,
+    ) -> Option<MemberReport> {
+        self.request_status(endpoint, |out| E::Codec::encode_replication(out, statement)).await
+    }
+
+    /// Sends a statement that is answered with the status of the endpoint on a new connection.
+    async fn request_status(
+        &self,
+        endpoint: &str,
+        encode: impl FnOnce(&mut Vec<u8>),
+    ) -> Option<MemberReport> {
         if self.is_closed(endpoint) {
             return None;
         }
@@ -37,7 +58,7 @@
         let probe = async {
             let mut startup = Vec::new();
             E::Codec::encode_startup(&mut startup, &service, PROBE_TEAM, endpoint);
-            E::Codec::encode_control(&mut startup, ControlStatement::Status);
+            encode(&mut startup);
             let mut connection =
                 EndpointConnection::open::<E::Codec>(address, &startup, OPEN_TIMEOUT).await?;
             connection.read_answer::<E::Codec>().await
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -10,6 +10,7 @@
     LEADER_GRACE_PERIOD, MemberObservation, MemberReport, PromotionDecision, PromotionMachine,
 };
 use coord::rendezvous;
+use coord::replica_hold::ReplicaHold;
 use metrics::counter;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
@@ -51,7 +52,7 @@
 
 /// Promotion lease as last written by this instance.
 #[derive(Debug, Default)]
-struct HeldLease {
+pub(crate) struct HeldLease {
     lease: PromotionLease,
     version: u64,
     /// Local time until which the lease counts as valid, from the time its write was sent.
@@ -70,6 +71,7 @@
         let held = Rc::new(RefCell::new(HeldLease::default()));
         let mut vacant_since = None;
         let mut machines: HashMap<String, Rc<RefCell<PromotionMachine>>> = HashMap::new();
+        let mut is_holder = false;
         loop {
             let is_idle = self.promotion_token().is_none() && self.coordinator_rank() != Some(0);
             sleep(if is_idle { IDLE_CHECK_INTERVAL } else { CHECK_INTERVAL }).await;
@@ -82,15 +84,22 @@
             }
             self.maintain_lease(&held, &mut vacant_since).await;
             if self.promotion_token().is_none() {
+                is_holder = false;
                 continue;
             }
+            if !std::mem::replace(&mut is_holder, true) {
+                machines.values().for_each(|machine| machine.borrow_mut().require_inspection());
+            }
             let services: Vec<String> =
                 self.directory.borrow().document().service_names().map(str::to_owned).collect();
             for service in services {
                 let machine = machines.entry(service.clone()).or_default().clone();
                 // Two references are held by the map and this loop; a third one belongs to a task that
                 // is already evaluating this service.
-                if Rc::strong_count(&machine) > 2 || !self.is_leader_suspect(&service, &machine) {
+                if Rc::strong_count(&machine) > 2
+                    || !self.is_leader_suspect(&service, &machine)
+                        && !self.needs_inspection(&service, &machine)
+                {
                     continue;
                 }
                 let (instance, held) = (self.clone(), held.clone());
@@ -328,15 +337,34 @@
             machine.borrow_mut().record_candidates(leader_index, &borrowed);
             machine.borrow().decide(leader_index, &borrowed, synchronous)
         };
+        if synchronous > 0 {
+            let is_promoting = matches!(decision, PromotionDecision::Promote(..));
+            let leading = leader_index.filter(|_| !is_promoting);
+            self.inspect_replicas((service, machine, held), leading, &members, &reports).await;
+        }
         if let PromotionDecision::Promote(index, cause) = decision {
+            let mut held_replicas = Vec::new();
+            if synchronous > 0 {
+                let Some(hold) = ReplicaHold::new(leader_index, index, &reports, synchronous)
+                else {
+                    return;
+                };
+                machine.borrow_mut().require_inspection();
+                if !self.hold_replicas(service, &hold, &members[index], &members).await {
+                    return;
+                }
+                held_replicas = hold.replicas;
+            }
             let (name, was) = (&members[index], leader.as_deref().unwrap_or("none"));
             log_event!(
                 LogEvent::PromotionStarted,
                 "service={service} endpoint={name} cause={cause:?} was={was} reports={reports:?}"
             );
             machine.borrow_mut().record_promotion(now);
-            if self.request_promotion(service, name, held).await {
-                self.await_leader(name).await;
+            if self.request_promotion(service, name, held).await && self.await_leader(name).await {
+                let names: Vec<&str> =
+                    held_replicas.iter().map(|index| members[*index].as_str()).collect();
+                self.resume_replicas(service, &names).await;
             }
         }
     }
@@ -362,17 +390,18 @@
     }
 
     /// Probes a promoted member until it leads, so that other instances learn of it without the
-    /// store.
-    async fn await_leader(&self, endpoint: &str) {
+    /// store. Returns whether it leads.
+    async fn await_leader(&self, endpoint: &str) -> bool {
         for _ in 0..MAX_PROMOTION_PROBES {
             sleep(PROMOTION_PROBE_INTERVAL).await;
             let members = [endpoint.to_owned()];
             let reports = [self.probe_member(endpoint).await];
             if self.record_reports(&members, &reports).is_some() {
                 self.refresh_status();
-                return;
+                return true;
             }
         }
+        false
     }
 
     /// Records the member that reports that it leads in the newest term, and returns its name.
@@ -393,27 +422,7 @@
     }
 
     async fn probe_members(&self, members: &[String]) -> Vec<Option<MemberReport>> {
-        let mut reports = Vec::with_capacity(members.len());
-        let mut probes: Vec<_> =
-            members.iter().map(|member| Box::pin(self.probe_member(member))).collect();
-        // Probes run concurrently, so that an unreachable member does not delay the others.
-        let joined = std::future::poll_fn(|context| {
-            let mut ready = true;
-            for (index, probe) in probes.iter_mut().enumerate() {
-                if reports.len() <= index {
-                    reports.resize(index + 1, None);
-                }
-                if reports[index].is_none() {
-                    match probe.as_mut().poll(context) {
-                        std::task::Poll::Ready(report) => reports[index] = Some(report),
-                        std::task::Poll::Pending => ready = false,
-                    }
-                }
-            }
-            if ready { std::task::Poll::Ready(()) } else { std::task::Poll::Pending }
-        });
-        joined.await;
-        reports.into_iter().map(Option::flatten).collect()
+        join_reports(members.iter().map(|member| self.probe_member(member))).await
     }
 
     /// Returns whether another instance reaches a member; asks other availability zones first.
@@ -450,7 +459,7 @@
     /// Requests a promotion and returns whether it was accepted.
     ///
     /// Uses a new fencing token if a request with the current one was rejected or not answered.
-    async fn request_promotion(
+    pub(crate) async fn request_promotion(
         &self,
         service: &str,
         endpoint: &str,
@@ -495,6 +504,31 @@
     }
 }
 
+/// Awaits answers concurrently, so that an unreachable member does not delay the others.
+pub(crate) async fn join_reports(
+    requests: impl Iterator<Item = impl Future<Output = Option<MemberReport>>>,
+) -> Vec<Option<MemberReport>> {
+    let mut reports = Vec::new();
+    let mut requests: Vec<_> = requests.map(Box::pin).collect();
+    let joined = std::future::poll_fn(|context| {
+        let mut ready = true;
+        for (index, request) in requests.iter_mut().enumerate() {
+            if reports.len() <= index {
+                reports.resize(index + 1, None);
+            }
+            if reports[index].is_none() {
+                match request.as_mut().poll(context) {
+                    std::task::Poll::Ready(report) => reports[index] = Some(report),
+                    std::task::Poll::Pending => ready = false,
+                }
+            }
+        }
+        if ready { std::task::Poll::Ready(()) } else { std::task::Poll::Pending }
+    });
+    joined.await;
+    reports.into_iter().map(Option::flatten).collect()
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -33,6 +33,7 @@
 use crate::peer::PeerTable;
 use crate::record::InstanceRecord;
 use crate::refused_rows::RefusedRows;
+use crate::replication::ReplicationCodec;
 use crate::service_load::ServiceLoads;
 use crate::store_reader::StoreReader;
 use crate::table_server::TableServer;
@@ -43,7 +44,7 @@
     /// Services of the platform.
     type Platform: PlatformApi;
     /// Codec of the protocol that callers and endpoints speak.
-    type Codec: WireCodec;
+    type Codec: WireCodec + ReplicationCodec;
 }
 /// Zones of a deployment and the bounds that hold for them.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -40,6 +40,8 @@
 pub mod progress;
 pub mod record;
 mod refused_rows;
+mod replica_hold;
+pub mod replication;
 mod service_load;
 pub mod statement;
 pub mod status;
--- a/crates/standin/src/gateway_platform/group.rs
+++ b/crates/standin/src/gateway_platform/group.rs
@@ -49,6 +49,8 @@
     pub id: String,
     /// Number of log entries that are visible to its reads.
     pub applied: u64,
+    /// Term for which its replication is held; zero if it receives.
+    pub held_term: u64,
     /// Active faults.
     pub faults: MemberFaults,
     /// Statements in execution order.
@@ -92,6 +94,8 @@
     pub members: Vec<MemberState>,
     /// Maximum number of connections to each member.
     pub max_connections: usize,
+    /// Number of replicas that receive a commit before it is acknowledged.
+    pub synchronous_replicas: usize,
     log: Vec<LogEntry>,
     /// Terms before the current one, in order, with the index at which the next one started.
     earlier_terms: Vec<(u64, u64)>,
@@ -108,6 +112,7 @@
         let member = |id: &&str| MemberState {
             id: (*id).to_owned(),
             applied: 0,
+            held_term: 0,
             faults: MemberFaults::default(),
             executed: Vec::new(),
             connections: HashSet::new(),
@@ -120,6 +125,7 @@
             leader: 0,
             members: ids.iter().map(member).collect(),
             max_connections: 20,
+            synchronous_replicas: 0,
             log: Vec::new(),
             earlier_terms: Vec::new(),
             rolled_back: Vec::new(),
@@ -147,6 +153,7 @@
         self.rolled_back.extend(self.log.split_off(kept_entries as usize));
         for member in &mut self.members {
             member.applied = member.applied.min(kept_entries);
+            member.held_term = 0;
         }
         true
     }
@@ -174,25 +181,43 @@
         Some(connection)
     }
 
-    /// Commits writes and applies them on every member whose replication is not stopped.
+    /// Commits writes and applies them on every member that receives.
     pub fn commit(&mut self, writes: Vec<(String, String)>) {
         self.log.extend(writes.into_iter().map(|(item, data)| LogEntry { item, data }));
-        let end = self.log.len() as u64;
-        let leader = self.leader;
-        for (index, member) in self.members.iter_mut().enumerate() {
-            if index == leader || !member.faults.replication_stopped {
-                member.applied = end;
-            }
-        }
+        self.members[self.leader].applied = self.log.len() as u64;
+        (0..self.members.len()).for_each(|member| self.catch_up(member));
+    }
+
+    /// Returns whether enough replicas have received the log up to this index.
+    pub fn is_confirmed(&self, end: u64) -> bool {
+        let members = self.members.iter().enumerate();
+        let received =
+            members.filter(|(index, member)| *index != self.leader && member.applied >= end);
+        received.count() >= self.synchronous_replicas
     }
 
-    /// Applies the whole log on a member unless its replication is stopped.
+    /// Applies the whole log on a member unless its replication is stopped or held.
     pub fn catch_up(&mut self, member: usize) {
-        if !self.members[member].faults.replication_stopped {
-            self.members[member].applied = self.log.len() as u64;
+        let state = &mut self.members[member];
+        if !state.faults.replication_stopped && state.held_term == 0 {
+            state.applied = self.log.len() as u64;
         }
     }
 
+    /// Stops a replica from receiving, if the term is above all that it knows.
+    pub fn hold(&mut self, member: usize, term: u64) {
+        let state = &mut self.members[member];
+        if member != self.leader && term > self.term.max(state.held_term) {
+            state.held_term = term;
+        }
+    }
+
+    /// Lets a replica receive again.
+    pub fn resume(&mut self, member: usize) {
+        self.members[member].held_term = 0;
+        self.catch_up(member);
+    }
+
     /// Returns the data of all committed writes that were not rolled back.
     pub fn committed(&self) -> impl Iterator<Item = &str> {
         self.log.iter().map(|entry| entry.data.as_str())
--- a/crates/standin/src/gateway_platform/member.rs
+++ b/crates/standin/src/gateway_platform/member.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use super::group::{ExecutedStatement, SharedGroup};
+use super::group::{ExecutedStatement, MemberFaults, SharedGroup};
 
 /// Simulated duration of a read, write or commit.
 const STATEMENT_DURATION: Duration = Duration::from_millis(2);
@@ -16,6 +16,9 @@
 /// Interval at which an unresponsive member checks whether it responds again.
 const HANG_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Interval at which a commit waits for the replicas that confirm it.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Serves a member of a group on a free loopback port and returns the address.
 pub async fn serve(group: SharedGroup, member: usize) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -44,6 +47,16 @@
     values: BTreeMap<String, String>,
 }
 
+/// Outcome of a statement that ran.
+struct StatementResult {
+    /// Lines of the answer.
+    content: String,
+    /// Faults of the member when it ran.
+    faults: MemberFaults,
+    /// Term and end of the log after its commit, if it wrote.
+    committed: Option<(u64, u64)>,
+}
+
 async fn serve_connection(group: SharedGroup, member: usize, stream: TcpStream) {
     // A failure only adds latency.
     let _ = stream.set_nodelay(true);
@@ -157,12 +170,17 @@
             return Some(Err("LAGGING"));
         }
         match words[0] {
-            "STATUS" => {
-                let state = self.group.lock();
-                let (term, index) = state.position(self.member);
-                let role = if is_leader { "primary" } else { "replica" };
-                let open = state.members[self.member].connections.len();
-                Some(Ok(format!("ROW {role} {term} {term}.{index} 0 0 0 {open}\r\nCOMPLETE -\r\n")))
+            "STATUS" => Some(Ok(self.status())),
+            "PAUSE" => {
+                let Some(term) = words.get(1).and_then(|term| term.parse().ok()) else {
+                    return Some(Err("MALFORMED"));
+                };
+                self.group.lock().hold(self.member, term);
+                Some(Ok(self.status()))
+            }
+            "RESUME" => {
+                self.group.lock().resume(self.member);
+                Some(Ok(self.status()))
             }
             "RESET" => {
                 self.prepared.clear();
@@ -227,6 +245,32 @@
             .or(faults.statement_duration)
             .unwrap_or(STATEMENT_DURATION);
         sleep(duration).await;
+        let StatementResult { content, faults, committed } =
+            match self.run_statement(id, text, words, is_write) {
+                Ok(result) => result,
+                Err(code) => return Some(Err(code)),
+            };
+        if let Some(position) = committed
+            && !self.is_acknowledged(position).await
+        {
+            return None;
+        }
+        let is_commit_response = is_commit || is_write && !in_transaction;
+        if is_commit_response && faults.loses_commit_responses {
+            return None;
+        }
+        Some(Ok(content))
+    }
+
+    /// Runs a statement that has taken its time.
+    fn run_statement(
+        &mut self,
+        id: &str,
+        text: &str,
+        words: &[&str],
+        is_write: bool,
+    ) -> Result<StatementResult, &'static str> {
+        let in_transaction = self.transaction_state == 'T';
         let mut state = self.group.lock();
         let faults = state.members[self.member].faults.clone();
         state.members[self.member].executed.push(ExecutedStatement {
@@ -238,33 +282,53 @@
             values: self.values.clone(),
         });
         if !is_write && faults.fails_reads {
-            return Some(Err("FAILED"));
+            return Err("FAILED");
         }
         let mut content = String::new();
-        if is_commit {
+        let mut writes = Vec::new();
+        if words[0] == "COMMIT" {
             self.transaction_state = 'I';
-            let writes = std::mem::take(&mut self.writes);
-            if !writes.is_empty() {
-                state.commit(writes);
-            }
+            writes = std::mem::take(&mut self.writes);
         } else if is_write {
             let (item, data) =
                 (words[words.len() - 2].to_owned(), words[words.len() - 1].to_owned());
-            if in_transaction {
-                self.writes.push((item, data));
-            } else {
-                state.commit(vec![(item, data)]);
-            }
+            if in_transaction { &mut self.writes } else { &mut writes }.push((item, data));
         } else {
             let row = state.read(self.member, words[words.len() - 1]).unwrap_or_default();
             content = format!("ROW {row}\r\n");
         }
-        let is_commit_response = is_commit || is_write && !in_transaction;
-        if is_commit_response && faults.loses_commit_responses {
-            return None;
+        content += &format!("COMPLETE {}.{id}\r\n", state.members[self.member].id);
+        let mut committed = None;
+        if !writes.is_empty() {
+            state.commit(writes);
+            committed = Some((state.term, state.members[state.leader].applied));
+        }
+        Ok(StatementResult { content, faults, committed })
+    }
+
+    fn status(&self) -> String {
+        let state = self.group.lock();
+        let (term, index) = state.position(self.member);
+        let role = if state.leader == self.member { "primary" } else { "replica" };
+        let member = &state.members[self.member];
+        let (held_term, open) = (member.held_term, member.connections.len());
+        format!("ROW {role} {term} {term}.{index} {held_term} 0 0 {open}\r\nCOMPLETE -\r\n")
+    }
+
+    /// Waits until a commit may be acknowledged; returns false if the lead was lost before.
+    async fn is_acknowledged(&self, (term, end): (u64, u64)) -> bool {
+        loop {
+            {
+                let state = self.group.lock();
+                if state.term != term {
+                    return false;
+                }
+                if state.is_confirmed(end) {
+                    return true;
+                }
+            }
+            sleep(CONFIRMATION_CHECK_INTERVAL).await;
         }
-        let completion = format!("COMPLETE {}.{id}\r\n", state.members[self.member].id);
-        Some(Ok(content + &completion))
     }
 
     fn is_leader(&self) -> bool {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -170,6 +170,8 @@
     PromotionLeaseFailed = 5006, Warn, "duty_refused";
     /// The connection of a subscriber ended without an end of its subscription.
     SubscriberLost = 5007, Info, "subscriber_lost";
+    /// Replicas were held for a promotion, or resumed.
+    ReplicationChanged = 5008, Info, "replication_changed";
     /// The instance started to drain.
     DrainStarted = 6001, Info, "drain_started";
     /// The instance has drained or reached its drain deadline.
--- a/review/standins/member.rs
+++ b/review/standins/member.rs
@@ -60,6 +60,8 @@
     received: usize,
     applied: usize,
     deaf_until: Option<Instant>,
+    /// Term of a `PAUSE`; 0 if it receives.
+    held: u64,
     is_draining: bool,
     sequence: u64,
     connections: usize,
@@ -118,6 +120,7 @@
                 received: 0,
                 applied: 0,
                 deaf_until: None,
+                held: 0,
                 is_draining: false,
                 sequence: 0,
                 connections: 0,
@@ -255,6 +258,7 @@
             let lost: Vec<String> = state.log.split_off(kept).into_iter().map(|entry| entry.id).collect();
             for member in &mut state.members {
                 (member.received, member.applied) = (member.received.min(kept), member.applied.min(kept));
+                member.held = 0;
             }
             let leader = &mut state.members[index];
             (leader.applied, leader.deaf_until) = (leader.received, None);
@@ -281,7 +285,7 @@
                 (member.received, member.applied) = (end, end);
                 continue;
             }
-            if member.deaf_until.is_none_or(|until| now >= until) {
+            if member.held == 0 && member.deaf_until.is_none_or(|until| now >= until) {
                 member.received = member.received.max(received);
             }
             member.applied = member.applied.max(applied.min(member.received));
@@ -443,15 +447,21 @@
             }
         }
         match words[0] {
-            "STATUS" => {
-                let state = self.service.state.lock().unwrap();
-                let member = &state.members[self.member];
-                let role = if state.primary == self.member { "primary" } else { "replica" };
-                let (term, received) = state.position(self.member, member.received);
-                Some(Ok(format!(
-                    "ROW {role} {} {term}.{received} {term} 0 {} {}\r\nCOMPLETE -\r\n",
-                    state.term, member.busy, member.connections
-                )))
+            "STATUS" => Some(Ok(self.status())),
+            "PAUSE" | "RESUME" => {
+                let term: u64 = words.get(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+                {
+                    let mut state = self.service.state.lock().unwrap();
+                    let (newest, is_replica) = (state.term, state.primary != self.member);
+                    let member = &mut state.members[self.member];
+                    match words[0] {
+                        "PAUSE" if is_replica && term > newest.max(member.held) => member.held = term,
+                        "RESUME" => member.held = 0,
+                        _ => {}
+                    }
+                }
+                self.service.record.line(format!("member {}: {text}", self.member));
+                Some(Ok(self.status()))
             }
             "RESET" => {
                 self.values.clear();
@@ -493,6 +503,17 @@
         }
     }
 
+    fn status(&self) -> String {
+        let state = self.service.state.lock().unwrap();
+        let member = &state.members[self.member];
+        let role = if state.primary == self.member { "primary" } else { "replica" };
+        let (term, received) = state.position(self.member, member.received);
+        format!(
+            "ROW {role} {} {term}.{received} {} 0 {} {}\r\nCOMPLETE -\r\n",
+            state.term, member.held, member.busy, member.connections
+        )
+    }
+
     fn end_transaction(&mut self) {
         self.writes.clear();
         (self.state, self.writable_in) = ('I', None);
