Answer every request around a planned stop

Cause: the drain ended at 0.85 of the grace period whatever was open, a session in a transaction never learned that the instance leaves, calls of peers were not waited for, and the process ended with connections that had unread bytes.

Change: `coord::stop_schedule` gives a stop three phases. In the first half of the grace period transactions go on. After it new requests and sessions are refused as not run (BUSY), open transactions are rolled back and their next statement is answered ABORTED, also those that the instance holds for others; what was passed on is waited for. At 0.85 a request without an answer gets one that is true: UNKNOWN if it may change data, ABORTED otherwise. Then the listener and the sessions are closed: write shutdown, and unread bytes are drained for 200 ms, so that no reset discards an answer. Replies to peers are written before the process ends. A session that opens late has 500 ms for its first request. A transaction that was idle for too long is now answered ABORTED, not MALFORMED, since its caller could not know that it had failed.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod row_order;
 pub mod service_time;
 pub mod session;
+pub mod stop_schedule;
 pub mod table_age;
 pub mod table_source;
 pub mod transfer_gate;
--- a/crates/coord/src/session.rs
+++ b/crates/coord/src/session.rs
@@ -138,6 +138,8 @@
     Begun { read_only: bool, began_at: Instant },
     /// A member's connection holds the open transaction.
     Pinned { read_only: bool, began_at: Instant },
+    /// The transaction was rolled back, and the next answer tells the caller so.
+    Aborted,
     /// The transaction failed and can only be ended.
     Failed,
 }
@@ -185,7 +187,7 @@
             TransactionPhase::Begun { .. } | TransactionPhase::Pinned { .. } => {
                 TransactionState::Open
             }
-            TransactionPhase::Failed => TransactionState::Failed,
+            TransactionPhase::Aborted | TransactionPhase::Failed => TransactionState::Failed,
         }
     }
 
@@ -226,6 +228,10 @@
         use StatementClass as Class;
         match class {
             Class::Commit | Class::Rollback => return self.handle_transaction_end(class, began_at),
+            _ if self.phase == TransactionPhase::Aborted => {
+                self.phase = TransactionPhase::Failed;
+                return StatementAction::Refuse(StatementError::RolledBack);
+            }
             _ if self.phase == TransactionPhase::Failed => {
                 return StatementAction::Refuse(StatementError::InvalidState);
             }
@@ -295,7 +301,7 @@
         }
     }
 
-    /// Fails the open transaction, because its connection is closed or it was idle for too long.
+    /// Fails the open transaction with an answer that tells the caller so.
     pub fn fail_transaction(&mut self) {
         if self.transaction_state() == TransactionState::Open {
             self.pending_setup.clear();
@@ -303,6 +309,14 @@
         }
     }
 
+    /// Aborts the open transaction between two requests; the next statement is refused as rolled back.
+    pub fn abort_transaction(&mut self) {
+        if self.transaction_state() == TransactionState::Open {
+            self.pending_setup.clear();
+            self.phase = TransactionPhase::Aborted;
+        }
+    }
+
     fn handle_transaction_end(
         &mut self,
         class: &StatementClass,
@@ -321,7 +335,7 @@
         };
         match self.phase {
             TransactionPhase::Idle => StatementAction::Refuse(StatementError::InvalidState),
-            TransactionPhase::Failed => {
+            TransactionPhase::Aborted | TransactionPhase::Failed => {
                 self.end_transaction();
                 if commits {
                     return StatementAction::Refuse(StatementError::RolledBack);
@@ -369,7 +383,9 @@
             TransactionPhase::Pinned { read_only, began_at } => {
                 plan(false, true, read_only, began_at)
             }
-            TransactionPhase::Failed => StatementAction::Refuse(StatementError::InvalidState),
+            TransactionPhase::Aborted | TransactionPhase::Failed => {
+                StatementAction::Refuse(StatementError::InvalidState)
+            }
         }
     }
 
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -6,6 +6,7 @@
 use coord::session::{
     ForwardPlan, SessionMachine, StatementAction, StatementClass, StatementError, TransactionState,
 };
+use coord::stop_schedule::StopPhase;
 use metrics::{counter, histogram};
 use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
@@ -22,13 +23,15 @@
 use crate::open_sessions::SessionProgress;
 use crate::progress;
 use crate::record::RouteRecord;
-use crate::statement::{PinnedTransaction, StatementContext, StatementResult};
+use crate::statement::{PinnedTransaction, StatementContext, StatementResult, failure};
 
 /// Bounds the wait for a caller's startup request.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(3);
 /// Explanation of a refusal by an instance whose document is outdated. Others serve a retry at once.
 const OUTDATED_EXPLANATION: &str =
     "not run: the document of this instance is not up to date; retry after 0 ms";
+/// Explanation of a refusal by an instance that is leaving. Others serve a retry at once.
+const STOPPING_EXPLANATION: &str = "not run: the instance is stopping; retry after 0 ms";
 /// Explanation of a refusal by an instance that knows no others. They serve a retry at once.
 const ALONE_EXPLANATION: &str =
     "not run: the instance has not found the other instances; retry after 0 ms";
@@ -44,6 +47,12 @@
 ///
 /// The load balancer may still route callers to the instance for this long.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_300);
+/// Time for which a new session stays open for its first request while the instance is leaving.
+const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(500);
+/// Bounds the wait for a caller to take the last answer and close the connection.
+///
+/// Closing a connection with unread bytes resets it, which may discard an answer on the way.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Session of one caller.
 struct CallerSession<E: EngineTypes> {
@@ -59,6 +68,7 @@
     progress: Rc<SessionProgress>,
     /// Time at which the current statement arrived.
     arrived_at: Instant,
+    opened_at: Instant,
 }
 
 /// Route that the caller may use, and the caller's team.
@@ -77,7 +87,9 @@
     Closed,
     /// The open transaction has been idle for too long.
     TransactionIdleTimeout,
-    /// The instance is leaving and the session is idle.
+    /// The instance is leaving, and the open transaction has had its time.
+    TransactionEnded,
+    /// The instance is leaving and the session waits for no answer.
     Leaving,
 }
 
@@ -85,7 +97,13 @@
     /// Accepts caller connections and serves each in a task of its own.
     pub async fn accept_callers(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match listener.accept().await {
+            // The listener is closed before the process ends, so that no connection is reset.
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = self.wait_for_stop(StopPhase::Closing) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     let instance = self.clone();
                     tokio::task::spawn_local(async move {
@@ -114,6 +132,7 @@
         progress: instance.open_sessions.add(session_id),
         session_id,
         arrived_at: instance.now(),
+        opened_at: instance.now(),
         instance: instance.clone(),
         reader,
         writer,
@@ -127,6 +146,7 @@
         session.serve().await;
     }
     session.release_transaction();
+    session.close().await;
     instance.open_sessions.remove(session_id);
 }
 
@@ -156,6 +176,10 @@
             .await;
             return None;
         }
+        if self.instance.has_stop_reached(StopPhase::Answering) {
+            self.refuse_startup(RefusalCode::Busy, STOPPING_EXPLANATION).await;
+            return None;
+        }
         if let Err((code, explanation)) = self.authorize() {
             self.refuse_startup(code, explanation).await;
             return None;
@@ -171,6 +195,9 @@
     async fn wait_for_document(&self) -> bool {
         let started_at = self.instance.now();
         while !self.instance.directory.borrow().is_loaded() {
+            if self.instance.has_stop_reached(StopPhase::Closing) {
+                return false;
+            }
             if self.instance.now().saturating_duration_since(started_at) > FIRST_DOCUMENT_TIMEOUT {
                 return false;
             }
@@ -188,10 +215,8 @@
         );
         let mut out = Vec::new();
         E::Codec::encode_error(&mut out, code, explanation);
-        if self.write(&out).await.is_some() {
-            // The caller may have closed the connection already.
-            let _ = self.writer.shutdown().await;
-        }
+        // The connection is closed whether the caller takes the answer or not.
+        let _ = self.write(&out).await;
     }
 
     async fn serve(&mut self) {
@@ -228,7 +253,16 @@
                 SessionEvent::TransactionIdleTimeout => {
                     log_event!(LogEvent::TransactionExpired, "database={}", self.database);
                     self.release_transaction();
-                    self.machine.fail_transaction();
+                    self.machine.abort_transaction();
+                }
+                SessionEvent::TransactionEnded => {
+                    log_event!(
+                        LogEvent::TransactionExpired,
+                        "database={} cause=\"the instance is stopping\"",
+                        self.database
+                    );
+                    self.release_transaction();
+                    self.machine.abort_transaction();
                 }
                 SessionEvent::Closed | SessionEvent::Leaving => return,
             }
@@ -251,17 +285,26 @@
                 None => std::future::pending().await,
             }
         };
-        let between_transactions = self.machine.transaction_state() == TransactionState::Idle;
+        let state = self.machine.transaction_state();
+        let (opened_at, has_partial_request) = (self.opened_at, !self.input.is_empty());
         let leaving = async {
-            instance.wait_for_leaving().await;
-            if !between_transactions {
-                std::future::pending::<()>().await;
+            match state {
+                TransactionState::Idle if !has_partial_request => {
+                    tokio::select! {
+                        () = wait_for_idle_close(&instance, opened_at) => {}
+                        () = instance.wait_for_stop(StopPhase::Closing) => {}
+                    }
+                    SessionEvent::Leaving
+                }
+                TransactionState::Open => {
+                    instance.wait_for_stop(StopPhase::Answering).await;
+                    SessionEvent::TransactionEnded
+                }
+                TransactionState::Idle | TransactionState::Failed => {
+                    instance.wait_for_stop(StopPhase::Closing).await;
+                    SessionEvent::Leaving
+                }
             }
-            // If sessions closed before the balancer stops using this instance, callers would
-            // reconnect to it.
-            let since = instance.leaving_since().unwrap_or_else(|| instance.now());
-            let elapsed = instance.now().saturating_duration_since(since);
-            sleep(IDLE_CLOSE_DELAY.saturating_sub(elapsed)).await;
         };
         tokio::select! {
             biased;
@@ -270,7 +313,7 @@
                 None => SessionEvent::Closed,
             },
             () = idle_timer => SessionEvent::TransactionIdleTimeout,
-            () = leaving => SessionEvent::Leaving,
+            event = leaving => event,
         }
     }
 
@@ -287,7 +330,11 @@
         arrived_at: Instant,
     ) -> Vec<u8> {
         let mut out = Vec::new();
-        let authorized = match self.authorize() {
+        if self.instance.has_stop_reached(StopPhase::Answering) {
+            self.release_transaction();
+            self.machine.abort_transaction();
+        }
+        let authorized = match self.authorize_statement(class) {
             Ok(authorized) => authorized,
             Err((code, explanation)) => {
                 self.release_transaction();
@@ -342,7 +389,11 @@
             pending_setup,
             arrived_at: self.arrived_at,
         };
-        let result = self.instance.run_statement(&context, self.pinned.as_ref()).await;
+        let result = tokio::select! {
+            biased;
+            result = self.instance.run_statement(&context, self.pinned.as_ref()) => result,
+            () = self.instance.wait_for_stop(StopPhase::Closing) => unanswered(plan),
+        };
         let class = if plan.read_only { "read" } else { "write" };
         counter!(meter::REQUESTS, "class" => class).increment(1);
         let waited = self.instance.now().saturating_duration_since(self.arrived_at);
@@ -369,6 +420,21 @@
         }
     }
 
+    /// Returns the route and the team for a statement, or the code and explanation of a refusal.
+    fn authorize_statement(
+        &self,
+        class: &StatementClass,
+    ) -> Result<AuthorizedRoute, (RefusalCode, &'static str)> {
+        let ends_transaction = matches!(class, StatementClass::Commit | StatementClass::Rollback);
+        if self.machine.transaction_state() == TransactionState::Idle
+            && !ends_transaction
+            && self.instance.has_stop_reached(StopPhase::Answering)
+        {
+            return Err((RefusalCode::Busy, STOPPING_EXPLANATION));
+        }
+        self.authorize()
+    }
+
     /// Returns the route and the team of the caller, or the code and explanation of a refusal.
     fn authorize(&self) -> Result<AuthorizedRoute, (RefusalCode, &'static str)> {
         // An open transaction goes on under the document that it began with.
@@ -427,6 +493,25 @@
         }
     }
 
+    /// Closes the connection after the caller has taken what was written, within
+    /// [`LINGER_TIMEOUT`].
+    async fn close(&mut self) {
+        // Fails if the caller has closed the connection already.
+        if self.writer.shutdown().await.is_err() {
+            return;
+        }
+        let drain = async {
+            loop {
+                self.input = LineBuffer::default();
+                if !matches!(self.input.fill(&mut self.reader).await, Ok(1..)) {
+                    return;
+                }
+            }
+        };
+        // A caller that keeps the connection open has had the time to take the answer.
+        let _ = timeout(LINGER_TIMEOUT, drain).await;
+    }
+
     /// Writes to the caller. Returns `None` on failure or after [`WRITE_TIMEOUT`] without progress.
     async fn write(&mut self, bytes: &[u8]) -> Option<()> {
         progress::write_all(&mut self.writer, bytes, WRITE_TIMEOUT).await.ok()
@@ -457,6 +542,24 @@
     }
 }
 
+/// Waits until a session without a transaction and a request is closed as the instance is leaving.
+async fn wait_for_idle_close<E: EngineTypes>(instance: &GatewayInstance<E>, opened_at: Instant) {
+    instance.wait_for_leaving().await;
+    // If sessions closed before the balancer stops using this instance, callers would reconnect to
+    // it.
+    let leaving_since = instance.leaving_since().unwrap_or_else(|| instance.now());
+    let close_at = (leaving_since + IDLE_CLOSE_DELAY).max(opened_at + FIRST_REQUEST_DELAY);
+    sleep(close_at.saturating_duration_since(instance.now())).await;
+}
+
+/// Returns the result of a statement whose answer did not arrive before the end of the process.
+fn unanswered(plan: &ForwardPlan) -> StatementResult {
+    let explanation = "the instance is stopping, and the member has not answered";
+    // Nothing is kept of a transaction that is not committed.
+    let code = if plan.changes_data() { RefusalCode::Unknown } else { RefusalCode::Aborted };
+    failure(code, explanation.to_owned())
+}
+
 /// Returns the code and the explanation for a statement that the session refused.
 fn describe_error(error: StatementError) -> (RefusalCode, &'static str) {
     match error {
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -13,6 +13,7 @@
 use coord::endpoint_health::TeamConnections;
 use coord::evacuation::{WorkKind, ZonePhase};
 use coord::session::TransactionState;
+use coord::stop_schedule::StopPhase;
 use coord::watermark::Watermark;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
@@ -128,6 +129,9 @@
             let outcome = not_sent(NotSentReason::Evacuated, Duration::ZERO);
             return ExecuteReply::without_owner(outcome);
         }
+        if origin != 0 && self.has_stop_reached(StopPhase::Answering) {
+            return ExecuteReply::without_owner(self.refuse_as_stopping(origin, &call));
+        }
         let Some(pool) = self.pool(&call.endpoint) else {
             let outcome = not_sent(NotSentReason::UnknownEndpoint, Duration::ZERO);
             return ExecuteReply::without_owner(outcome);
@@ -157,6 +161,30 @@
         }
     }
 
+    /// Refuses a call of a peer that arrives too late in a planned stop, and rolls back its open
+    /// transaction. Another owner serves any other call.
+    fn refuse_as_stopping(
+        self: &Rc<Self>,
+        origin: CallOrigin,
+        call: &ExecuteCall,
+    ) -> ExecuteOutcome {
+        if !call.pinned {
+            return not_sent(NotSentReason::NoOwner, Duration::ZERO);
+        }
+        self.release_locally(origin, call.transaction_id);
+        not_sent(NotSentReason::PinLost, Duration::ZERO)
+    }
+
+    /// Rolls back the open transactions of peers that run no statement.
+    pub(crate) fn release_peer_transactions(self: &Rc<Self>) {
+        let pinned = self.pools.pinned.borrow();
+        let of_peers: Vec<_> = pinned.keys().filter(|key| key.0 != 0).copied().collect();
+        drop(pinned);
+        for (origin, transaction_id) in of_peers {
+            self.release_locally(origin, transaction_id);
+        }
+    }
+
     /// Rolls a transaction back and returns its connection to the pool.
     pub fn release_locally(self: &Rc<Self>, origin: CallOrigin, transaction_id: u32) {
         let pinned = self.pools.pinned.borrow_mut().remove(&(origin, transaction_id));
@@ -409,7 +437,8 @@
         // A failed statement may leave the transaction open at the endpoint, but its session
         // abandons it.
         let failed = answers.iter().any(|answer| answer.error.is_some());
-        let kept = call.keep_pinned && !failed && self.pools.is_live_origin(origin);
+        let is_ended = origin != 0 && self.has_stop_reached(StopPhase::Answering);
+        let kept = call.keep_pinned && !failed && !is_ended && self.pools.is_live_origin(origin);
         match state {
             TransactionState::Open if kept => {
                 self.pools.pinned.borrow_mut().insert((origin, call.transaction_id), pooled);
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -16,6 +16,7 @@
 use coord::quota::{LimitWindow, TeamQuotas};
 use coord::refusal_cache::RefusalCache;
 use coord::rendezvous;
+use coord::stop_schedule::{StopPhase, StopSchedule};
 use coord::table_age::TableAge;
 use coord::validation::{ValidationTracker, key_validation_ttl};
 use metrics::gauge;
@@ -25,6 +26,7 @@
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 use crate::connection_owner::ConnectionPools;
 use crate::directory::FleetDirectory;
@@ -135,6 +137,9 @@
     grace_period: Cell<Duration>,
     started_at: Instant,
     leaving_since: Cell<Option<Instant>>,
+    /// Time at which a leaving instance had nothing left to wait for.
+    drained_at: Cell<Option<Instant>>,
+    /// Notified when the schedule of a planned stop begins or changes.
     leave_signal: Notify,
     store_reachable: Cell<bool>,
     was_validated: Cell<bool>,
@@ -214,6 +219,7 @@
             caller_count: Cell::new(0),
             open_sessions: OpenSessions::default(),
             leaving_since: Cell::new(None),
+            drained_at: Cell::new(None),
             leave_signal: Notify::new(),
             store_reachable: Cell::new(false),
             promotion_token: Cell::new(None),
@@ -355,6 +361,42 @@
         }
     }
 
+    /// Ends the wait for open sessions of an instance that is leaving.
+    pub(crate) fn start_closing(&self) {
+        self.drained_at.set(Some(self.now()));
+        self.leave_signal.notify_waiters();
+    }
+
+    /// Returns the schedule of the planned stop, if the instance is leaving.
+    pub(crate) fn stop_schedule(&self) -> Option<StopSchedule> {
+        let began_at = self.leaving_since()?;
+        Some(StopSchedule::new(began_at, self.grace_period(), self.drained_at.get()))
+    }
+
+    /// Returns whether the planned stop has reached a phase.
+    pub(crate) fn has_stop_reached(&self, phase: StopPhase) -> bool {
+        self.stop_schedule().is_some_and(|schedule| schedule.has_reached(phase, self.now()))
+    }
+
+    /// Waits until the planned stop reaches a phase.
+    pub(crate) async fn wait_for_stop(&self, phase: StopPhase) {
+        loop {
+            let changed = self.leave_signal.notified();
+            let Some(schedule) = self.stop_schedule() else {
+                changed.await;
+                continue;
+            };
+            let remaining = schedule.start_of(phase).saturating_duration_since(self.now());
+            if remaining.is_zero() {
+                return;
+            }
+            tokio::select! {
+                () = changed => {}
+                () = sleep(remaining) => {}
+            }
+        }
+    }
+
     /// Returns whether the instance started so recently that it may not know all others yet.
     pub fn is_starting(&self) -> bool {
         self.now().saturating_duration_since(self.started_at) < DISCOVERY_PERIOD
--- a/crates/engine/src/lifecycle.rs
+++ b/crates/engine/src/lifecycle.rs
@@ -1,8 +1,9 @@
 //! Startup and graceful shutdown of an instance.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use coord::stop_schedule::StopPhase;
 use metrics::gauge;
 use snafu::{ResultExt, Snafu};
 use telemetry::event::LogEvent;
@@ -13,8 +14,6 @@
 use crate::instance::{EngineSettings, EngineTypes, GatewayInstance};
 use crate::interface::{PlatformApi, WatchedTable};
 
-/// Fraction of the grace period after which the instance stops waiting for open sessions.
-const DRAIN_FRACTION: f64 = 0.85;
 /// Interval at which a draining instance checks for open sessions and transactions.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval of eviction, validation checks and metric updates.
@@ -91,10 +90,10 @@
         });
     }
 
-    /// Announces that the instance is leaving, unregisters it and waits until open sessions and
-    /// transactions have ended.
+    /// Announces that the instance is leaving, unregisters it and waits until open sessions,
+    /// transactions and calls of peers have ended, as [`StopPhase`] describes.
     ///
-    /// Returns when the process may exit, at most `DRAIN_FRACTION` of the grace period later.
+    /// Returns when the process may exit, before the end of the grace period.
     pub async fn stop(self: &Rc<Self>) {
         log_event!(LogEvent::DrainStarted, "callers={}", self.caller_count.get());
         self.start_leaving();
@@ -105,15 +104,12 @@
         if let Ok(Err(error)) = &unregistered {
             log_event!(LogEvent::PlatformLost, "step=unregister cause=\"{error}\"");
         }
-        let drain_timeout = self.grace_period().mul_f64(DRAIN_FRACTION);
-        loop {
-            let elapsed = self.now().saturating_duration_since(started_at);
-            let open = self.caller_count.get() > 0 || self.pools.has_pinned_connections();
-            if elapsed >= drain_timeout || (elapsed >= LEAVE_NOTICE_PERIOD && !open) {
-                break;
-            }
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
+        self.wait_for_open_work(StopPhase::Answering, started_at + LEAVE_NOTICE_PERIOD).await;
+        self.release_peer_transactions();
+        self.wait_for_open_work(StopPhase::Closing, started_at + LEAVE_NOTICE_PERIOD).await;
+        self.start_closing();
+        // Connections that were accepted last get the time to send their request.
+        self.wait_for_open_work(StopPhase::Ended, self.now() + DRAIN_POLL_INTERVAL).await;
         let work = self.open_sessions.work();
         log_event!(
             LogEvent::DrainEnded,
@@ -125,4 +121,17 @@
         );
         self.open_sessions.log_cut_requests(self.now());
     }
+
+    /// Waits until the planned stop reaches `phase`, or until nothing is open after `earliest_end`.
+    async fn wait_for_open_work(&self, phase: StopPhase, earliest_end: Instant) {
+        while !self.has_stop_reached(phase) {
+            let is_open = self.caller_count.get() > 0
+                || self.pools.has_pinned_connections()
+                || self.open_sessions.work().peer_calls > 0;
+            if !is_open && self.now() >= earliest_end {
+                return;
+            }
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    }
 }
--- a/crates/engine/src/output_queue.rs
+++ b/crates/engine/src/output_queue.rs
@@ -24,6 +24,10 @@
     lanes: RefCell<[BytesMut; FrameLane::COUNT]>,
     encoder: RefCell<FrameEncoder>,
     data_ready: Notify,
+    /// A batch was taken from the queue and is not written yet.
+    is_writing: Cell<bool>,
+    /// Notified when a batch was written and when the connection is closed.
+    written: Notify,
     closed: Cell<bool>,
 }
 
@@ -68,6 +72,18 @@
         self.lanes.borrow().iter().map(BytesMut::len).sum()
     }
 
+    /// Waits until all queued messages were given to the operating system, or the connection is
+    /// closed.
+    pub(crate) async fn wait_until_written(&self) {
+        loop {
+            let written = self.written.notified();
+            if self.closed.get() || (self.queued_bytes() == 0 && !self.is_writing.get()) {
+                return;
+            }
+            written.await;
+        }
+    }
+
     /// Returns whether the connection is closed or about to be.
     pub(crate) fn is_closed(&self) -> bool {
         self.closed.get()
@@ -77,6 +93,7 @@
     pub(crate) fn close(&self) {
         self.closed.set(true);
         self.data_ready.notify_one();
+        self.written.notify_waiters();
     }
 
     /// Removes the frames to write next: all urgent ones, some ordered ones and one bulk part.
@@ -108,10 +125,16 @@
             let batch = self.take_batch();
             if batch.is_empty() {
                 self.data_ready.notified().await;
-            } else if stream.write_all(&batch).await.is_err() {
-                self.closed.set(true);
+                continue;
+            }
+            self.is_writing.set(true);
+            let result = stream.write_all(&batch).await;
+            self.is_writing.set(false);
+            if result.is_err() {
+                self.close();
                 return;
             }
+            self.written.notify_waiters();
         }
     }
 }
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use coord::quota::LimitShare;
+use coord::stop_schedule::StopPhase;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::io::AsyncReadExt;
@@ -15,7 +16,7 @@
 use crate::frame::FrameDecoder;
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::WatchedTable;
-use crate::message::{PeerReply, PeerRequest, TableEvidence};
+use crate::message::{ExecuteOutcome, ExecuteReply, PeerReply, PeerRequest, TableEvidence};
 use crate::output_queue::OutputQueue;
 use crate::peer_link::READ_CHUNK_BYTES;
 use crate::record::InstanceRecord;
@@ -156,8 +157,17 @@
             PeerRequest::Execute { call_id, body } => {
                 self.open_sessions.begin_peer_call();
                 tokio::task::spawn_local(async move {
-                    let body = Box::new(instance.execute_locally(origin, *body).await);
-                    output.push(&PeerReply::Execute { call_id, body });
+                    let reply = tokio::select! {
+                        biased;
+                        reply = instance.execute_locally(origin, *body) => reply,
+                        () = instance.wait_for_stop(StopPhase::Closing) => {
+                            ExecuteReply::without_owner(ExecuteOutcome::InDoubt)
+                        }
+                    };
+                    output.push(&PeerReply::Execute { call_id, body: Box::new(reply) });
+                    if instance.is_leaving() {
+                        output.wait_until_written().await;
+                    }
                     instance.open_sessions.end_peer_call();
                 });
             }
