--- /dev/null
+++ b/crates/coord/src/document_choice.rs
@@ -0,0 +1,147 @@
+//! Decides which document is in force when the store comes back from an older copy.
+//!
+//! Answers the load of a store whose first document after its return is that of the copy, until the
+//! operator writes again what was lost. Numbers of documents increase, so the one with the highest
+//! number stays in force. An operator may also go on from the number that the copy has: a document
+//! with a lower number comes into force once it is certain that it was written after the return, and
+//! it was not replaced within a while, as documents that are written again in their order are.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use state::store_version::{DocumentVersion, StoreVersion};
+
+/// Number of contents that are remembered.
+const MAX_EARLIER: usize = 64;
+
+/// Document that the store has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OfferedDocument {
+    /// Version of its row, and its number.
+    pub version: DocumentVersion,
+    /// Hash of its content.
+    pub digest: u64,
+}
+
+/// What becomes of a document that the store has.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DocumentStep {
+    /// It comes into force.
+    Adopt,
+    /// The document in force stays, under the version of the row.
+    Keep,
+    /// The document in force stays for now; this one may come into force later.
+    Wait,
+    /// The row is older than that of the document in force, or the document has a lower number.
+    Ignore,
+}
+
+/// Document in force, and what is known of those that the store has had.
+#[derive(Clone, Debug, Default)]
+pub struct DocumentChoice {
+    in_force: Option<OfferedDocument>,
+    /// History in which the document in force was written.
+    origin: u64,
+    /// Hashes of the contents that have been in force.
+    earlier: VecDeque<u64>,
+    /// Document that may come into force, and since when it is known.
+    pending: Option<(OfferedDocument, Instant)>,
+    /// Lowest version from which on everything was written after the store's last return.
+    written_since: StoreVersion,
+}
+
+impl DocumentChoice {
+    /// Returns the version of the document in force; empty before the first one.
+    pub fn version(&self) -> DocumentVersion {
+        self.in_force.map(|document| document.version).unwrap_or_default()
+    }
+
+    /// Returns whether the store has another document than the one in force.
+    pub fn is_pending(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// Records that everything from this version on was written after the store had its history.
+    pub fn record_written(&mut self, version: StoreVersion) {
+        let is_first = version.history > self.written_since.history;
+        if is_first || version < self.written_since {
+            self.written_since = version;
+        }
+    }
+
+    /// Returns what becomes of a document that the store has.
+    pub fn offer(&mut self, offered: OfferedDocument, now: Instant) -> DocumentStep {
+        let Some(in_force) = self.in_force else {
+            return self.adopt(offered);
+        };
+        let (row, number) = (offered.version.row, offered.version.number);
+        let newest_row = self.pending.map_or(in_force.version.row, |(pending, _)| {
+            pending.version.row.max(in_force.version.row)
+        });
+        if row <= newest_row {
+            return DocumentStep::Ignore;
+        }
+        self.pending = None;
+        if offered.digest == in_force.digest {
+            self.origin = row.history;
+            return self.keep(in_force, row);
+        }
+        if number > in_force.version.number {
+            return self.adopt(offered);
+        }
+        if row.history == self.origin {
+            return DocumentStep::Ignore;
+        }
+        if self.earlier.contains(&offered.digest) {
+            return self.keep(in_force, row);
+        }
+        if number == in_force.version.number {
+            return self.adopt(offered);
+        }
+        self.pending = Some((offered, now));
+        DocumentStep::Wait
+    }
+
+    /// Brings a document into force that another instance has kept, if it is newer than the own one.
+    /// Returns whether it is in force now.
+    pub fn adopt_kept(&mut self, kept: OfferedDocument) -> bool {
+        if kept.version <= self.version() {
+            return false;
+        }
+        self.adopt(kept);
+        // It was written in an earlier history than that of its row.
+        self.origin = 0;
+        true
+    }
+
+    /// Returns whether the pending document comes into force: it was certainly written after the
+    /// return of the store, and was not replaced for `settle_time`.
+    pub fn settle(&mut self, settle_time: Duration, now: Instant) -> bool {
+        let Some((pending, since)) = self.pending else {
+            return false;
+        };
+        let is_new = pending.version.row >= self.written_since
+            && pending.version.row.history == self.written_since.history;
+        if !is_new || now.saturating_duration_since(since) < settle_time {
+            return false;
+        }
+        self.adopt(pending) == DocumentStep::Adopt
+    }
+
+    fn adopt(&mut self, document: OfferedDocument) -> DocumentStep {
+        self.in_force = Some(document);
+        self.origin = document.version.row.history;
+        self.pending = None;
+        self.earlier.push_back(document.digest);
+        if self.earlier.len() > MAX_EARLIER {
+            self.earlier.pop_front();
+        }
+        DocumentStep::Adopt
+    }
+
+    fn keep(&mut self, in_force: OfferedDocument, row: StoreVersion) -> DocumentStep {
+        let version = DocumentVersion { row, ..in_force.version };
+        self.in_force = Some(OfferedDocument { version, ..in_force });
+        DocumentStep::Keep
+    }
+}
--- a/crates/coord/src/document_state.rs
+++ b/crates/coord/src/document_state.rs
@@ -22,8 +22,8 @@
     pub const ALL: [Self; 3] = [Self::Confirmed, Self::Assumed, Self::Outdated];
 
     /// Returns the state of a document that must be replaced within the `bound`.
-    pub fn assess<V: Copy + Default + Ord>(
-        lag: &DocumentLag<V>,
+    pub fn assess<D: Copy + Default + Ord, V: Copy + Ord>(
+        lag: &DocumentLag<D>,
         age: &TableAge<V>,
         bound: Duration,
         now: Instant,
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod congestion;
 pub mod connection_reuse;
 pub mod connection_setup;
+pub mod document_choice;
 pub mod document_history;
 pub mod document_lag;
 pub mod document_state;
@@ -42,7 +43,7 @@
 pub mod replica_lag;
 pub mod retry_budget;
 pub mod routing;
-pub mod row_order;
+
 pub mod service_time;
 pub mod session;
 pub mod stop_schedule;
--- a/crates/coord/tests/document_state.rs
+++ b/crates/coord/tests/document_state.rs
@@ -17,7 +17,7 @@
         fn $name() {
             let start = Instant::now();
             let $at = |millis: u64| start + Duration::from_millis(millis);
-            let (mut $lag, mut $age) = (DocumentLag::default(), TableAge::new(start));
+            let (mut $lag, mut $age) = (DocumentLag::default(), TableAge::<u64>::new(start));
             $body
         }
     };
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -8,7 +8,7 @@
 };
 use coord::stop_schedule::StopPhase;
 use metrics::{counter, histogram};
-use state::store_version::StoreVersion;
+use state::store_version::DocumentVersion;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::io::AsyncWriteExt;
@@ -76,7 +76,7 @@
     route: Rc<RouteRecord>,
     team: Rc<str>,
     /// Version of the document that both are from.
-    document_version: StoreVersion,
+    document_version: DocumentVersion,
 }
 
 /// Event that a session waits for.
@@ -447,7 +447,7 @@
             }
         }
         let document = self.document();
-        let document_version = document.store_version;
+        let document_version = self.instance.directory.borrow().document_version();
         let Some(route) = document.route(&self.database) else {
             return Err((RefusalCode::UnknownDatabase, "unknown database"));
         };
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -7,6 +7,7 @@
 
 use coord::cold_budget::ColdPeriod;
 use coord::connection_reuse::ConnectionHints;
+use coord::document_choice::{DocumentChoice, DocumentStep, OfferedDocument};
 use coord::endpoint_health::{EndpointSample, HealthView, ServiceBaseline, sample_duration};
 use coord::evacuation::{EvacuationTable, ZonePhase};
 use coord::placement::EndpointView;
@@ -15,11 +16,13 @@
 use coord::service_time::ServiceClass;
 use coord::watermark::{Watermark, WatermarkRing};
 use state::position::LogPosition;
-use state::store_version::StoreVersion;
+use state::store_version::{DocumentVersion, StoreVersion};
 
 use crate::document_index::DocumentIndex;
 use crate::instance::ZoneSettings;
+use crate::message::KeptDocument;
 use crate::record::{EndpointRecord, FleetDocument};
+use crate::tables::StoredRow;
 
 /// Time for which an endpoint still takes work after its registration vanished. An outage of the
 /// store may remove registrations, which reappear within 2 s of its recovery.
@@ -30,6 +33,8 @@
 pub struct EndpointEntry {
     /// Last registration.
     pub record: EndpointRecord,
+    /// Version of the registration's row.
+    pub(crate) row: StoreVersion,
     /// Observations of this instance.
     pub view: EndpointView,
     /// Time at which the registration vanished; `None` while registered.
@@ -73,6 +78,11 @@
 #[derive(Debug)]
 pub struct FleetDirectory {
     pub(crate) document: Rc<DocumentIndex>,
+    choice: DocumentChoice,
+    /// Row of the document in force.
+    document_row: Option<StoredRow>,
+    /// Document that may come into force, with its row.
+    pending_document: Option<(FleetDocument, StoredRow)>,
     pub(crate) endpoints: HashMap<String, EndpointEntry>,
     pub(crate) services: HashMap<String, ServiceState>,
     pub(crate) drain_timeout: Duration,
@@ -88,6 +98,9 @@
     pub fn new(drain_timeout: Duration) -> Self {
         Self {
             document: Rc::default(),
+            choice: DocumentChoice::default(),
+            document_row: None,
+            pending_document: None,
             endpoints: HashMap::new(),
             services: HashMap::new(),
             drain_timeout,
@@ -145,30 +158,109 @@
         self.endpoints_loaded = true;
     }
 
-    /// Applies the document of a row of this version, if the row is newer than that of the document in
-    /// force; returns whether it was applied.
-    ///
-    /// The number of the document does not matter: a store that came back from an older copy may get a
-    /// document with a lower one.
-    pub fn apply_document(&mut self, document: FleetDocument, version: StoreVersion) -> bool {
-        if version <= self.document.store_version {
+    /// Returns the version of the document in force.
+    pub fn document_version(&self) -> DocumentVersion {
+        self.choice.version()
+    }
+
+    /// Returns what becomes of the document of a row; it may be in force afterwards.
+    pub fn offer_document(
+        &mut self,
+        document: FleetDocument,
+        row: &StoredRow,
+        now: Instant,
+    ) -> DocumentStep {
+        let version = DocumentVersion { row: row.version, number: document.version };
+        let step = self.choice.offer(OfferedDocument { version, digest: row.digest() }, now);
+        match step {
+            DocumentStep::Adopt => self.set_document(document, row.clone()),
+            DocumentStep::Wait => self.pending_document = Some((document, row.clone())),
+            DocumentStep::Keep => self.pending_document = None,
+            DocumentStep::Ignore => {}
+        }
+        step
+    }
+
+    /// Brings the pending document into force if nothing has replaced it for `settle_time`; returns
+    /// whether it is in force now.
+    pub fn settle_document(&mut self, settle_time: Duration, now: Instant) -> bool {
+        if !self.choice.settle(settle_time, now) {
             return false;
         }
-        self.document = Rc::new(DocumentIndex::new(document, version));
+        if let Some((document, row)) = self.pending_document.take() {
+            self.set_document(document, row);
+        }
         true
     }
 
+    /// Brings the document into force that another instance has, if it is newer; returns whether it is
+    /// in force now.
+    pub fn adopt_kept_document(&mut self, document: FleetDocument, kept: &KeptDocument) -> bool {
+        let offered = OfferedDocument { version: kept.version, digest: kept.row.digest() };
+        let is_adopted = self.choice.adopt_kept(offered);
+        if is_adopted {
+            self.set_document(document, kept.row.clone());
+        }
+        is_adopted
+    }
+
+    /// Returns the document in force with its row.
+    pub fn kept_document(&self) -> Option<KeptDocument> {
+        let row = self.document_row.clone()?;
+        Some(KeptDocument { version: self.document_version(), row })
+    }
+
+    fn set_document(&mut self, document: FleetDocument, row: StoredRow) {
+        self.document = Rc::new(DocumentIndex::new(document));
+        self.document_row = Some(row);
+        self.pending_document = None;
+    }
+
+    /// Records that everything from this version on was written after the store had its history.
+    pub fn record_written(&mut self, version: StoreVersion) {
+        self.choice.record_written(version);
+    }
+
+    /// Returns whether the store has another document than the one in force.
+    pub fn has_pending_document(&self) -> bool {
+        self.choice.is_pending()
+    }
+
     /// Applies a registration; returns whether it differs from the previous one in more than the time
     /// for which the endpoint stays cold, which counts down.
-    pub fn apply_endpoint(&mut self, record: EndpointRecord, now: Instant) -> bool {
-        let known = self.endpoints.get(&record.name);
-        if known.is_some_and(|entry| entry.record == record && entry.unregistered_at.is_none()) {
+    ///
+    /// `row` is the version of the row. The first row of a new history of the store may be older than
+    /// the known registration, which stays then.
+    pub fn apply_endpoint(
+        &mut self,
+        record: EndpointRecord,
+        row: StoreVersion,
+        now: Instant,
+    ) -> bool {
+        if let Some(entry) = self.endpoints.get_mut(&record.name)
+            && entry.row.history < row.history
+        {
+            entry.row = row;
+            match record.report().cmp(&entry.record.report()) {
+                Ordering::Less => return false,
+                Ordering::Equal if entry.unregistered_at.is_some() => return false,
+                Ordering::Equal => {}
+                Ordering::Greater => self.choice.record_written(row),
+            }
+        }
+        if let Some(entry) = self.endpoints.get_mut(&record.name)
+            && entry.unregistered_at.is_none()
+            && entry.record.is_same_state(&record)
+        {
+            entry.record.sequence = record.sequence;
+            entry.row = row;
             return false;
         }
+        let known = self.endpoints.get(&record.name);
         let is_changed = known.is_none_or(|entry| {
             let cold_remaining = record.cold_remaining;
-            entry.unregistered_at.is_some()
-                || EndpointRecord { cold_remaining, ..entry.record.clone() } != record
+            let known = EndpointRecord { cold_remaining, ..entry.record.clone() };
+            entry.unregistered_at.is_some() || !known.is_same_state(&record)
         });
         let is_new_process = known.is_none_or(|entry| entry.record.started_ms != record.started_ms);
         let view = match known {
@@ -189,8 +281,15 @@
             service.members.push(record.name.clone());
         }
         let name_hash = rendezvous::weight(&record.name, "");
-        let entry =
-            EndpointEntry { view, unregistered_at: None, leaving_since, cold, name_hash, record };
+        let entry = EndpointEntry {
+            view,
+            unregistered_at: None,
+            leaving_since,
+            cold,
+            name_hash,
+            row,
+            record,
+        };
         self.endpoints.insert(entry.record.name.clone(), entry);
         is_changed
     }
--- a/crates/engine/src/document_guard.rs
+++ b/crates/engine/src/document_guard.rs
@@ -37,7 +37,7 @@
     /// readiness of the instance changes.
     pub(crate) fn update_document_state(&self) {
         let (own, newest) =
-            (self.directory.borrow().document().store_version, self.newest_peer_document());
+            (self.directory.borrow().document_version(), self.newest_peer_document());
         self.document_lag.borrow_mut().record(own, newest, self.now());
         let (lag, age) = (self.document_lag(), self.table_age(WatchedTable::Document));
         let state = self.document_state();
@@ -65,7 +65,7 @@
     ///
     /// Open transactions go on under the document that they began with.
     pub(crate) fn is_call_outdated(&self, call: &ExecuteCall) -> bool {
-        let own = self.directory.borrow().document().store_version;
+        let own = self.directory.borrow().document_version();
         let version = call.document_version;
         if call.pinned || version >= own {
             return false;
@@ -88,6 +88,8 @@
         let version = self.directory.borrow().document().version;
         gauge!(meter::DOCUMENT_VERSION).set(version as f64);
         gauge!(meter::DOCUMENT_LAG_SECONDS).set(self.document_lag().as_secs_f64());
+        let is_pending = self.directory.borrow().has_pending_document();
+        gauge!(meter::DOCUMENT_PENDING).set(if is_pending { 1.0 } else { 0.0 });
         let current = self.document_state();
         for state in DocumentState::ALL {
             let is_current = if state == current { 1.0 } else { 0.0 };
--- a/crates/engine/src/document_index.rs
+++ b/crates/engine/src/document_index.rs
@@ -6,7 +6,6 @@
 
 use coord::priority::PriorityLevel;
 use coord::quota::TeamLimit;
-use state::store_version::StoreVersion;
 
 use crate::record::{FleetDocument, RouteRecord, ServiceRecord};
 
@@ -15,8 +14,6 @@
 pub struct DocumentIndex {
     /// Version of the document; zero before the first one.
     pub version: u64,
-    /// Version of the document's row, which orders documents.
-    pub store_version: StoreVersion,
     /// Time after which an idle open transaction is rolled back; `None` for no limit.
     pub transaction_idle_timeout: Option<Duration>,
     routes: HashMap<String, Rc<RouteRecord>>,
@@ -29,7 +26,7 @@
 }
 
 impl DocumentIndex {
-    pub(crate) fn new(document: FleetDocument, store_version: StoreVersion) -> Self {
+    pub(crate) fn new(document: FleetDocument) -> Self {
         let mut teams_by_key = HashMap::new();
         let mut limits = HashMap::new();
         let mut team_regions = HashMap::new();
@@ -46,7 +43,6 @@
         let services = document.services.into_iter();
         Self {
             version: document.version,
-            store_version,
             transaction_idle_timeout: document.transaction_idle_timeout,
             routes: routes.map(|route| (route.database.clone(), Rc::new(route))).collect(),
             services: services.map(|service| (service.name.clone(), service)).collect(),
@@ -57,6 +53,16 @@
         }
     }
 
+    /// Returns the number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// Returns the number of teams.
+    pub fn team_count(&self) -> usize {
+        self.limits.len()
+    }
+
     /// Returns the route of a database.
     pub fn route(&self, database: &str) -> Option<Rc<RouteRecord>> {
         self.routes.get(database).cloned()
--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -240,7 +240,7 @@
             plan: &plan,
             route: &route,
             team,
-            document_version: document.store_version,
+            document_version: self.directory.borrow().document_version(),
             request_id: "explain",
             text: "",
             machine: &machine,
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -8,6 +8,7 @@
 
 use clock::SharedClock;
 use coord::congestion::CongestionDetector;
+use coord::document_choice::DocumentStep;
 use coord::document_history::DocumentHistory;
 use coord::document_lag::DocumentLag;
 use coord::document_state::DocumentState;
@@ -22,7 +23,7 @@
 use metrics::gauge;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use state::store_version::StoreVersion;
+use state::store_version::{DocumentVersion, StoreVersion};
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::sync::Notify;
@@ -39,7 +40,7 @@
 use crate::service_load::ServiceLoads;
 use crate::store_reader::StoreReader;
 use crate::table_server::TableServer;
-use crate::tables::TableCaches;
+use crate::tables::{StoredRow, TableCaches};
 
 /// Platform and protocol that an instance is built for.
 pub trait EngineTypes: 'static {
@@ -99,6 +100,9 @@
 /// Time after its start in which an instance finds the others: the delay of their registrations and
 /// the expiry of the views of lost observers.
 const DISCOVERY_PERIOD: Duration = Duration::from_secs(2);
+/// Part of the bound on documents for which a document with a lower number must not be replaced after
+/// the return of the store until it comes into force.
+const DOCUMENT_SETTLE_FRACTION: f64 = 0.3;
 /// Time after its start for which an instance in a first start may create full token buckets.
 const FIRST_START_PERIOD: Duration = Duration::from_secs(20);
 
@@ -143,9 +147,9 @@
     leave_signal: Notify,
     store_reachable: Cell<bool>,
     was_validated: Cell<bool>,
-    pub(crate) document_lag: RefCell<DocumentLag<StoreVersion>>,
+    pub(crate) document_lag: RefCell<DocumentLag<DocumentVersion>>,
     /// Documents that came into force on this instance.
-    pub(crate) document_history: RefCell<DocumentHistory<StoreVersion>>,
+    pub(crate) document_history: RefCell<DocumentHistory<DocumentVersion>>,
     /// As of when the table caches hold all changes, in the order of [`WatchedTable::ALL`].
     pub(crate) table_ages: RefCell<[TableAge<StoreVersion>; WatchedTable::ALL.len()]>,
     /// Reads of the tables from the store, in the order of [`WatchedTable::ALL`].
@@ -162,8 +166,6 @@
     pub(crate) history_changed: Notify,
     /// Notified when this instance is registered.
     pub(crate) registered: Notify,
-    /// Rows of each table that the store has older, as it came back from an older copy.
-    pub(crate) kept_rows: Cell<[usize; WatchedTable::ALL.len()]>,
     promotion_token: Cell<Option<u64>>,
     next_transaction_id: Cell<u32>,
     next_session_id: Cell<u32>,
@@ -195,10 +197,7 @@
             clock,
             platform,
             pools: ConnectionPools::default(),
-            tables: RefCell::new(TableCaches::new(
-                E::Platform::document_recency,
-                E::Platform::endpoint_recency,
-            )),
+            tables: RefCell::default(),
             table_server: RefCell::default(),
             validation: RefCell::default(),
             was_validated: Cell::new(true),
@@ -214,7 +213,6 @@
             store_history: Cell::new(None),
             history_changed: Notify::new(),
             registered: Notify::new(),
-            kept_rows: Cell::default(),
             started_at,
             caller_count: Cell::new(0),
             open_sessions: OpenSessions::default(),
@@ -476,22 +474,50 @@
         }
     }
 
-    /// Applies a changed row of a watched table to the directory; `row_version` is that of the row.
-    pub fn apply_row_change(&self, change: RowChange, row_version: StoreVersion) {
+    /// Brings a document into force that the store has had for a while since its return.
+    pub(crate) fn settle_document(&self) {
+        let settle_time = self.settings.document_bound.mul_f64(DOCUMENT_SETTLE_FRACTION);
+        let now = self.now();
+        if self.directory.borrow_mut().settle_document(settle_time, now) {
+            self.record_document_in_force();
+        }
+    }
+
+    pub(crate) fn record_document_in_force(&self) {
+        let (document, version) = {
+            let directory = self.directory.borrow();
+            (directory.document(), directory.document_version())
+        };
+        self.document_history.borrow_mut().record(version, self.now());
+        self.refusals.borrow_mut().clear();
+        log_event!(
+            LogEvent::DocumentInForce,
+            "version={} routes={} teams={} row={}",
+            document.version,
+            document.route_count(),
+            document.team_count(),
+            version.row
+        );
+    }
+
+    /// Applies a changed row of a watched table to the directory.
+    pub fn apply_row_change(&self, change: RowChange, row: &StoredRow) {
         let now = self.now();
         match change {
             RowChange::Document(document) => {
-                let (version, routes) = (document.version, document.routes.len());
-                let teams = document.teams.len();
-                let in_force = self.directory.borrow().document().version;
-                if self.directory.borrow_mut().apply_document(document, row_version) {
-                    self.document_history.borrow_mut().record(row_version, now);
-                    self.refusals.borrow_mut().clear();
-                    log_event!(
-                        LogEvent::DocumentInForce,
-                        "version={version} before={in_force} routes={routes} teams={teams} \
-                         row={row_version}"
-                    );
+                let version = DocumentVersion { row: row.version, number: document.version };
+                let step = self.directory.borrow_mut().offer_document(document, row, now);
+                match step {
+                    DocumentStep::Adopt => self.record_document_in_force(),
+                    DocumentStep::Keep | DocumentStep::Wait => {
+                        let in_force = self.directory.borrow().document_version();
+                        self.document_history.borrow_mut().record(in_force, now);
+                        log_event!(
+                            LogEvent::DocumentKept,
+                            "in_force={in_force} store={version} step={step:?}"
+                        );
+                    }
+                    DocumentStep::Ignore => {}
                 }
             }
             RowChange::ZoneEvacuated(zone) => {
@@ -519,7 +545,7 @@
                     "endpoint={} service={} zone={} leaving={} leads={}",
                     record.name, record.service, record.zone, record.leaving, record.leads
                 );
-                if self.directory.borrow_mut().apply_endpoint(record, now) {
+                if self.directory.borrow_mut().apply_endpoint(record, row.version, now) {
                     log_event!(LogEvent::EndpointListed, "{line}");
                 }
             }
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use coord::promotion::MemberReport;
-use coord::row_order::RowRecency;
 use coord::session::{StatementClass, TransactionState};
 use snafu::Snafu;
 use state::position::LogPosition;
@@ -225,12 +224,6 @@
         token: u64,
     ) -> impl Future<Output = Result<PromotionAnswer, PlatformError>>;
 
-    /// Returns the number of a document's row.
-    fn document_recency(row: &StoredRow) -> Option<RowRecency>;
-
-    /// Returns the start and the number of an endpoint's registration.
-    fn endpoint_recency(row: &StoredRow) -> Option<RowRecency>;
-
     /// Decodes a row; returns `None` if the row is irrelevant to the engine.
     fn decode_row(&self, table: WatchedTable, row: &StoredRow) -> Option<RowChange>;
 }
--- a/crates/engine/src/lifecycle.rs
+++ b/crates/engine/src/lifecycle.rs
@@ -61,6 +61,7 @@
         tokio::task::spawn_local(self.clone().register_and_discover());
         tokio::task::spawn_local(self.clone().replicate_table(WatchedTable::Document));
         tokio::task::spawn_local(self.clone().replicate_table(WatchedTable::Endpoints));
+        tokio::task::spawn_local(self.clone().replicate_kept_document());
         tokio::task::spawn_local(self.clone().ping_peers());
         tokio::task::spawn_local(self.clone().maintain_subscriptions());
         tokio::task::spawn_local(self.clone().publish_changes());
@@ -69,6 +70,7 @@
         tokio::task::spawn_local(async move {
             loop {
                 sleep(MAINTENANCE_INTERVAL).await;
+                instance.settle_document();
                 instance.update_evacuations();
                 instance.find_new_leaders();
                 instance.evict_idle_connections();
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -10,12 +10,13 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use state::position::LogPosition;
-use state::store_version::StoreVersion;
+use state::store_version::{DocumentVersion, StoreVersion};
 
 use crate::frame::{FrameLane, MAX_MESSAGE_BYTES};
 use crate::interface::{RefusalCode, WatchedTable};
 use crate::record::InstanceRecord;
 use crate::table_change::PackedChange;
+use crate::tables::StoredRow;
 
 /// Error of encoding or decoding a message.
 #[derive(Debug, Snafu)]
@@ -47,8 +48,8 @@
     pub endpoint: String,
     /// Team on whose behalf the statements run.
     pub team: String,
-    /// Version of the document's row by which the sender decided that they may run.
-    pub document_version: StoreVersion,
+    /// Document by which the sender decided that they may run.
+    pub document_version: DocumentVersion,
     /// Identifier of the transaction, unique on the sending instance; zero for none.
     pub transaction_id: u32,
     /// The transaction already has a pinned connection.
@@ -216,8 +217,8 @@
 pub struct FleetHeads {
     /// Versions of the table caches, in the order of [`WatchedTable::ALL`].
     pub table_versions: [StoreVersion; 2],
-    /// Version of the row of the document in force.
-    pub document_version: StoreVersion,
+    /// Document in force.
+    pub document_version: DocumentVersion,
     /// Known leaders: service, endpoint, term.
     pub leaders: Vec<(String, String, u64)>,
 }
@@ -366,6 +367,11 @@
         /// Transfer to go on with, and the bytes of it that were received.
         resume: Option<(u64, u32)>,
     },
+    /// Requests the document that the receiver has in force, which the store may have lost.
+    FetchDocument {
+        /// Identifier of the call, repeated in the answer.
+        call_id: u32,
+    },
 }
 
 /// Message of the instance that accepted the connection.
@@ -424,6 +430,22 @@
         /// Part of the changes, or the reason why none is sent.
         part: TransferPart,
     },
+    /// Answer to [`PeerRequest::FetchDocument`].
+    Document {
+        /// Identifier of the call.
+        call_id: u32,
+        /// Document in force, if there is one.
+        document: Option<Box<KeptDocument>>,
+    },
+}
+
+/// Document in force on an instance, with the row that it was read from.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct KeptDocument {
+    /// Version under which it is in force.
+    pub version: DocumentVersion,
+    /// Row, which the store may have lost.
+    pub row: StoredRow,
 }
 
 /// Answer to a request for a part of the changes of a table.
@@ -480,7 +502,7 @@
             Self::Probe { .. } => "probe",
             Self::Change { .. } => "change",
             Self::Offer { .. } => "offer",
-            Self::Fetch { .. } => "fetch",
+            Self::Fetch { .. } | Self::FetchDocument { .. } => "fetch",
         }
     }
 }
@@ -489,7 +511,7 @@
     fn lane(&self) -> FrameLane {
         match self {
             Self::Pong { .. } => FrameLane::Urgent,
-            Self::Part { .. } => FrameLane::Bulk,
+            Self::Part { .. } | Self::Document { .. } => FrameLane::Bulk,
             _ => FrameLane::Ordered,
         }
     }
@@ -503,7 +525,7 @@
             Self::Execute { .. } => "execute_reply",
             Self::Admit { .. } => "admit_reply",
             Self::Probe { .. } => "probe_reply",
-            Self::Part { .. } => "part",
+            Self::Part { .. } | Self::Document { .. } => "part",
         }
     }
 }
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -6,14 +6,14 @@
 use std::time::{Duration, Instant};
 
 use coord::membership::{InstanceKey, InstanceRecord};
-use state::store_version::StoreVersion;
+use state::store_version::{DocumentVersion, StoreVersion};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
 use crate::interface::WatchedTable;
 use crate::message::{
-    AdmissionDecision, AdmissionRequest, ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason,
-    PeerReply, PeerRequest, TransferPart,
+    AdmissionDecision, AdmissionRequest, ExecuteCall, ExecuteOutcome, ExecuteReply, KeptDocument,
+    NotSentReason, PeerReply, PeerRequest, TransferPart,
 };
 use crate::output_queue::OutputQueue;
 
@@ -39,6 +39,7 @@
     pub(crate) execute: ReplySenders<ExecuteReply>,
     pub(crate) admission: ReplySenders<AdmissionDecision>,
     pub(crate) probe: ReplySenders<bool>,
+    pub(crate) document: ReplySenders<Option<Box<KeptDocument>>>,
     pub(crate) part: ReplySenders<TransferPart>,
 }
 
@@ -81,7 +82,7 @@
     /// Versions of the peer's table caches, as far as is known.
     pub(crate) table_versions: Cell<[StoreVersion; 2]>,
     /// Document that the peer has in force, as far as is known.
-    pub(crate) document_version: Cell<StoreVersion>,
+    pub(crate) document_version: Cell<DocumentVersion>,
     /// Connections to the peer fail; when to try again, and the delay after the next failure.
     pub(crate) retry: Cell<Option<(Instant, Duration)>>,
     /// The connection is closed because nothing uses it.
@@ -135,6 +136,7 @@
         !pending.execute.is_empty()
             || !pending.admission.is_empty()
             || !pending.probe.is_empty()
+            || !pending.document.is_empty()
             || !pending.part.is_empty()
     }
 
@@ -204,6 +206,14 @@
         self.send_call(|pending| &mut pending.probe, answer_timeout, request).await
     }
 
+    /// Requests the document that the peer has in force.
+    ///
+    /// Returns `None` without an answer within `answer_timeout`, or if the peer has none.
+    pub async fn fetch_document(&self, answer_timeout: Duration) -> Option<Box<KeptDocument>> {
+        let request = |call_id| PeerRequest::FetchDocument { call_id };
+        self.send_call(|pending| &mut pending.document, answer_timeout, request).await?
+    }
+
     /// Requests a part of the peer's changes of a table after the version `since`.
     ///
     /// `resume` is the transfer to go on with and the number of its bytes that were received. Returns
@@ -267,6 +277,9 @@
             PeerReply::Admit { call_id, decision } => {
                 deliver(&mut pending.admission, call_id, decision);
             }
+            PeerReply::Document { call_id, document } => {
+                deliver(&mut pending.document, call_id, document);
+            }
             PeerReply::Probe { call_id, reached } => {
                 deliver(&mut pending.probe, call_id, reached);
             }
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -186,6 +186,10 @@
             PeerRequest::ReturnToken { team, bucket_number, priority } => {
                 self.take_back_token(&team, LimitShare::Reachable, bucket_number, priority);
             }
+            PeerRequest::FetchDocument { call_id } => {
+                let document = self.directory.borrow().kept_document().map(Box::new);
+                output.push(&PeerReply::Document { call_id, document });
+            }
             PeerRequest::Probe { call_id, endpoint } => {
                 tokio::task::spawn_local(async move {
                     let reached = instance.probe_member(&endpoint).await.is_some();
--- a/crates/engine/src/record.rs
+++ b/crates/engine/src/record.rs
@@ -136,6 +136,21 @@
     /// Start time by the endpoint's own clock, in milliseconds since the Unix epoch. A change
     /// means that the endpoint restarted under the same name.
     pub started_ms: u64,
+    /// Number of the report, counted from the start of the endpoint.
+    pub sequence: u64,
+}
+
+impl EndpointRecord {
+    /// Returns the order of the reports of an endpoint: its start and the number of the report.
+    pub fn report(&self) -> (u64, u64) {
+        (self.started_ms, self.sequence)
+    }
+
+    /// Returns whether another report says the same.
+    pub fn is_same_state(&self, other: &Self) -> bool {
+        let sequence = self.sequence;
+        *self == Self { sequence, ..other.clone() }
+    }
 }
 
 /// Promotion lease, as kept in the store.
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -10,7 +10,7 @@
 use coord::session::{ForwardPlan, SessionMachine};
 use metrics::counter;
 use state::position::LogPosition;
-use state::store_version::StoreVersion;
+use state::store_version::DocumentVersion;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::time::sleep;
@@ -68,7 +68,7 @@
     /// Team of the caller.
     pub team: &'a str,
     /// Version of the document that the route and the team are from.
-    pub document_version: StoreVersion,
+    pub document_version: DocumentVersion,
     /// Identifier of the request.
     pub request_id: &'a str,
     /// Text as sent by the caller.
--- a/crates/engine/src/store_reader.rs
+++ b/crates/engine/src/store_reader.rs
@@ -228,7 +228,7 @@
         let end = match result {
             Ok(answer) => {
                 self.record_store_status(true, "");
-                self.record_store_history(answer.version.history);
+                self.record_store_history(answer.version);
                 for row in &answer.refused {
                     self.refused_rows.borrow_mut().record(table.label(), row);
                 }
@@ -283,13 +283,15 @@
         ReadEnd::Answered
     }
 
-    /// Records a history of the store, learnt from itself or from another instance.
-    pub(crate) fn record_store_history(&self, history: u64) {
-        let known = self.store_history.get();
+    /// Records a version of the store, learnt from itself or from another instance, and notices a new
+    /// history.
+    pub(crate) fn record_store_history(&self, version: StoreVersion) {
+        let (known, history) = (self.store_history.get(), version.history);
         if known.is_some_and(|known| known >= history) {
             return;
         }
         self.store_history.set(Some(history));
+        self.directory.borrow_mut().record_written(version.successor());
         gauge!(meter::STORE_HISTORY).set(history as f64);
         if let Some(known) = known {
             counter!(meter::STORE_HISTORY_CHANGES).increment(1);
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -6,7 +6,7 @@
 use bytes::BytesMut;
 use coord::membership::{InstanceKey, MemberStatus, ViewScope};
 use slotmap::new_key_type;
-use state::store_version::StoreVersion;
+use state::store_version::{DocumentVersion, StoreVersion};
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::time::{sleep, timeout};
@@ -41,7 +41,7 @@
     output: Rc<OutputQueue>,
     pub(crate) table_versions: [StoreVersion; 2],
     /// Document that the subscriber has in force, as far as is known.
-    pub(crate) document_version: StoreVersion,
+    pub(crate) document_version: DocumentVersion,
 }
 
 /// What was last published to subscribers and reported to observers.
@@ -71,7 +71,7 @@
     fn heads(&self) -> FleetHeads {
         FleetHeads {
             table_versions: self.tables.borrow().versions(),
-            document_version: self.directory.borrow().document().store_version,
+            document_version: self.directory.borrow().document_version(),
             leaders: self.directory.borrow().leaders(),
         }
     }
@@ -410,7 +410,7 @@
     }
 
     /// Returns the newest document that a connected observer or subscriber has in force.
-    pub(crate) fn newest_peer_document(&self) -> StoreVersion {
+    pub(crate) fn newest_peer_document(&self) -> DocumentVersion {
         let links = self.peers.links.borrow();
         let observers = links
             .values()
--- a/crates/engine/src/table_change.rs
+++ b/crates/engine/src/table_change.rs
@@ -93,8 +93,6 @@
     pub key: String,
     /// Version of the change.
     pub version: StoreVersion,
-    /// History of the store in which the content was written.
-    pub origin: u64,
     /// New content.
     pub content: DeltaContent,
 }
--- a/crates/engine/src/tables.rs
+++ b/crates/engine/src/tables.rs
@@ -3,10 +3,9 @@
 //! Calls to the store cost money, and change feeds make up most of them. One instance of each
 //! availability zone therefore reads the feed and pushes the changes to the others of its zone.
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 
-use coord::row_order::{RowRecency, RowTrail};
+use coord::rendezvous;
 use serde::{Deserialize, Serialize};
 use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
@@ -33,6 +32,13 @@
     pub value: Option<Vec<u8>>,
 }
 
+impl StoredRow {
+    /// Returns a hash of the content.
+    pub fn digest(&self) -> u64 {
+        rendezvous::weight_of(self.value.as_deref().unwrap_or_default())
+    }
+}
+
 /// Change of a large row from one version to the next.
 #[derive(Clone, Debug)]
 struct RowPatch {
@@ -41,65 +47,32 @@
     patch: PackedBytes,
 }
 
-/// Returns the order of a row's content that its writer states, if there is one.
-pub type RecencyReader = fn(&StoredRow) -> Option<RowRecency>;
-
 /// Cached row, with the patches that led to its version.
 #[derive(Debug)]
 struct CachedRow {
     row: StoredRow,
     /// Successive patches, the last of which led to the row's version.
     patches: VecDeque<RowPatch>,
-    trail: RowTrail,
-    /// History in which the content was written.
-    origin: u64,
-    /// The store has older content, as it came back from an older copy.
-    is_kept: bool,
-}
-
-/// Row to cache.
-#[derive(Debug)]
-struct AcceptedRow {
-    row: StoredRow,
-    /// History in which the content was written.
-    origin: u64,
-    /// The content is that of the cached row, as the store has an older one.
-    is_kept: bool,
-}
-
-impl AcceptedRow {
-    fn new(row: StoredRow, origin: u64) -> Self {
-        Self { row, origin, is_kept: false }
-    }
 }
 
 impl CachedRow {
     fn new(row: StoredRow) -> Self {
-        let (patches, trail) = Default::default();
-        Self { row, patches, trail, origin: 0, is_kept: false }
+        Self { row, patches: VecDeque::new() }
     }
 
-    /// Returns whether a row with a higher version has older content, written in the history `origin`.
-    fn is_newer_than(&self, row: &StoredRow, origin: u64, recency: RecencyReader) -> bool {
-        let (known, received) = (recency(&self.row), recency(row));
-        match origin.cmp(&self.origin) {
-            Ordering::Less => true,
-            Ordering::Equal => match (known, received) {
-                (Some(known @ RowRecency::Document { .. }), Some(received)) => received < known,
-                _ => false,
-            },
-            Ordering::Greater => {
-                let is_first = self.row.version.history < row.version.history;
-                is_first && self.trail.is_older(known, received, row.version)
-            }
+    /// Replaces the row by the result of a patch.
+    fn apply_patch(&mut self, row: StoredRow, patch: PackedBytes) {
+        let (base_version, version) = (self.row.version, row.version);
+        self.patches.push_back(RowPatch { base_version, version, patch });
+        if self.patches.len() > MAX_PATCHES {
+            self.patches.pop_front();
         }
+        self.row = row;
     }
 
     /// Appends what a cache that has all changes up to `since` lacks of the row.
     fn append_changes(&self, since: StoreVersion, deltas: &mut Vec<RowDelta>) {
-        let origin = self.origin;
-        let delta =
-            |version, content| RowDelta { key: self.row.key.clone(), version, origin, content };
+        let delta = |version, content| RowDelta { key: self.row.key.clone(), version, content };
         let Some(value) = &self.row.value else {
             deltas.push(delta(self.row.version, DeltaContent::Removed));
             return;
@@ -120,71 +93,16 @@
 }
 
 /// Cache of one table. Removed rows stay in it, so that an older version cannot restore them.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct TableCache {
-    recency: RecencyReader,
     rows: BTreeMap<String, CachedRow>,
     /// Version up to which changes were received.
     version: StoreVersion,
     /// Version from which on the cache knows all removed rows.
     complete_since: StoreVersion,
-    /// Rows whose content was kept.
-    kept_count: usize,
-}
-
-impl Default for TableCache {
-    fn default() -> Self {
-        Self::new(|_| None)
-    }
 }
 
 impl TableCache {
-    /// Creates an empty cache; `recency` orders the contents of a row from different histories.
-    pub fn new(recency: RecencyReader) -> Self {
-        let (version, complete_since) = Default::default();
-        Self { recency, rows: BTreeMap::new(), version, complete_since, kept_count: 0 }
-    }
-
-    /// Returns the row to cache for one that was received, or `None` if the cached one is newer.
-    ///
-    /// A row with a higher version may have older content: the first one of a new history, or a document
-    /// with a lower number than one of its history. The cached content is kept under the higher version
-    /// then.
-    fn accept(&self, row: StoredRow, origin: u64) -> Option<AcceptedRow> {
-        let Some(cached) = self.rows.get(&row.key) else {
-            return Some(AcceptedRow::new(row, origin));
-        };
-        if cached.row.version >= row.version {
-            return None;
-        }
-        if cached.row.value == row.value || !cached.is_newer_than(&row, origin, self.recency) {
-            return Some(AcceptedRow::new(row, origin));
-        }
-        let row = StoredRow { value: cached.row.value.clone(), ..row };
-        Some(AcceptedRow { row, origin: cached.origin, is_kept: true })
-    }
-
-    /// Caches a row that was accepted.
-    fn insert(&mut self, accepted: AcceptedRow) {
-        let AcceptedRow { row, origin, is_kept } = accepted;
-        let (recency, version) = ((self.recency)(&row), row.version);
-        let key = row.key.clone();
-        let cached = self.rows.entry(key).or_insert_with(|| CachedRow::new(row.clone()));
-        self.kept_count += usize::from(is_kept);
-        self.kept_count -= usize::from(cached.is_kept);
-        cached.row = row;
-        cached.origin = origin;
-        cached.is_kept = is_kept;
-        cached.patches.clear();
-        cached.trail.record(recency, version);
-    }
-
-    /// Returns the number of rows of which the store has older content, as it came back from an older
-    /// copy.
-    pub fn kept_count(&self) -> usize {
-        self.kept_count
-    }
-
     /// Returns the version up to which the cache has received changes.
     pub fn version(&self) -> StoreVersion {
         self.version
@@ -194,11 +112,11 @@
     pub fn merge_rows(&mut self, rows: Vec<StoredRow>) -> Vec<StoredRow> {
         let mut changed = Vec::new();
         for row in rows {
-            let origin = row.version.history;
-            if let Some(accepted) = self.accept(row, origin) {
-                changed.push(accepted.row.clone());
-                self.insert(accepted);
+            if self.rows.get(&row.key).is_some_and(|known| known.row.version >= row.version) {
+                continue;
             }
+            self.rows.insert(row.key.clone(), CachedRow::new(row.clone()));
+            changed.push(row);
         }
         changed
     }
@@ -251,11 +169,11 @@
         let newest = rows.iter().map(|row| row.version).max().unwrap_or_default();
         let (mut changed, mut deltas) = (Vec::new(), Vec::new());
         for row in rows {
-            let origin = row.version.history;
-            if let Some(accepted) = self.accept(row, origin) {
-                changed.push(accepted.row.clone());
-                deltas.push(self.replace_row(accepted));
+            if self.rows.get(&row.key).is_some_and(|known| known.row.version >= row.version) {
+                continue;
             }
+            deltas.push(self.replace_row(row.clone()));
+            changed.push(row);
         }
         if self.version >= after {
             self.raise_version(newest);
@@ -266,55 +184,33 @@
     }
 
     /// Replaces a row, and returns the change: a patch if both values are large.
-    fn replace_row(&mut self, accepted: AcceptedRow) -> RowDelta {
-        let (key, version) = (accepted.row.key.clone(), accepted.row.version);
-        let origin = accepted.origin;
-        let delta = |content| RowDelta { key: key.clone(), version, origin, content };
-        let Some(value) = accepted.row.value.clone() else {
-            self.insert(accepted);
-            return delta(DeltaContent::Removed);
-        };
-        let Some((base_version, patch)) = self.pack_patch(&key, &value) else {
-            self.insert(accepted);
-            return delta(DeltaContent::Whole(value));
-        };
-        self.apply_patch(accepted, base_version, patch.clone());
-        delta(DeltaContent::Patch { base_version, patch })
-    }
-
-    /// Returns a value as a patch of the cached one, with the version of that one, if both are large.
-    fn pack_patch(&self, key: &str, value: &[u8]) -> Option<(StoreVersion, PackedBytes)> {
-        if value.len() < MIN_PATCHED_BYTES {
-            return None;
-        }
-        let cached = &self.rows.get(key)?.row;
-        let base = cached.value.as_deref().filter(|base| !base.is_empty())?;
-        match PackedBytes::pack(value, base) {
-            Ok(patch) => Some((cached.version, patch)),
-            Err(error) => {
-                log_event!(LogEvent::TableFetchFailed, "key={key} cause=\"{error}\"");
-                None
-            }
-        }
-    }
-
-    /// Replaces a row by the result of a patch of it.
-    fn apply_patch(
-        &mut self,
-        accepted: AcceptedRow,
-        base_version: StoreVersion,
-        patch: PackedBytes,
-    ) {
-        let (key, version) = (accepted.row.key.clone(), accepted.row.version);
-        let earlier = self.rows.get_mut(&key).map(|cached| std::mem::take(&mut cached.patches));
-        self.insert(accepted);
-        if let Some(cached) = self.rows.get_mut(&key) {
-            cached.patches = earlier.unwrap_or_default();
-            cached.patches.push_back(RowPatch { base_version, version, patch });
-            if cached.patches.len() > MAX_PATCHES {
-                cached.patches.pop_front();
+    fn replace_row(&mut self, row: StoredRow) -> RowDelta {
+        let (key, version) = (row.key.clone(), row.version);
+        let content = match (self.rows.get_mut(&key), &row.value) {
+            (Some(cached), Some(value)) if value.len() >= MIN_PATCHED_BYTES => {
+                let base_version = cached.row.version;
+                let base = cached.row.value.as_deref().unwrap_or_default();
+                match PackedBytes::pack(value, base) {
+                    Ok(patch) if !base.is_empty() => {
+                        cached.apply_patch(row, patch.clone());
+                        return RowDelta {
+                            key,
+                            version,
+                            content: DeltaContent::Patch { base_version, patch },
+                        };
+                    }
+                    Ok(_) => {}
+                    Err(error) => {
+                        log_event!(LogEvent::TableFetchFailed, "key={key} cause=\"{error}\"");
+                    }
+                }
+                DeltaContent::Whole(value.clone())
             }
-        }
+            (_, Some(value)) => DeltaContent::Whole(value.clone()),
+            (_, None) => DeltaContent::Removed,
+        };
+        self.rows.insert(key.clone(), CachedRow::new(row));
+        RowDelta { key, version, content }
     }
 
     /// Returns what a cache lacks that has all changes up to `since`; zero for an empty one.
@@ -328,8 +224,8 @@
                     cached.append_changes(since, &mut rows);
                 }
             } else if is_full && !is_removed {
-                let (key, version, origin) = (row.key.clone(), row.version, cached.origin);
-                rows.push(RowDelta { key, version, origin, content: DeltaContent::Unchanged });
+                let (key, version) = (row.key.clone(), row.version);
+                rows.push(RowDelta { key, version, content: DeltaContent::Unchanged });
             }
         }
         TableChange { after: since, version: self.version, is_full, rows }
@@ -370,9 +266,9 @@
     /// Merges one change; returns the row if it is newer than the cached one, and an error if the
     /// cache lacks what the change refers to.
     fn merge_delta(&mut self, delta: RowDelta) -> Result<Option<StoredRow>, ()> {
-        let RowDelta { key, version, origin, content } = delta;
-        let known = self.rows.get(&key).map(|cached| &cached.row);
-        if known.is_some_and(|known| known.version >= version) {
+        let RowDelta { key, version, content } = delta;
+        let known = self.rows.get_mut(&key);
+        if known.as_ref().is_some_and(|cached| cached.row.version >= version) {
             return Ok(None);
         }
         let value = match content {
@@ -380,21 +276,18 @@
             DeltaContent::Whole(value) => Some(value),
             DeltaContent::Unchanged => return Err(()),
             DeltaContent::Patch { base_version, patch } => {
-                let known = known.filter(|known| known.version == base_version).ok_or(())?;
-                let base = known.value.as_deref().unwrap_or_default();
+                let cached = known.filter(|cached| cached.row.version == base_version).ok_or(())?;
+                let base = cached.row.value.as_deref().unwrap_or_default();
                 let value = patch.unpack(base).map_err(|error| {
                     log_event!(LogEvent::TableFetchFailed, "key={key} cause=\"{error}\"");
                 })?;
                 let row = StoredRow { key, version, value: Some(value) };
-                self.apply_patch(AcceptedRow::new(row.clone(), origin), base_version, patch);
+                cached.apply_patch(row.clone(), patch);
                 return Ok(Some(row));
             }
         };
-        let Some(accepted) = self.accept(StoredRow { key, version, value }, origin) else {
-            return Ok(None);
-        };
-        let row = accepted.row.clone();
-        self.insert(accepted);
+        let row = StoredRow { key: key.clone(), version, value };
+        self.rows.insert(key, CachedRow::new(row.clone()));
         Ok(Some(row))
     }
 
@@ -410,18 +303,13 @@
 }
 
 /// Caches of all watched tables.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct TableCaches {
     document: TableCache,
     endpoints: TableCache,
 }
 
 impl TableCaches {
-    /// Creates empty caches of the documents' and the endpoints' rows.
-    pub fn new(document: RecencyReader, endpoint: RecencyReader) -> Self {
-        Self { document: TableCache::new(document), endpoints: TableCache::new(endpoint) }
-    }
-
     /// Returns the cache of a table.
     pub fn table(&mut self, table: WatchedTable) -> &mut TableCache {
         match table {
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use metrics::gauge;
 use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
-use telemetry::{log_event, meter};
+use telemetry::log_event;
 use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
@@ -71,7 +70,7 @@
             }
         };
         let is_full = change.is_full;
-        self.record_store_history(change.version.history);
+        self.record_store_history(change.version);
         let (changed, is_complete) = self.tables.borrow_mut().table(table).merge_change(change);
         self.apply_changed_rows(table, &changed);
         // Endpoints of the first full read are not known to have started just now.
@@ -97,23 +96,11 @@
         self.peers.changed.notify_one();
     }
 
-    /// Measures the rows that the store has older, and logs a change of their number.
-    fn record_kept_rows(&self, table: WatchedTable) {
-        let count = self.tables.borrow_mut().table(table).kept_count();
-        let mut known = self.kept_rows.get();
-        if std::mem::replace(&mut known[table.index()], count) != count {
-            gauge!(meter::KEPT_ROWS, "table" => table.label()).set(count as f64);
-            log_event!(LogEvent::RowsKept, "table={table:?} rows={count}");
-        }
-        self.kept_rows.set(known);
-    }
-
     fn apply_changed_rows(&self, table: WatchedTable, rows: &[StoredRow]) {
-        self.record_kept_rows(table);
         let is_first = self.directory.borrow().document().version == 0;
         for row in rows {
             if let Some(change) = self.platform.decode_row(table, row) {
-                self.apply_row_change(change, row.version);
+                self.apply_row_change(change, row);
             }
         }
         if table == WatchedTable::Document && is_first {
--- a/crates/engine/tests/cold_registrations.rs
+++ b/crates/engine/tests/cold_registrations.rs
@@ -4,9 +4,13 @@
 
 use engine::directory::FleetDirectory;
 use engine::record::EndpointRecord;
+use state::store_version::StoreVersion;
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Version of the registrations' rows.
+const ROW: StoreVersion = StoreVersion { history: 1, number: 1 };
+
 fn registration(started_ms: u64, cold_remaining: Duration) -> EndpointRecord {
     EndpointRecord {
         name: "m-1".to_owned(),
@@ -18,6 +22,7 @@
         leads: false,
         cold_remaining,
         started_ms,
+        sequence: 1,
     }
 }
 
@@ -30,10 +35,10 @@
 fn only_processes_that_start_later_are_cold() {
     let start = Instant::now();
     let mut directory = FleetDirectory::new(SECOND);
-    assert!(directory.apply_endpoint(registration(1, Duration::ZERO), start));
+    assert!(directory.apply_endpoint(registration(1, Duration::ZERO), ROW, start));
     assert!(!is_cold(&directory, start), "it may have run for long");
     directory.set_endpoints_loaded();
-    assert!(directory.apply_endpoint(registration(2, Duration::ZERO), start));
+    assert!(directory.apply_endpoint(registration(2, Duration::ZERO), ROW, start));
     assert!(is_cold(&directory, start + 7 * SECOND));
     assert!(!is_cold(&directory, start + 9 * SECOND));
 }
@@ -43,10 +48,10 @@
 fn a_count_down_applies_but_is_no_change() {
     let start = Instant::now();
     let mut directory = FleetDirectory::new(SECOND);
-    assert!(directory.apply_endpoint(registration(1, 4 * SECOND), start));
-    assert!(!directory.apply_endpoint(registration(1, SECOND), start + SECOND));
+    assert!(directory.apply_endpoint(registration(1, 4 * SECOND), ROW, start));
+    assert!(!directory.apply_endpoint(registration(1, SECOND), ROW, start + SECOND));
     assert!(is_cold(&directory, start + SECOND));
     assert!(!is_cold(&directory, start + 3 * SECOND));
     directory.unregister_endpoint("m-1", start + 3 * SECOND);
-    assert!(directory.apply_endpoint(registration(1, SECOND), start + 4 * SECOND));
+    assert!(directory.apply_endpoint(registration(1, SECOND), ROW, start + 4 * SECOND));
 }
--- a/crates/engine/tests/peer_messages.rs
+++ b/crates/engine/tests/peer_messages.rs
@@ -9,7 +9,7 @@
 };
 use engine::table_change::{DeltaContent, PackedChange, RowDelta, TableChange};
 use quickcheck::quickcheck;
-use state::store_version::StoreVersion;
+use state::store_version::{DocumentVersion, StoreVersion};
 
 fn record() -> InstanceRecord {
     InstanceRecord {
@@ -26,7 +26,7 @@
     let [document, endpoints] = [4, 9].map(|number| StoreVersion::new(1, number));
     FleetHeads {
         table_versions: [document, endpoints],
-        document_version: StoreVersion::new(1, 2),
+        document_version: DocumentVersion { row: StoreVersion::new(1, 2), number: 2 },
         leaders: vec![leader],
     }
 }
@@ -42,7 +42,7 @@
 fn change() -> PeerReply {
     let content = DeltaContent::Whole(vec![1, 2, 3]);
     let [after, version] = [3, 4].map(|number| StoreVersion::new(1, number));
-    let row = RowDelta { key: "config".to_owned(), version, origin: 1, content };
+    let row = RowDelta { key: "config".to_owned(), version, content };
     let change = TableChange { after, version, is_full: false, rows: vec![row] };
     let change = PackedChange::pack(&change).expect("the change is packed");
     PeerReply::Change { table: WatchedTable::Document, change }
--- a/crates/engine/tests/table_caches.rs
+++ b/crates/engine/tests/table_caches.rs
@@ -18,7 +18,6 @@
     let deltas = rows.iter().map(|row| RowDelta {
         key: row.key.clone(),
         version: row.version,
-        origin: row.version.history,
         content: row.value.clone().map_or(DeltaContent::Removed, DeltaContent::Whole),
     });
     let after = at(after);
--- a/crates/state/src/store_version.rs
+++ b/crates/state/src/store_version.rs
@@ -45,3 +45,22 @@
         write!(formatter, "{}.{}", self.history, self.number)
     }
 }
+
+/// Version of a document: that of its row, and its number.
+///
+/// An instance may keep a document with a higher number than the one in the row.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct DocumentVersion {
+    /// Version of the document's row.
+    pub row: StoreVersion,
+    /// Number that the operator gave the document.
+    pub number: u64,
+}
+
+impl fmt::Display for DocumentVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}#{}", self.row, self.number)
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -82,8 +82,8 @@
     CallOutdated = 1119, Warn, "call_outdated";
     /// The store no longer has the changes after the cached version of a table, which is read in full.
     HistoryExpired = 1120, Info, "history_expired";
-    /// The content of some rows is kept, or no longer is: the store came back with older content.
-    RowsKept = 1121, Warn, "rows_kept";
+    /// The document in force stays, although the store came back with another one.
+    DocumentKept = 1121, Warn, "document_kept";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
     /// A caller's connection closed.
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -83,8 +83,8 @@
 pub const STORE_READ_SECONDS: &str = "hibiscus_store_read_seconds";
 /// Reads of changes that the store no longer had, by table.
 pub const EXPIRED_READS: &str = "hibiscus_expired_reads_total";
-/// Rows of a table whose content is kept, as the store came back with older content, by table.
-pub const KEPT_ROWS: &str = "hibiscus_kept_rows";
+/// One if the store has a document with a lower number than the one in force, which may come into force.
+pub const DOCUMENT_PENDING: &str = "hibiscus_document_pending";
 /// Newest history of the store that is known.
 pub const STORE_HISTORY: &str = "hibiscus_store_history";
 /// Changes of the store's history that were noticed.
