Count the drain of a member from its announcement after a restart

Cause: the directory counted the drain from the time at which it first read the registration. The store's rows have no age.

Change: after an answer to a ping an instance tells its peers which endpoints are leaving and for how long it has seen that (`PeerReply::Leaving`, not sent without any), and the earliest time that any instance saw counts. An endpoint that is leaving when its registration is first read gets no new work until a peer has told the time: it may have drained for long, so what can't be served within the bound is refused at once as not run. Open transactions go on.

A fleet that starts as a whole while a leader drains refuses its writes until another member leads, which promotion does at once when it can. Instances of an older version close the link on the new message, so a fleet should not mix versions while a member drains.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -20,7 +20,7 @@
 
 use crate::document_index::DocumentIndex;
 use crate::instance::ZoneSettings;
-use crate::message::KeptDocument;
+use crate::message::{KeptDocument, LeavingEndpoint, millis};
 use crate::record::{EndpointRecord, FleetDocument};
 use crate::tables::StoredRow;
 
@@ -28,6 +28,28 @@
 /// store may remove registrations, which reappear within 2 s of its recovery.
 const UNREGISTERED_GRACE_PERIOD: Duration = Duration::from_millis(2_500);
 
+/// Time at which an endpoint announced that it is leaving.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeavingTime {
+    /// The endpoint is not leaving.
+    Active,
+    /// It announced it at this time, as this instance or a peer saw it.
+    Since(Instant),
+    /// It was leaving when its registration was first read, and no peer has told since when.
+    Unknown,
+}
+
+impl LeavingTime {
+    /// Returns whether an endpoint may have been leaving for `drain_timeout` or longer.
+    fn may_exceed(self, drain_timeout: Duration, now: Instant) -> bool {
+        match self {
+            Self::Active => false,
+            Self::Since(at) => now.saturating_duration_since(at) >= drain_timeout,
+            Self::Unknown => true,
+        }
+    }
+}
+
 /// Registration of an endpoint with the observations of this instance.
 #[derive(Clone, Debug)]
 pub struct EndpointEntry {
@@ -40,7 +62,7 @@
     /// Time at which the registration vanished; `None` while registered.
     pub unregistered_at: Option<Instant>,
     /// Time at which the endpoint announced that it is leaving.
-    pub leaving_since: Option<Instant>,
+    pub leaving_since: LeavingTime,
     /// Hash of the endpoint's name, for the rendezvous order of each team.
     pub(crate) name_hash: u64,
     /// Time for which the endpoint's process is cold.
@@ -54,7 +76,7 @@
             at.is_some_and(|at| now.saturating_duration_since(at) >= limit)
         };
         !elapsed(self.unregistered_at, UNREGISTERED_GRACE_PERIOD)
-            && !elapsed(self.leaving_since, drain_timeout)
+            && !self.leaving_since.may_exceed(drain_timeout, now)
     }
 
     /// Returns whether the endpoint is registered and not leaving.
@@ -271,9 +293,11 @@
             Some(entry) if !is_new_process => entry.cold.reported(record.cold_remaining, now),
             _ => ColdPeriod::first_seen(record.cold_remaining, !self.endpoints_loaded, now),
         };
-        let leaving_since = match known.and_then(|entry| entry.leaving_since) {
-            Some(at) if record.leaving && !is_new_process => Some(at),
-            _ => record.leaving.then_some(now),
+        let leaving_since = match known {
+            _ if !record.leaving => LeavingTime::Active,
+            None => LeavingTime::Unknown,
+            Some(entry) if entry.record.leaving && !is_new_process => entry.leaving_since,
+            Some(_) => LeavingTime::Since(now),
         };
         let service = self.services.entry(record.service.clone()).or_default();
         service.name_hash = rendezvous::weight(&record.service, "");
@@ -294,6 +318,38 @@
         is_changed
     }
 
+    /// Returns the endpoints that are leaving, as far as the time is known.
+    pub fn leaving_endpoints(&self, now: Instant) -> Vec<LeavingEndpoint> {
+        let leaving = self.endpoints.values().filter_map(|entry| match entry.leaving_since {
+            LeavingTime::Since(at) => Some(LeavingEndpoint {
+                name: entry.record.name.clone(),
+                started_ms: entry.record.started_ms,
+                age_ms: millis(now.saturating_duration_since(at)),
+            }),
+            LeavingTime::Active | LeavingTime::Unknown => None,
+        });
+        leaving.collect()
+    }
+
+    /// Records for how long an endpoint has been leaving, as a peer saw it. The earliest time that
+    /// any instance saw counts.
+    pub fn record_leaving(&mut self, leaving: &LeavingEndpoint, now: Instant) {
+        let Some(entry) = self.endpoints.get_mut(&leaving.name) else {
+            return;
+        };
+        let Some(at) = now.checked_sub(Duration::from_millis(leaving.age_ms.into())) else {
+            return;
+        };
+        if entry.record.started_ms != leaving.started_ms {
+            return;
+        }
+        entry.leaving_since = match entry.leaving_since {
+            LeavingTime::Active => LeavingTime::Active,
+            LeavingTime::Since(known_at) => LeavingTime::Since(known_at.min(at)),
+            LeavingTime::Unknown => LeavingTime::Since(at),
+        };
+    }
+
     /// Records that a registration vanished; returns whether the endpoint was registered before.
     pub fn unregister_endpoint(&mut self, name: &str, now: Instant) -> bool {
         let Some(entry) = self.endpoints.get_mut(name) else {
--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -516,7 +516,7 @@
         let reads = context.plan.read_only;
         let kind = if leads || !reads { WorkKind::Leader } else { WorkKind::Replica };
         let reason = if !directory.accepts_work(endpoint, now) {
-            "its drain or grace period has ended"
+            "its drain or grace period has ended, or it is not known since when it drains"
         } else if !directory.allows_zone(&scope.regions, &entry.record.zone) {
             "not in an allowed region"
         } else if !directory.admits(endpoint, kind, scope.team, now) {
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -305,6 +305,12 @@
             PeerReply::Pong { ping_id, validation, evidence } => {
                 self.record_pong(link, ping_id, validation, evidence);
             }
+            PeerReply::Leaving(endpoints) => {
+                let (mut directory, now) = (self.directory.borrow_mut(), self.now());
+                for leaving in &endpoints {
+                    directory.record_leaving(leaving, now);
+                }
+            }
             PeerReply::View(update) => self.receive_view(link, *update),
             PeerReply::Change { table, change } => self.receive_change(link, table, change),
             PeerReply::Offer { table, version } => self.receive_offer(link, table, version),
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -437,6 +437,8 @@
         /// Document in force, if there is one.
         document: Option<Box<KeptDocument>>,
     },
+    /// Endpoints that are leaving, after an answer to [`PeerRequest::Ping`]; not sent without any.
+    Leaving(Vec<LeavingEndpoint>),
 }
 
 /// Document in force on an instance, with the row that it was read from.
@@ -448,6 +450,17 @@
     pub row: StoredRow,
 }
 
+/// Endpoint that is leaving, as the sender saw it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingEndpoint {
+    /// Name of the endpoint.
+    pub name: String,
+    /// Start time of its process, as registered.
+    pub started_ms: u64,
+    /// Time since the endpoint announced that it is leaving, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Answer to a request for a part of the changes of a table.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum TransferPart {
@@ -526,6 +539,7 @@
             Self::Admit { .. } => "admit_reply",
             Self::Probe { .. } => "probe_reply",
             Self::Part { .. } | Self::Document { .. } => "part",
+            Self::Leaving(_) => "leaving",
         }
     }
 }
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -285,6 +285,7 @@
             }
             PeerReply::Part { call_id, part } => deliver(&mut pending.part, call_id, part),
             PeerReply::Pong { .. }
+            | PeerReply::Leaving(_)
             | PeerReply::View(_)
             | PeerReply::Change { .. }
             | PeerReply::Offer { .. } => {}
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -150,6 +150,10 @@
                 let validation = self.document_validation();
                 let evidence = WatchedTable::ALL.map(|table| self.table_evidence(table));
                 output.push(&PeerReply::Pong { ping_id, validation, evidence });
+                let leaving = self.directory.borrow().leaving_endpoints(self.now());
+                if !leaving.is_empty() {
+                    output.push(&PeerReply::Leaving(leaving));
+                }
             }
             PeerRequest::Subscribe => self.subscribe_peer(connection),
             PeerRequest::Unsubscribe => self.unsubscribe_peer(connection),
