Test the answers after a transaction that ended between two requests

Before: with `fail_transaction`, which the idle limit called before, in place of `abort_transaction` the test fails (the first statement is refused as InvalidState).

--- a/crates/coord/tests/sessions.rs
+++ b/crates/coord/tests/sessions.rs
@@ -64,6 +64,21 @@
     assert_eq!(machine.transaction_state(), TransactionState::Idle);
 }
 
+// The caller of a transaction that had ended between two requests was told of a malformed request.
+#[test]
+fn an_aborted_transaction_is_refused_as_rolled_back_once() {
+    let now = Instant::now();
+    let mut machine = SessionMachine::default();
+    machine.handle_statement(&begin_class(false), "BEGIN", now);
+    machine.abort_transaction();
+    assert_eq!(machine.transaction_state(), TransactionState::Failed);
+    let rolled_back = StatementAction::Refuse(StatementError::RolledBack);
+    assert_eq!(machine.handle_statement(&StatementClass::Read, "r", now), rolled_back);
+    let refused = StatementAction::Refuse(StatementError::InvalidState);
+    assert_eq!(machine.handle_statement(&StatementClass::Read, "r", now), refused);
+    assert_eq!(machine.handle_statement(&StatementClass::Commit, "COMMIT", now), rolled_back);
+}
+
 #[test]
 fn settings_in_a_transaction_reach_its_connection() {
     let now = Instant::now();
