Never promote with a used token after the store came back older

Callers saw: nothing yet; two holders of the promotion lease promoted members of one service with the same fencing token, so the fence could not refuse a late request of the first one. Cause: the next token was that of the row plus one. After the store came back from an older copy, the row named an earlier holder with an earlier token, and an instance that the row names acquired the lease at once. Ruled out: a lost conditional write (the second holder's renewal was refused, and it dropped the lease as it should). Change: LeaseClaim (coord) decides. A token is above the row's, above all that this instance held or heard of, and at least the time by the store's clock, which counts further than all changes of holders and goes on over the return. So tokens do not repeat even for an instance that knows none, and one that was refused is followed by a clearly higher one. A row with an older token than a known one does not show the last lease, so a whole period is awaited from when no peer reports to hold it. Instances pass on the newest token that they know in their status (a changed message), which outlives its holder; an instance acquires only once it has found the others, or has had 2 s to find them. A holder that hears of a newer one drops the lease, as the version of its row may have been given out again.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -9,7 +9,8 @@
 //! its primary. The engine uses the others, which speak of a service and its leader. It replicates
 //! the platform's tables with [`read_schedule`], [`table_source`], [`transfer_gate`] and
 //! [`table_age`], judges its document with [`document_state`], [`document_lag`] and
-//! [`document_history`], keeps acknowledged commits over a promotion with [`replica_hold`], keeps work out of zones and regions with [`evacuation`] and [`regions`],
+//! [`document_history`], keeps acknowledged commits over a promotion with [`replica_hold`],
+//! claims the promotion lease with [`lease_claim`], keeps work out of zones and regions with [`evacuation`] and [`regions`],
 //! and sheds load with [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and
 //! [`retry_budget`].
 
@@ -26,6 +27,7 @@
 pub mod evacuation;
 pub mod failover;
 pub mod freshness;
+pub mod lease_claim;
 pub mod ledger;
 pub mod member_pace;
 pub mod membership;
--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -94,6 +94,8 @@
     pub store_reachable: bool,
     /// Fencing token if the instance holds the promotion lease.
     pub promotion_token: Option<u64>,
+    /// Largest fencing token that the instance has held or heard of.
+    pub newest_token: u64,
     /// Endpoints that the instance cannot reach while it reaches others.
     pub unreachable_endpoints: Vec<String>,
     /// The instance reaches none of the endpoints that it tried.
@@ -112,6 +114,10 @@
         self.unreachable_endpoints = if self.is_cut_off { Vec::new() } else { endpoints };
     }
 
+    fn newest_known_token(&self) -> u64 {
+        self.newest_token.max(self.promotion_token.unwrap_or(0))
+    }
+
     /// Returns whether the instance reports that it cannot reach an endpoint.
     fn misses(&self, endpoint: &str) -> bool {
         self.is_cut_off || self.unreachable_endpoints.iter().any(|name| name == endpoint)
@@ -193,6 +199,8 @@
     changes: [ScopeChanges; 2],
     live_count: usize,
     generation: u64,
+    /// Largest fencing token that any instance has reported, including those that left.
+    newest_token: u64,
     started_at: Instant,
     /// Time since which instances of the own zone subscribe to this one.
     observes_since: Option<Instant>,
@@ -215,6 +223,7 @@
             changes: Default::default(),
             live_count: 1,
             generation: 1,
+            newest_token: 0,
             started_at: now,
             observes_since: None,
         };
@@ -373,6 +382,11 @@
         self.members.values().any(reports)
     }
 
+    /// Returns the largest fencing token of the promotion lease that any instance has reported.
+    pub fn newest_promotion_token(&self) -> u64 {
+        self.newest_token
+    }
+
     /// Returns whether a live instance other than the own one matches.
     pub fn any_live_peer(&self, matches: impl Fn(&MemberStatus) -> bool) -> bool {
         self.live_peers().any(|key| matches(&self.members[key].status))
@@ -420,8 +434,10 @@
         Some(key)
     }
 
-    /// Sets the own status.
-    pub fn set_own_status(&mut self, status: MemberStatus) {
+    /// Sets the own status; its newest token is at least the largest that this table knows.
+    pub fn set_own_status(&mut self, mut status: MemberStatus) {
+        status.newest_token = status.newest_known_token().max(self.newest_token);
+        self.newest_token = status.newest_token;
         let own = &mut self.members[self.own];
         if own.sequence > 0 && own.status == status {
             return;
@@ -442,6 +458,7 @@
         }
         member.sequence = sequence;
         member.status = status.clone();
+        self.newest_token = self.newest_token.max(status.newest_known_token());
         self.generation += 1;
         self.mark_changed(key);
     }
--- a/crates/coord/tests/membership.rs
+++ b/crates/coord/tests/membership.rs
@@ -327,6 +327,19 @@
     assert!(owners.len() >= 5, "{}", owners.len());
 });
 
+fleet_case!(a_restarted_instance_learns_the_token_of_a_holder_that_ended, 2 x 3, 0 large, fleet => {
+    let holder = MemberStatus { promotion_token: Some(7), ..MemberStatus::default() };
+    fleet.instances[0].table.set_own_status(holder);
+    fleet.settle();
+    fleet.kill(0);
+    (1..6).for_each(|index| fleet.instances[index].table.set_own_status(MemberStatus::default()));
+    fleet.kill(5);
+    fleet.settle();
+    fleet.start(5);
+    fleet.settle();
+    assert_eq!(fleet.instances[5].table.newest_promotion_token(), 7);
+});
+
 /// Checks that the loss of a connection owner moves only its own endpoints, and that instances in
 /// the endpoint's zone come first.
 #[test]
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use coord::lease_claim::{ClaimDecision, LeaseClaim, LeaseRow};
 use coord::membership::{InstanceRecord, MemberStatus};
 use coord::promotion::{
     LEADER_GRACE_PERIOD, MemberObservation, MemberReport, PromotionDecision, PromotionMachine,
@@ -54,6 +55,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct HeldLease {
     lease: PromotionLease,
+    claim: LeaseClaim,
     version: u64,
     /// Local time until which the lease counts as valid, from the time its write was sent.
     valid_until: Option<Instant>,
@@ -123,18 +125,25 @@
         if backing_off {
             return;
         }
+        let own_token = held.borrow().lease.token;
+        let is_held =
+            |status: &MemberStatus| status.promotion_token.is_some_and(|token| token > own_token);
+        let held_by_peer = self.peers.membership.borrow().any_live_peer(is_held);
+        if held_by_peer {
+            held.borrow_mut().claim.record_holder();
+        }
         if self.promotion_token().is_some() {
             let expires_at = valid_until.unwrap_or(now);
-            if now + RENEWAL_MARGIN >= expires_at {
+            if held_by_peer {
+                // The store came back older, and gave the version of the row out again.
+                self.drop_lease(held, "another instance holds a newer lease");
+            } else if now + RENEWAL_MARGIN >= expires_at {
                 self.renew_lease(held).await;
             }
             return;
         }
-        let own_token = held.borrow().lease.token;
-        let is_held =
-            |status: &MemberStatus| status.promotion_token.is_some_and(|token| token > own_token);
-        let held_by_peer = self.peers.membership.borrow().any_live_peer(is_held);
-        let Some(rank) = self.coordinator_rank().filter(|_| !held_by_peer) else {
+        let may_acquire = !held_by_peer && self.knows_holders();
+        let Some(rank) = self.coordinator_rank().filter(|_| may_acquire) else {
             *vacant_since = None;
             return;
         };
@@ -144,6 +153,13 @@
         }
     }
 
+    /// Returns whether this instance has had the chance to hear from the others who holds the lease.
+    fn knows_holders(&self) -> bool {
+        let is_alone = || self.peers.membership.borrow().known_count() == 1;
+        self.peers.is_discovered.get()
+            && (is_alone() || self.peers.live_count() > 1 || !self.is_starting())
+    }
+
     /// Returns the place of this instance among those that acquire a vacant lease.
     fn coordinator_rank(&self) -> Option<u32> {
         let owners = self.peers.fleet_owners(COORDINATOR_ELECTION_KEY);
@@ -166,16 +182,27 @@
             // The last token is not known; the store's clock has counted further than all holders.
             current.token = snapshot.now_ms;
         }
-        let is_own = current.holder == self.name();
-        if !is_own && current.ends_ms > snapshot.now_ms {
-            // Postpones the next attempt until the lease expires. Both times are by the store's
-            // clock, so the difference needs no synchronized clocks.
-            let remaining = Duration::from_millis(current.ends_ms - snapshot.now_ms);
-            held.borrow_mut().attempted_at =
-                Some(self.now() + remaining.saturating_sub(LEASE_RETRY_BACKOFF));
-            return;
+        // Both times are by the store's clock, so the difference needs no synchronized clocks.
+        let row = LeaseRow {
+            token: current.token,
+            is_own: current.holder == self.name(),
+            remaining: Duration::from_millis(current.ends_ms.saturating_sub(snapshot.now_ms)),
+            now_ms: snapshot.now_ms,
+        };
+        let decision = {
+            let claim = &mut held.borrow_mut().claim;
+            claim.record_token(self.peers.membership.borrow().newest_promotion_token());
+            claim.decide(row, LEASE_TTL, self.now())
+        };
+        match decision {
+            ClaimDecision::Acquire(token) => {
+                self.write_lease(held, snapshot.version, snapshot.now_ms, token).await;
+            }
+            ClaimDecision::Postpone(remaining) => {
+                held.borrow_mut().attempted_at =
+                    Some(self.now() + remaining.saturating_sub(LEASE_RETRY_BACKOFF));
+            }
         }
-        self.write_lease(held, snapshot.version, snapshot.now_ms, current.token + 1).await;
     }
 
     async fn renew_lease(&self, held: &RefCell<HeldLease>) {
@@ -213,6 +240,7 @@
             Ok(LeaseWrite::Written { version, .. }) => {
                 let mut held = held.borrow_mut();
                 held.token_used &= held.lease.token == token;
+                held.claim.record_token(token);
                 held.lease = lease;
                 held.version = version;
                 held.valid_until = Some(sent_at + LEASE_TTL);
@@ -466,13 +494,18 @@
         held: &RefCell<HeldLease>,
     ) -> bool {
         if held.borrow().token_used {
-            let (version, token, valid_until) = {
+            let (version, ends_ms, valid_until) = {
                 let held = held.borrow();
-                (held.version, held.lease.token + 1, held.valid_until)
+                (held.version, held.lease.ends_ms, held.valid_until)
             };
             let remaining = valid_until
                 .map_or(Duration::ZERO, |until| until.saturating_duration_since(self.now()));
-            let store_now_ms = held.borrow().lease.ends_ms.saturating_sub(millis(remaining));
+            let store_now_ms = ends_ms.saturating_sub(millis(remaining));
+            let token = {
+                let claim = &mut held.borrow_mut().claim;
+                claim.record_token(self.peers.membership.borrow().newest_promotion_token());
+                claim.next_token(store_now_ms)
+            };
             self.write_lease(held, version, store_now_ms, token).await;
         }
         let Some(token) = self.promotion_token() else {
