Let the soak drill the store, probe every document and check planned stops

Callers: sessions on routes that were added after the store came back older get NODB on every instance; requests of open transactions end without an answer 3.4 s after a SIGTERM. Cause of not seeing it: the soak's store kept one history, its documents differed in nothing but their number, and callers had transactions of three statements that were over before an instance exited; a cut request counted as an unknown outcome. Each document adds a route and a key and removes those of the one before the last; a session that is opened on any instance later than 3 s after a document must be decided by it or a newer one. The bound starts again after faults that delay rows on that instance, not on all. Two callers on each instance have transactions of 12 statements with pauses of 0.3 to 0.8 s. A request that was read (0.2 s on the way, or run on a member) must get its answer around a SIGTERM, but for the excuses of the rule and within 4 s of an unplanned fault of members, their links or of an instance. As such faults leave hardly any stop free, an instance is stopped at the end while statements take 250 ms. At the end each instance must be registered. Short tests replay what counts. Not done: the store's copies are always from the present history; no check of the promotion number beyond the one that was there.

--- a/crates/load/src/soak.rs
+++ b/crates/load/src/soak.rs
@@ -52,9 +52,9 @@
 }
 
 fn print_report(seed: u64, report: &SoakReport) {
-    let SoakReport { violations, faults, writes, reads } = report;
+    let SoakReport { violations, faults, writes, reads, probes } = report;
     println!(
-        "seed {seed}: {} broken, {faults} faults, {writes} writes, {reads} reads",
+        "seed {seed}: {} broken, {faults} faults, {writes} writes, {reads} reads, {probes} probes",
         violations.len()
     );
 }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -10,7 +10,9 @@
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::planned_stop::CutRequest;
 
 /// API key of the callers' team.
 pub const CALLER_API_KEY: &str = "soak-key";
@@ -51,6 +53,16 @@
     /// Reads that did not return the session's last acknowledged write: the data read and that
     /// write. Allowed only if a promotion rolled the write back.
     pub regressions: Vec<(String, String)>,
+    /// Requests whose connections ended before their answers were complete.
+    pub cuts: Vec<CutRequest>,
+}
+
+impl CallerHistory {
+    /// Records the reported outcome of a write.
+    pub(crate) fn record_write(&mut self, item: &str, data: &str, outcome: ReportedOutcome) {
+        let (item, data) = (item.to_owned(), data.to_owned());
+        self.writes.push(AttemptedWrite { item, data, outcome });
+    }
 }
 
 /// History shared by all callers.
@@ -66,41 +78,87 @@
 }
 
 /// Open session with an instance.
-struct CallerSession {
+pub(crate) struct CallerSession {
+    /// The connection has ended, or its answers are out of step with the requests.
+    pub(crate) is_lost: bool,
     lines: tokio::io::Lines<BufReader<tokio::net::tcp::OwnedReadHalf>>,
     writer: tokio::net::tcp::OwnedWriteHalf,
+    address: SocketAddr,
+    history: SharedHistory,
 }
 
 impl CallerSession {
-    async fn open(address: SocketAddr, database: &str) -> Option<Self> {
-        let stream = timeout(RESPONSE_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
-        let (reader, writer) = stream.into_split();
-        let mut session = Self { lines: BufReader::new(reader).lines(), writer };
+    /// Opens a session with the callers' key. Returns `None` if the instance refuses it.
+    pub(crate) async fn open(
+        address: SocketAddr,
+        database: &str,
+        history: &SharedHistory,
+    ) -> Option<Self> {
+        let mut session = Self::connect(address, history.clone()).await?;
         let response =
             session.exchange(&format!("STARTUP {database} {CALLER_API_KEY}\r\n")).await?;
         response.first()?.starts_with("READY").then_some(session)
     }
 
+    /// Returns the first line of the answer to a new session, or `None` if there is none.
+    pub(crate) async fn open_with(
+        address: SocketAddr,
+        database: &str,
+        key: &str,
+    ) -> Option<String> {
+        let mut session = Self::connect(address, SharedHistory::default()).await?;
+        let startup = format!("STARTUP {database} {key}\r\n");
+        session.writer.write_all(startup.as_bytes()).await.ok()?;
+        timeout(RESPONSE_TIMEOUT, session.lines.next_line()).await.ok()?.ok()?
+    }
+
+    async fn connect(address: SocketAddr, history: SharedHistory) -> Option<Self> {
+        let stream = timeout(RESPONSE_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+        let (reader, writer) = stream.into_split();
+        let lines = BufReader::new(reader).lines();
+        Some(Self { is_lost: false, lines, writer, address, history })
+    }
+
     /// Sends a line and returns the lines of the response, or `None` if it is incomplete.
-    async fn exchange(&mut self, line: &str) -> Option<Vec<String>> {
-        self.writer.write_all(line.as_bytes()).await.ok()?;
+    pub(crate) async fn exchange(&mut self, line: &str) -> Option<Vec<String>> {
+        if self.writer.write_all(line.as_bytes()).await.is_err() {
+            self.is_lost = true;
+            return None;
+        }
+        let sent_at = Instant::now();
         let mut response = Vec::new();
         loop {
-            let line = timeout(RESPONSE_TIMEOUT, self.lines.next_line()).await.ok()?.ok()??;
-            let is_last = line.starts_with("READY");
-            response.push(line.trim_end().to_owned());
+            let received = timeout(RESPONSE_TIMEOUT, self.lines.next_line()).await;
+            let Ok(Ok(Some(received))) = received else {
+                self.is_lost = true;
+                if received.is_ok() {
+                    self.record_cut(line, sent_at);
+                }
+                return None;
+            };
+            let is_last = received.starts_with("READY");
+            response.push(received.trim_end().to_owned());
             if is_last {
                 return Some(response);
             }
         }
     }
+
+    /// Records that the connection ended before the answer to a statement was complete.
+    fn record_cut(&self, line: &str, sent_at: Instant) {
+        let id = line.strip_prefix("QUERY ").and_then(|line| line.split(' ').next());
+        if let Some(id) = id {
+            let (address, id, ended_at) = (self.address, id.to_owned(), Instant::now());
+            self.history.lock().cuts.push(CutRequest { address, id, sent_at, ended_at });
+        }
+    }
 }
 
-fn error_code(response: &[String]) -> Option<&str> {
+pub(crate) fn error_code(response: &[String]) -> Option<&str> {
     response.iter().find_map(|line| line.strip_prefix("ERROR ")?.split(' ').next())
 }
 
-fn reported_outcome(response: Option<&[String]>) -> ReportedOutcome {
+pub(crate) fn reported_outcome(response: Option<&[String]>) -> ReportedOutcome {
     match response.map(error_code) {
         Some(None) => ReportedOutcome::Acknowledged,
         Some(Some("BUSY" | "ABORTED" | "LAGGING" | "READONLY" | "NOAUTH" | "NODB")) => {
@@ -123,7 +181,7 @@
         while !*stop.borrow() {
             let address = self.addresses[self.rng.random_range(0..self.addresses.len())];
             let database = if self.rng.random_bool(0.5) { "own" } else { "strict" };
-            if let Some(session) = CallerSession::open(address, database).await {
+            if let Some(session) = CallerSession::open(address, database, &self.history).await {
                 self.run_session(session).await;
             }
             sleep(Duration::from_millis(self.rng.random_range(5..60))).await;
@@ -229,7 +287,6 @@
     }
 
     fn record_write(&self, item: &str, data: &str, outcome: ReportedOutcome) {
-        let (item, data) = (item.to_owned(), data.to_owned());
-        self.history.lock().writes.push(AttemptedWrite { item, data, outcome });
+        self.history.lock().record_write(item, data, outcome);
     }
 }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -40,6 +40,9 @@
     LoseCommitResponses(usize),
     /// Makes a member fail reads.
     FailMemberReads(usize),
+    /// Takes the row store away for this time, and brings it back from a copy that is as old as the
+    /// fault's duration.
+    DrillStore(Duration),
     /// Publishes a document with a new version.
     PublishDocument,
     /// Evacuates the zone of a member.
@@ -47,17 +50,30 @@
 }
 
 impl FaultAction {
-    /// Returns whether instances may learn of changed rows late because of the fault.
-    pub fn delays_rows(self) -> bool {
+    /// Returns whether an instance may learn of changed rows late because of the fault.
+    pub fn delays_rows(self, instance: usize) -> bool {
+        match self {
+            Self::PauseInstance(index)
+            | Self::KillInstance(index)
+            | Self::TerminateInstance(index)
+            | Self::SetStoreRelay(index, _)
+            | Self::BlackholeStoreConnections(index) => index == instance,
+            Self::MakeStoreUnavailable | Self::SlowStore(_) | Self::DrillStore(_) => true,
+            _ => false,
+        }
+    }
+
+    /// Returns whether the fault is unplanned and may keep members from answering requests.
+    pub fn cuts_requests(self) -> bool {
         matches!(
             self,
             Self::PauseInstance(_)
                 | Self::KillInstance(_)
-                | Self::TerminateInstance(_)
-                | Self::SetStoreRelay(..)
-                | Self::BlackholeStoreConnections(_)
-                | Self::MakeStoreUnavailable
-                | Self::SlowStore(_)
+                | Self::SetMemberRelay(..)
+                | Self::ResetMemberConnections(_)
+                | Self::BlackholeMemberConnections(_)
+                | Self::MakeMemberUnresponsive(_)
+                | Self::LoseCommitResponses(_)
         )
     }
 }
@@ -66,6 +82,8 @@
 const EVACUATION_STREAM: u64 = 1 << 63;
 /// Separates the choices of the periods in which the row store is slow.
 const SLOW_STORE_STREAM: u64 = 1 << 62;
+/// Separates the choices of the drills of the row store.
+const DRILL_STREAM: u64 = 1 << 61;
 
 /// Fault with its start time and duration.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -127,6 +145,7 @@
     }
     faults.extend(schedule_evacuations(seed, fault_period, members));
     faults.extend(schedule_slow_store(seed, fault_period));
+    faults.extend(schedule_drills(seed, fault_period));
     faults.sort_by_key(|fault| fault.starts_at);
     faults
 }
@@ -165,3 +184,20 @@
     }
     faults
 }
+
+/// Returns drills of the row store, one after another, with a document that most of the copies lack.
+fn schedule_drills(seed: u64, fault_period: Duration) -> Vec<ScheduledFault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ DRILL_STREAM);
+    let mut faults = Vec::new();
+    let mut starts_at = Duration::from_millis(rng.random_range(500..4_000));
+    while starts_at < fault_period {
+        let duration = Duration::from_millis(rng.random_range(500..4_000));
+        let away = Duration::from_millis(rng.random_range(100..1_500));
+        let action = FaultAction::DrillStore(away);
+        faults.push(ScheduledFault { starts_at, duration, action });
+        let (starts_at_half, action) = (starts_at + duration / 2, FaultAction::PublishDocument);
+        faults.push(ScheduledFault { starts_at: starts_at_half, duration, action });
+        starts_at += duration + away + Duration::from_millis(rng.random_range(4_000..12_000));
+    }
+    faults
+}
--- a/crates/soak/src/instance.rs
+++ b/crates/soak/src/instance.rs
@@ -7,6 +7,8 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
 
+use crate::document::DOCUMENT_BOUND;
+use crate::planned_stop::GRACE_PERIOD;
 use crate::run::EVACUATION_BOUND;
 
 /// Configuration of an instance: its addresses and its availability zone.
@@ -32,6 +34,11 @@
         SocketAddr::from((self.ip(), self.base_port))
     }
 
+    /// Returns the name under which the instance registers.
+    pub(crate) fn name(&self) -> String {
+        format!("instance-{}", self.number)
+    }
+
     fn ip(&self) -> [u8; 4] {
         let [first, second, third] = self.network;
         [first, second, third, self.number]
@@ -41,16 +48,18 @@
         let ip = std::net::Ipv4Addr::from(self.ip());
         let (callers, ready, peers) = (self.base_port, self.base_port + 1, self.base_port + 2);
         format!(
-            "node=instance-{number}\nzone={zone}\nip={ip}\nlisten.frontend={ip}:{callers}\n\
+            "node={name}\nzone={zone}\nip={ip}\nlisten.frontend={ip}:{callers}\n\
              listen.readiness={ip}:{ready}\ninternal_ports={peers},{peers}\n\
              bootstrap={first_start}\nplatform.address={store}\ncloud.address={store}\n\
-             bounds.grace_s=4\nbounds.drain_ms=5000\nbounds.config_apply_ms=3000\nbounds.quota_window_s=5\n\
+             bounds.grace_s={grace}\nbounds.drain_ms=5000\nbounds.config_apply_ms={document_bound}\nbounds.quota_window_s=5\n\
              bounds.quota_overage=0.1\nbounds.quota_slack=20\n\
              bounds.evacuation_ms={evacuation_bound}\ncontracts=base,{contracts}\n",
             contracts = self.contracts,
-            number = self.number,
+            name = self.name(),
             zone = self.zone,
             store = self.store,
+            grace = GRACE_PERIOD.as_secs(),
+            document_bound = DOCUMENT_BOUND.as_millis(),
             evacuation_bound = EVACUATION_BOUND.as_millis(),
         )
     }
@@ -76,7 +85,7 @@
 
     /// Starts the process.
     pub fn start(&mut self) -> std::io::Result<()> {
-        let name = format!("instance-{}", self.config.number);
+        let name = self.config.name();
         let settings = self.folder.join(format!("{name}.conf"));
         std::fs::write(&settings, self.config.settings_text(self.start_count == 0))?;
         let log = std::fs::OpenOptions::new()
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -12,19 +13,23 @@
 use standin::gateway_platform::group::{GroupState, SharedGroup};
 use standin::gateway_platform::member;
 use standin::gateway_platform::row_store::RowStore;
+use standin::gateway_platform::store_content::StoreCopy;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::caller::{CALLER_API_KEY, SharedHistory, SoakCaller};
+use crate::document::DocumentLog;
 use crate::fault::{FaultAction, schedule_faults};
 use crate::instance::{InstanceConfig, InstanceProcess};
-use crate::invariants::{CALLER_TEAM, check_invariants};
+use crate::invariants::check_invariants;
+use crate::long_caller::LongCaller;
+use crate::planned_stop::{CutRequest, PlannedStop, StopLog};
 use crate::relay::{FaultRelay, RelayMode};
 
 /// Number of members in the database group.
 const MEMBER_COUNT: usize = 3;
 /// Name of the service that the database group provides.
-const SERVICE: &str = "bookings";
+pub(crate) const SERVICE: &str = "bookings";
 /// Factor that spreads consecutive process identifiers over loopback networks; odd, so that no two of
 /// 65,536 identifiers select the same one.
 const RUN_HASH_FACTOR: u64 = 0x9e3b;
@@ -38,6 +43,16 @@
 const FINAL_CHECK_PERIOD: Duration = Duration::from_secs(2);
 /// Interval at which the member of an evacuated zone is checked for requests.
 const EVACUATION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time from the return of the row store until the operator writes again.
+const REWRITE_PAUSE: Duration = Duration::from_millis(400);
+/// Table in which the instances register.
+const INSTANCE_TABLE: &str = "hibiscus-instances";
+/// Duration of each statement while the last instance stops, so that some run when it exits.
+const SLOW_STATEMENT_DURATION: Duration = Duration::from_millis(250);
+/// Number of callers with long transactions on each instance.
+const LONG_CALLERS: u32 = 2;
+/// Number of the first caller with long transactions; other callers have lower ones.
+const FIRST_LONG_CALLER: u32 = 10_000;
 /// Time within which a process must exit after a signal: its grace period of 4 s plus a margin.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(6);
 
@@ -85,21 +100,29 @@
     pub writes: usize,
     /// Number of successful reads.
     pub reads: usize,
+    /// Number of sessions whose answers were compared with the documents.
+    pub probes: usize,
 }
 
 type SharedProcess = Arc<tokio::sync::Mutex<InstanceProcess>>;
 
 /// Running stand-ins, relays and instances.
-struct SoakEnvironment {
+pub(crate) struct SoakEnvironment {
     store: RowStore,
     group: SharedGroup,
     member_relays: Vec<FaultRelay>,
     store_relays: Vec<FaultRelay>,
     processes: Vec<SharedProcess>,
-    failures: Mutex<Vec<String>>,
-    document_version: Mutex<u64>,
-    /// Faults in progress that let instances learn of rows late, and the end of the last one.
-    row_delays: Mutex<(usize, Instant)>,
+    pub(crate) failures: Mutex<Vec<String>>,
+    pub(crate) documents: Mutex<DocumentLog>,
+    /// Answers to new sessions that were compared with the documents.
+    pub(crate) probe_count: AtomicUsize,
+    stop_log: Mutex<StopLog>,
+    /// Faults in progress that keep the row store away.
+    store_outages: Mutex<usize>,
+    /// Faults in progress that let an instance learn of rows late, and the end of the last one, by
+    /// index of the instance.
+    pub(crate) row_delays: Mutex<Vec<(usize, Instant)>>,
     /// Evacuations in progress, by index of the zone's member.
     evacuations: Mutex<[usize; MEMBER_COUNT]>,
 }
@@ -121,6 +144,18 @@
         let caller = SoakCaller::new(number, settings.seed, addresses.clone(), history.clone());
         callers.push(tokio::spawn(caller.run(stop_receiver.clone())));
     }
+    for (index, address) in addresses.iter().enumerate() {
+        for number in 0..LONG_CALLERS {
+            let number = FIRST_LONG_CALLER + index as u32 * LONG_CALLERS + number;
+            let caller = LongCaller::new(number, settings.seed, *address, history.clone());
+            callers.push(tokio::spawn(caller.run(stop_receiver.clone())));
+        }
+        let (environment, address) = (environment.clone(), *address);
+        let stop_receiver = stop_receiver.clone();
+        callers.push(tokio::spawn(async move {
+            environment.probe_documents(index, address, stop_receiver).await;
+        }));
+    }
     let faults =
         schedule_faults(settings.seed, settings.fault_period, settings.instances, MEMBER_COUNT);
     let started_at = Instant::now();
@@ -141,6 +176,12 @@
     let leader = environment.group.lock().leader;
     environment.evacuate_zone(leader, EVACUATION_BOUND + FINAL_CHECK_PERIOD).await;
     environment.check_recovery(&addresses).await;
+    // During the faults hardly any planned stop is free of unplanned faults.
+    let stopped = settings.seed as usize % settings.instances;
+    environment.set_statement_duration(Some(SLOW_STATEMENT_DURATION));
+    environment.inject_fault(FaultAction::TerminateInstance(stopped), Duration::ZERO).await;
+    environment.set_statement_duration(None);
+    environment.check_recovery(&addresses).await;
     stop.send_replace(true);
     for caller in callers {
         if let Err(error) = caller.await {
@@ -151,9 +192,11 @@
     let history = history.lock();
     let mut violations =
         check_invariants(&history, &environment.group.lock(), &environment.store.promotions());
+    violations.extend(environment.lost_requests(&history.cuts));
     violations.extend(environment.failures.lock().drain(..));
     let (writes, reads) = (history.writes.len(), history.reads);
-    Ok(SoakReport { violations, faults: faults.len(), writes, reads })
+    let probes = environment.probe_count.load(Ordering::Relaxed);
+    Ok(SoakReport { violations, faults: faults.len(), writes, reads, probes })
 }
 
 impl SoakEnvironment {
@@ -197,8 +240,11 @@
             store_relays,
             processes,
             failures: Mutex::default(),
-            document_version: Mutex::new(0),
-            row_delays: Mutex::new((0, Instant::now())),
+            documents: Mutex::default(),
+            probe_count: AtomicUsize::new(0),
+            stop_log: Mutex::default(),
+            store_outages: Mutex::new(0),
+            row_delays: Mutex::new(vec![(0, Instant::now()); settings.instances]),
             evacuations: Mutex::default(),
         };
         environment.write_document();
@@ -219,25 +265,7 @@
     }
 
     fn write_document(&self) {
-        let mut document_version = self.document_version.lock();
-        *document_version += 1;
-        let route = |host: &str, kind: &str| {
-            json!({
-                "name": host, "host": host, "kind": kind, "service": SERVICE, "timeout_ms": 800,
-                "target_latency_ms": 300, "priority": 1, "max_staleness_ms": 1_500, "public": false,
-            })
-        };
-        let document = json!({
-            "version": *document_version,
-            "routes": [route("strict", "primary"), route("own", "read_your_writes")],
-            "services": [{ "name": SERVICE, "max_connections": 20, "sync_replicas": 0 }],
-            "limits": { "transaction_idle_ms": 3_000 },
-            "tenants": [{
-                "name": CALLER_TEAM, "api_keys": [CALLER_API_KEY],
-                "rate_per_s": 2_000, "burst": 2_000,
-            }],
-        });
-        self.store.put("op", "config", &document);
+        self.documents.lock().write_next(|document| self.store.put("op", "config", document));
     }
 
     /// Registers the members with their current roles.
@@ -259,9 +287,12 @@
 
     /// Injects a fault and ends it after `duration`.
     async fn inject_fault(&self, action: FaultAction, duration: Duration) {
-        if action.delays_rows() {
-            self.row_delays.lock().0 += 1;
+        let copy = self.copy_store();
+        if let FaultAction::DrillStore(_) = action {
+            sleep(duration).await;
         }
+        let started_at = Instant::now();
+        self.update_row_delays(action, |delay| delay.0 += 1);
         match action {
             FaultAction::PauseInstance(index) => {
                 let process = self.processes[index].lock().await;
@@ -300,11 +331,8 @@
             FaultAction::BlackholeStoreConnections(index) => {
                 self.store_relays[index].blackhole_open_connections()
             }
-            FaultAction::MakeStoreUnavailable => {
-                self.store.set_unavailable(true);
-                sleep(duration).await;
-                self.store.set_unavailable(false);
-            }
+            FaultAction::MakeStoreUnavailable => self.take_store_away(duration, || {}).await,
+            FaultAction::DrillStore(away) => self.drill_store(copy, away).await,
             FaultAction::CompactStoreHistory => self.store.compact_history(),
             FaultAction::MakeMemberUnresponsive(index) => {
                 self.inject_member_fault(index, duration, |faults, on| faults.unresponsive = on)
@@ -329,30 +357,78 @@
             FaultAction::PublishDocument => self.write_document(),
             FaultAction::EvacuateZone(index) => self.evacuate_zone(index, duration).await,
         }
-        if action.delays_rows() {
-            let mut delays = self.row_delays.lock();
-            *delays = (delays.0 - 1, Instant::now());
+        self.update_row_delays(action, |delay| *delay = (delay.0 - 1, Instant::now()));
+        if action.cuts_requests() {
+            self.stop_log.lock().unplanned.push((started_at, Instant::now()));
         }
         self.register_members();
     }
 
+    fn update_row_delays(&self, action: FaultAction, update: impl Fn(&mut (usize, Instant))) {
+        let mut delays = self.row_delays.lock();
+        let affected = delays.iter_mut().enumerate();
+        affected
+            .filter(|(index, _)| action.delays_rows(*index))
+            .for_each(|(_, delay)| update(delay));
+    }
+
+    /// Takes the row store away, and changes its content before it returns.
+    async fn take_store_away(&self, duration: Duration, change: impl FnOnce()) {
+        *self.store_outages.lock() += 1;
+        self.store.set_unavailable(true);
+        sleep(duration).await;
+        change();
+        let mut outages = self.store_outages.lock();
+        *outages -= 1;
+        self.store.set_unavailable(*outages > 0);
+    }
+
+    /// Copies the row store, and returns the copy with the number of its document.
+    fn copy_store(&self) -> (StoreCopy, u64) {
+        let documents = self.documents.lock();
+        (self.store.copy(), documents.number)
+    }
+
+    /// Brings the row store back from a copy; then the operator and the members write their rows again.
+    ///
+    /// The operator goes on from the number of the document in the copy.
+    async fn drill_store(&self, (copy, number): (StoreCopy, u64), away: Duration) {
+        self.take_store_away(away, || {
+            let mut documents = self.documents.lock();
+            self.store.restore(copy);
+            documents.number = number;
+        })
+        .await;
+        sleep(REWRITE_PAUSE).await;
+        self.write_document();
+        let evacuations = self.evacuations.lock();
+        for (index, count) in evacuations.iter().enumerate() {
+            self.write_evacuation(index, *count > 0);
+        }
+    }
+
+    fn write_evacuation(&self, index: usize, is_evacuated: bool) {
+        let value = is_evacuated.then(|| json!({ "by": "soak" }).to_string().into_bytes());
+        self.store.put_bytes("op", &format!("evacuate/zone-{index}"), value);
+    }
+
     /// Evacuates the zone of a member, and checks that the member gets no statement after the bound.
     ///
     /// Instances that could not learn of the row in time are exempt, so the bound starts again
     /// after each fault that delays rows.
     async fn evacuate_zone(&self, index: usize, duration: Duration) {
-        let key = format!("evacuate/zone-{index}");
         self.evacuations.lock()[index] += 1;
-        self.store.put("op", &key, &json!({ "by": "soak" }));
+        self.write_evacuation(index, true);
         let started_at = Instant::now();
         let executed = || self.group.lock().members[index].executed.len();
         let mut known_count = executed();
         while started_at.elapsed() < duration {
             sleep(EVACUATION_CHECK_INTERVAL).await;
-            let (delay_count, delayed_until) = *self.row_delays.lock();
+            let delays = self.row_delays.lock().clone();
             let count = executed();
-            let bound_starts_at = started_at.max(delayed_until);
-            if delay_count == 0
+            let bound_starts_at =
+                delays.iter().map(|(_, until)| *until).fold(started_at, Instant::max);
+            if delays.iter().all(|(delay_count, _)| *delay_count == 0)
                 && bound_starts_at.elapsed() > EVACUATION_BOUND + EVACUATION_CHECK_INTERVAL
                 && count > known_count
             {
@@ -368,7 +444,7 @@
         let mut evacuations = self.evacuations.lock();
         evacuations[index] -= 1;
         if evacuations[index] == 0 {
-            self.store.put_bytes("op", &key, None);
+            self.write_evacuation(index, false);
         }
     }
 
@@ -387,6 +463,10 @@
 
     async fn restart(&self, index: usize, signal: Signal) {
         let mut process = self.processes[index].lock().await;
+        if signal == Signal::TERM {
+            let (address, signalled_at) = (process.config.caller_address(), Instant::now());
+            self.stop_log.lock().stops.push(PlannedStop { address, signalled_at });
+        }
         self.record_failure(process.send_signal(signal));
         if timeout(SHUTDOWN_TIMEOUT, process.wait_for_exit()).await.is_err() {
             self.failures
@@ -403,7 +483,7 @@
         }
     }
 
-    /// Checks that every instance serves again within [`RECOVERY_TIMEOUT`].
+    /// Checks that every instance serves and is registered again within [`RECOVERY_TIMEOUT`].
     async fn check_recovery(&self, addresses: &[std::net::SocketAddr]) {
         let started_at = Instant::now();
         for address in addresses {
@@ -418,6 +498,33 @@
                 sleep(Duration::from_millis(100)).await;
             }
         }
+        for process in &self.processes {
+            let name = process.lock().await.config.name();
+            while !self.store.has_row(INSTANCE_TABLE, &name) {
+                if started_at.elapsed() > RECOVERY_TIMEOUT {
+                    let failure =
+                        format!("{name} is not registered after the last fault has ended");
+                    self.failures.lock().push(failure);
+                    break;
+                }
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+
+    fn set_statement_duration(&self, duration: Option<Duration>) {
+        for member in &mut self.group.lock().members {
+            member.faults.statement_duration = duration;
+        }
+    }
+
+    fn lost_requests(&self, cuts: &[CutRequest]) -> Vec<String> {
+        let group = self.group.lock();
+        let executed = group.members.iter().flat_map(|member| &member.executed);
+        let executed = executed
+            .map(|statement| (statement.id.as_str(), Instant::from_std(statement.ended_at)))
+            .collect();
+        self.stop_log.lock().lost_requests(cuts, &executed)
     }
 
     async fn stop(&self) {
--- a/crates/soak/tests/invariants.rs
+++ b/crates/soak/tests/invariants.rs
@@ -1,7 +1,7 @@
 //! The soak detects each kind of violation, and a seed always gives the same fault schedule.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use soak::caller::{AttemptedWrite, CallerHistory, ReportedOutcome};
 use soak::fault::schedule_faults;
@@ -22,6 +22,7 @@
         connection,
         in_transaction,
         values: BTreeMap::new(),
+        ended_at: Instant::now(),
     }
 }
 
--- a/crates/standin/src/gateway_platform/group.rs
+++ b/crates/standin/src/gateway_platform/group.rs
@@ -21,6 +21,8 @@
     pub in_transaction: bool,
     /// Session values of the connection.
     pub values: BTreeMap<String, String>,
+    /// Time at which it had run.
+    pub ended_at: Instant,
 }
 
 /// Faults that are injected into a member.
--- a/crates/standin/src/gateway_platform/member.rs
+++ b/crates/standin/src/gateway_platform/member.rs
@@ -280,6 +280,7 @@
             connection: self.connection_id,
             in_transaction,
             values: self.values.clone(),
+            ended_at: Instant::now(),
         });
         if !is_write && faults.fails_reads {
             return Err("FAILED");
