--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod planned_stop;
 pub mod relay;
 pub mod run;
+mod store_drill;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,7 +13,6 @@
 use standin::gateway_platform::group::{GroupState, SharedGroup};
 use standin::gateway_platform::member;
 use standin::gateway_platform::row_store::RowStore;
-use standin::gateway_platform::store_content::StoreCopy;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -43,8 +42,6 @@
 const FINAL_CHECK_PERIOD: Duration = Duration::from_secs(2);
 /// Interval at which the member of an evacuated zone is checked for requests.
 const EVACUATION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time from the return of the row store until the operator writes again.
-const REWRITE_PAUSE: Duration = Duration::from_millis(400);
 /// Table in which the instances register.
 const INSTANCE_TABLE: &str = "hibiscus-instances";
 /// Duration of each statement while the last instance stops, so that some run when it exits.
@@ -108,7 +105,7 @@
 
 /// Running stand-ins, relays and instances.
 pub(crate) struct SoakEnvironment {
-    store: RowStore,
+    pub(crate) store: RowStore,
     group: SharedGroup,
     member_relays: Vec<FaultRelay>,
     store_relays: Vec<FaultRelay>,
@@ -119,12 +116,12 @@
     pub(crate) probe_count: AtomicUsize,
     stop_log: Mutex<StopLog>,
     /// Faults in progress that keep the row store away.
-    store_outages: Mutex<usize>,
+    pub(crate) store_outages: Mutex<usize>,
     /// Faults in progress that let an instance learn of rows late, and the end of the last one, by
     /// index of the instance.
     pub(crate) row_delays: Mutex<Vec<(usize, Instant)>>,
     /// Evacuations in progress, by index of the zone's member.
-    evacuations: Mutex<[usize; MEMBER_COUNT]>,
+    pub(crate) evacuations: Mutex<[usize; MEMBER_COUNT]>,
 }
 
 /// Runs the soak with one seed.
@@ -264,7 +261,7 @@
         Ok(environment)
     }
 
-    fn write_document(&self) {
+    pub(crate) fn write_document(&self) {
         self.documents.lock().write_next(|document| self.store.put("op", "config", document));
     }
 
@@ -372,46 +369,6 @@
             .for_each(|(_, delay)| update(delay));
     }
 
-    /// Takes the row store away, and changes its content before it returns.
-    async fn take_store_away(&self, duration: Duration, change: impl FnOnce()) {
-        *self.store_outages.lock() += 1;
-        self.store.set_unavailable(true);
-        sleep(duration).await;
-        change();
-        let mut outages = self.store_outages.lock();
-        *outages -= 1;
-        self.store.set_unavailable(*outages > 0);
-    }
-
-    /// Copies the row store, and returns the copy with the number of its document.
-    fn copy_store(&self) -> (StoreCopy, u64) {
-        let documents = self.documents.lock();
-        (self.store.copy(), documents.number)
-    }
-
-    /// Brings the row store back from a copy; then the operator and the members write their rows again.
-    ///
-    /// The operator goes on from the number of the document in the copy.
-    async fn drill_store(&self, (copy, number): (StoreCopy, u64), away: Duration) {
-        self.take_store_away(away, || {
-            let mut documents = self.documents.lock();
-            self.store.restore(copy);
-            documents.number = number;
-        })
-        .await;
-        sleep(REWRITE_PAUSE).await;
-        self.write_document();
-        let evacuations = self.evacuations.lock();
-        for (index, count) in evacuations.iter().enumerate() {
-            self.write_evacuation(index, *count > 0);
-        }
-    }
-
-    fn write_evacuation(&self, index: usize, is_evacuated: bool) {
-        let value = is_evacuated.then(|| json!({ "by": "soak" }).to_string().into_bytes());
-        self.store.put_bytes("op", &format!("evacuate/zone-{index}"), value);
-    }
-
     /// Evacuates the zone of a member, and checks that the member gets no statement after the bound.
     ///
     /// Instances that could not learn of the row in time are exempt, so the bound starts again
