--- a/crates/coord/src/document_choice.rs
+++ b/crates/coord/src/document_choice.rs
@@ -28,6 +28,8 @@
 pub enum DocumentStep {
     /// It comes into force.
     Adopt,
+    /// It is the document in force, which has the version of the row now.
+    Confirm,
     /// The document in force stays, under the version of the row.
     Keep,
     /// The document in force stays for now; this one may come into force later.
@@ -84,7 +86,8 @@
         self.pending = None;
         if offered.digest == in_force.digest {
             self.origin = row.history;
-            return self.keep(in_force, row);
+            self.keep(in_force, row);
+            return DocumentStep::Confirm;
         }
         if number > in_force.version.number {
             return self.adopt(offered);
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -197,7 +197,7 @@
         match step {
             DocumentStep::Adopt => self.set_document(document, row.clone()),
             DocumentStep::Wait => self.pending_document = Some((document, row.clone())),
-            DocumentStep::Keep => self.pending_document = None,
+            DocumentStep::Confirm | DocumentStep::Keep => self.pending_document = None,
             DocumentStep::Ignore => {}
         }
         step
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -8,7 +8,6 @@
 
 use clock::SharedClock;
 use coord::congestion::CongestionDetector;
-use coord::document_choice::DocumentStep;
 use coord::document_history::DocumentHistory;
 use coord::document_lag::DocumentLag;
 use coord::document_state::DocumentState;
@@ -31,7 +30,7 @@
 
 use crate::connection_owner::ConnectionPools;
 use crate::directory::FleetDirectory;
-use crate::interface::{PlatformApi, RefusedRow, RowChange, WatchedTable, WireCodec};
+use crate::interface::{PlatformApi, WatchedTable, WireCodec};
 use crate::open_sessions::OpenSessions;
 use crate::peer::PeerTable;
 use crate::record::InstanceRecord;
@@ -40,7 +39,7 @@
 use crate::service_load::ServiceLoads;
 use crate::store_reader::StoreReader;
 use crate::table_server::TableServer;
-use crate::tables::{StoredRow, TableCaches};
+use crate::tables::TableCaches;
 
 /// Platform and protocol that an instance is built for.
 pub trait EngineTypes: 'static {
@@ -100,9 +99,6 @@
 /// Time after its start in which an instance finds the others: the delay of their registrations and
 /// the expiry of the views of lost observers.
 const DISCOVERY_PERIOD: Duration = Duration::from_secs(2);
-/// Part of the bound on documents for which a document with a lower number must not be replaced after
-/// the return of the store until it comes into force.
-const DOCUMENT_SETTLE_FRACTION: f64 = 0.3;
 /// Time after its start for which an instance in a first start may create full token buckets.
 const FIRST_START_PERIOD: Duration = Duration::from_secs(20);
 
@@ -473,96 +469,4 @@
             gauge!(meter::EVACUATED_ZONES, "phase" => phase.label()).set(count as f64);
         }
     }
-
-    /// Brings a document into force that the store has had for a while since its return.
-    pub(crate) fn settle_document(&self) {
-        let settle_time = self.settings.document_bound.mul_f64(DOCUMENT_SETTLE_FRACTION);
-        let now = self.now();
-        if self.directory.borrow_mut().settle_document(settle_time, now) {
-            self.record_document_in_force();
-        }
-    }
-
-    pub(crate) fn record_document_in_force(&self) {
-        let (document, version) = {
-            let directory = self.directory.borrow();
-            (directory.document(), directory.document_version())
-        };
-        self.document_history.borrow_mut().record(version, self.now());
-        self.refusals.borrow_mut().clear();
-        log_event!(
-            LogEvent::DocumentInForce,
-            "version={} routes={} teams={} row={}",
-            document.version,
-            document.route_count(),
-            document.team_count(),
-            version.row
-        );
-    }
-
-    /// Applies a changed row of a watched table to the directory.
-    pub fn apply_row_change(&self, change: RowChange, row: &StoredRow) {
-        let now = self.now();
-        match change {
-            RowChange::Document(document) => {
-                let version = DocumentVersion { row: row.version, number: document.version };
-                let step = self.directory.borrow_mut().offer_document(document, row, now);
-                match step {
-                    DocumentStep::Adopt => self.record_document_in_force(),
-                    DocumentStep::Keep | DocumentStep::Wait => {
-                        let in_force = self.directory.borrow().document_version();
-                        self.document_history.borrow_mut().record(in_force, now);
-                        log_event!(
-                            LogEvent::DocumentKept,
-                            "in_force={in_force} store={version} step={step:?}"
-                        );
-                    }
-                    DocumentStep::Ignore => {}
-                }
-            }
-            RowChange::ZoneEvacuated(zone) => {
-                let mut directory = self.directory.borrow_mut();
-                if directory.evacuations_mut().evacuate(&zone, now) {
-                    log_event!(LogEvent::ZoneEvacuated, "zone={zone}");
-                }
-            }
-            RowChange::ZoneReopened(zone) => {
-                let mut directory = self.directory.borrow_mut();
-                if directory.evacuations_mut().reopen(&zone, now) {
-                    log_event!(LogEvent::EvacuationWithdrawn, "zone={zone}");
-                }
-            }
-            RowChange::EvacuationInvalid { key, reason } => {
-                log_event!(LogEvent::EvacuationRefused, "key={key} cause=\"{reason}\"");
-            }
-            RowChange::DocumentInvalid(reason) => {
-                log_event!(LogEvent::DocumentRefused, "cause=\"{reason}\"");
-            }
-            RowChange::Endpoint(record) => {
-                let table = WatchedTable::Endpoints.label();
-                self.refused_rows.borrow_mut().forget(table, &record.name);
-                let line = format!(
-                    "endpoint={} service={} zone={} leaving={} leads={}",
-                    record.name, record.service, record.zone, record.leaving, record.leads
-                );
-                if self.directory.borrow_mut().apply_endpoint(record, row.version, now) {
-                    log_event!(LogEvent::EndpointListed, "{line}");
-                }
-            }
-            RowChange::EndpointRemoved { name, reason } => {
-                let table = WatchedTable::Endpoints.label();
-                match &reason {
-                    Some(reason) => {
-                        let row = RefusedRow { key: name.clone(), reason: reason.clone() };
-                        self.refused_rows.borrow_mut().record(table, &row);
-                    }
-                    None => self.refused_rows.borrow_mut().forget(table, &name),
-                }
-                if self.directory.borrow_mut().unregister_endpoint(&name, now) {
-                    let reason = reason.unwrap_or_else(|| "row removed".to_owned());
-                    log_event!(LogEvent::EndpointUnlisted, "endpoint={name} cause=\"{reason}\"");
-                }
-            }
-        }
-    }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -43,6 +43,7 @@
 mod refused_rows;
 mod replica_hold;
 pub mod replication;
+mod row_changes;
 mod service_load;
 pub mod statement;
 pub mod status;
--- a/crates/engine/src/tables.rs
+++ b/crates/engine/src/tables.rs
@@ -4,8 +4,8 @@
 //! availability zone therefore reads the feed and pushes the changes to the others of its zone.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
-use coord::rendezvous;
 use serde::{Deserialize, Serialize};
 use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
@@ -33,9 +33,11 @@
 }
 
 impl StoredRow {
-    /// Returns a hash of the content.
+    /// Returns a hash of the content, which is the same only within this process.
     pub fn digest(&self) -> u64 {
-        rendezvous::weight_of(self.value.as_deref().unwrap_or_default())
+        let mut hasher = DefaultHasher::new();
+        self.value.hash(&mut hasher);
+        hasher.finish()
     }
 }
 
--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -351,7 +351,7 @@
             let name = format!("p{index}");
             let opened = Consumer::open(&name, daemon.address(), "boekingen-primary", "key-3", record);
             match opened {
-                Ok(mut consumer) => consumer.leave(),
+                Ok(consumer) => consumer.leave(),
                 Err(error) if at > counted_from => {
                     let after = at - acked_at;
                     violations.push(format!(
