--- a/crates/coord/src/document_choice.rs
+++ b/crates/coord/src/document_choice.rs
@@ -128,7 +128,8 @@
         if !is_new || now.saturating_duration_since(since) < settle_time {
             return false;
         }
-        self.adopt(pending) == DocumentStep::Adopt
+        self.adopt(pending);
+        true
     }
 
     fn adopt(&mut self, document: OfferedDocument) -> DocumentStep {
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -259,24 +259,22 @@
         row: StoreVersion,
         now: Instant,
     ) -> bool {
-        if let Some(entry) = self.endpoints.get_mut(&record.name)
-            && entry.row.history < row.history
-        {
-            entry.row = row;
-            match record.report().cmp(&entry.record.report()) {
-                Ordering::Less => return false,
-                Ordering::Equal if entry.unregistered_at.is_some() => return false,
-                Ordering::Equal => {}
-                Ordering::Greater => self.choice.record_written(row),
+        if let Some(entry) = self.endpoints.get_mut(&record.name) {
+            let is_registered = entry.unregistered_at.is_none();
+            if entry.row.history < row.history {
+                entry.row = row;
+                match record.report().cmp(&entry.record.report()) {
+                    Ordering::Less => return false,
+                    Ordering::Equal if !is_registered => return false,
+                    Ordering::Equal => {}
+                    Ordering::Greater => self.choice.record_written(row),
+                }
+            }
+            if is_registered && entry.record.is_same_state(&record) {
+                entry.record.sequence = record.sequence;
+                entry.row = row;
+                return false;
             }
-        }
-        if let Some(entry) = self.endpoints.get_mut(&record.name)
-            && entry.unregistered_at.is_none()
-            && entry.record.is_same_state(&record)
-        {
-            entry.record.sequence = record.sequence;
-            entry.row = row;
-            return false;
         }
         let known = self.endpoints.get(&record.name);
         let is_changed = known.is_none_or(|entry| {
--- a/crates/state/src/store_version.rs
+++ b/crates/state/src/store_version.rs
@@ -24,7 +24,7 @@
         Self { history, number }
     }
 
-    /// Returns whether any change is included.
+    /// Returns whether no change is included.
     pub fn is_empty(self) -> bool {
         self == Self::default()
     }
