Drop the promotion lease when the store comes back older

Two instances held the promotion lease at once, and the one with the lower fencing token had overwritten the row of the other. Cause: a lease is renewed and released by a write that expects the version of its row. The store gives versions out again after it came back from an older copy, so the expected version can be that of another instance's lease. Ruled out: registrations of instances, which are written without a condition, and evacuations, which are only read. Change: the version of the row is a StoreVersion. A holder that knows of a later history drops the lease before it renews or releases it. A write that was answered from a later history may have replaced another lease, so the holder drops its own and waits for a whole period before it acquires one again.

--- a/crates/coord/src/lease_claim.rs
+++ b/crates/coord/src/lease_claim.rs
@@ -3,7 +3,7 @@
 //! The store may come back older than it was, with a row of the lease that an earlier holder wrote.
 //! Tokens are therefore above every token that is known and above the clock of the store, which
 //! counts further than all changes of the holder. A row with an older token than the known ones says
-//! nothing about the last holder, so its lease counts as valid for a whole period.
+//! nothing about the last holder, so its lease counts as valid for a whole period. The same holds if a write of this instance replaced a row that it had not read.
 
 use std::time::{Duration, Instant};
 
@@ -34,7 +34,7 @@
 pub struct LeaseClaim {
     /// Largest token that this instance has held or heard of.
     newest_token: u64,
-    /// Time since which the row is known to be older than the last lease, while no holder is known.
+    /// Time since which the row is known not to show the last lease, while no holder is known.
     outdated_since: Option<Instant>,
 }
 
@@ -49,6 +49,12 @@
         self.outdated_since = None;
     }
 
+    /// Records that a write of this instance replaced a row of a later history, which may have been
+    /// the lease of another instance.
+    pub fn record_replacement(&mut self, now: Instant) {
+        self.outdated_since = Some(now);
+    }
+
     /// Returns a token that no instance has used; `store_now_ms` is the time by the store's clock or
     /// a lower bound.
     pub fn next_token(&self, store_now_ms: u64) -> u64 {
@@ -58,13 +64,15 @@
     /// Decides about a row that was read at `now`; a lease is valid for `period`.
     pub fn decide(&mut self, row: LeaseRow, period: Duration, now: Instant) -> ClaimDecision {
         if row.token < self.newest_token {
-            let since = *self.outdated_since.get_or_insert(now);
-            let remaining = period.saturating_sub(now.saturating_duration_since(since));
-            if !remaining.is_zero() {
-                return ClaimDecision::Postpone(remaining);
-            }
-        } else if !row.is_own && !row.remaining.is_zero() {
-            return ClaimDecision::Postpone(row.remaining);
+            self.outdated_since.get_or_insert(now);
+        }
+        let unknown = self.outdated_since.map_or(Duration::ZERO, |since| {
+            period.saturating_sub(now.saturating_duration_since(since))
+        });
+        let shown = if row.is_own { Duration::ZERO } else { row.remaining };
+        let remaining = unknown.max(shown);
+        if !remaining.is_zero() {
+            return ClaimDecision::Postpone(remaining);
         }
         self.outdated_since = None;
         self.record_token(row.token);
--- a/crates/coord/tests/lease_claims.rs
+++ b/crates/coord/tests/lease_claims.rs
@@ -76,6 +76,18 @@
     assert_eq!(decision, ClaimDecision::Acquire(95_001));
 }
 
+// The row named this instance after its write, which had replaced the lease of another one.
+#[test]
+fn a_lease_that_a_write_may_have_replaced_is_awaited_for_a_period() {
+    let now = Instant::now();
+    let mut claim = LeaseClaim::default();
+    claim.record_token(30_000);
+    claim.record_replacement(now);
+    let own = row(30_000, true, Duration::ZERO);
+    assert_eq!(claim.decide(own, PERIOD, now), ClaimDecision::Postpone(PERIOD));
+    assert_eq!(claim.decide(own, PERIOD, now + PERIOD), ClaimDecision::Acquire(40_000));
+}
+
 #[test]
 fn a_valid_lease_of_another_instance_is_awaited() {
     let remaining = Duration::from_secs(2);
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -13,6 +13,7 @@
 use coord::rendezvous;
 use coord::replica_hold::ReplicaHold;
 use metrics::counter;
+use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
 use tokio::task::JoinSet;
@@ -56,7 +57,7 @@
 pub(crate) struct HeldLease {
     lease: PromotionLease,
     claim: LeaseClaim,
-    version: u64,
+    version: StoreVersion,
     /// Local time until which the lease counts as valid, from the time its write was sent.
     valid_until: Option<Instant>,
     /// The token was used by a promotion that may still take effect, and must be incremented before
@@ -137,6 +138,9 @@
             if held_by_peer {
                 // The store came back older, and gave the version of the row out again.
                 self.drop_lease(held, "another instance holds a newer lease");
+            } else if self.has_lost_history(held) {
+                // Another row may have the version of this lease now.
+                self.drop_lease(held, "the store came back older");
             } else if now + RENEWAL_MARGIN >= expires_at {
                 self.renew_lease(held).await;
             }
@@ -153,6 +157,12 @@
         }
     }
 
+    /// Returns whether the store has come back older since the lease was written.
+    fn has_lost_history(&self, held: &RefCell<HeldLease>) -> bool {
+        let history = held.borrow().version.history;
+        self.store_history.get().is_some_and(|newest| newest > history)
+    }
+
     /// Returns whether this instance has had the chance to hear from the others who holds the lease.
     fn knows_holders(&self) -> bool {
         let is_alone = || self.peers.membership.borrow().known_count() == 1;
@@ -224,7 +234,7 @@
     async fn write_lease(
         &self,
         held: &RefCell<HeldLease>,
-        version: u64,
+        version: StoreVersion,
         store_now_ms: u64,
         token: u64,
     ) {
@@ -237,6 +247,13 @@
             ends_ms: store_now_ms + millis(LEASE_TTL),
         };
         match self.platform.write_lease(version, &lease).await {
+            Ok(LeaseWrite::Written { version: written, .. })
+                if written.history != version.history =>
+            {
+                held.borrow_mut().claim.record_token(token);
+                held.borrow_mut().claim.record_replacement(self.now());
+                self.drop_lease(held, "the write replaced a row of a later history");
+            }
             Ok(LeaseWrite::Written { version, .. }) => {
                 let mut held = held.borrow_mut();
                 held.token_used &= held.lease.token == token;
@@ -280,6 +297,9 @@
             return;
         }
         self.set_promotion_token(None);
+        if self.has_lost_history(held) {
+            return;
+        }
         let (version, lease) = {
             let held = held.borrow();
             (held.version, PromotionLease { ends_ms: 0, ..held.lease.clone() })
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -131,8 +131,8 @@
 pub struct LeaseSnapshot {
     /// Lease; `None` if it was never acquired.
     pub lease: Option<PromotionLease>,
-    /// Version of the row; zero if the row does not exist.
-    pub version: u64,
+    /// Version of the row; the start of the store's history if the row does not exist.
+    pub version: StoreVersion,
     /// Time of the read by the store's clock, in milliseconds.
     pub now_ms: u64,
     /// Row of the lease, if it makes no sense; the lease counts as free then.
@@ -144,8 +144,9 @@
 pub enum LeaseWrite {
     /// The lease was written.
     Written {
-        /// New version of the row.
-        version: u64,
+        /// New version of the row. It may be of a later history than the version that the write
+        /// expected, which then was that of another write.
+        version: StoreVersion,
         /// Time of the write by the store's clock, in milliseconds.
         now_ms: u64,
     },
@@ -208,10 +209,11 @@
     /// Reads the promotion lease.
     fn read_lease(&self) -> impl Future<Output = Result<LeaseSnapshot, PlatformError>>;
 
-    /// Writes the promotion lease if its row still has `version`.
+    /// Writes the promotion lease if its row still has `version`. The store compares the number
+    /// only, which a later history gives out again.
     fn write_lease(
         &self,
-        version: u64,
+        version: StoreVersion,
         lease: &PromotionLease,
     ) -> impl Future<Output = Result<LeaseWrite, PlatformError>>;
 
--- a/crates/standin/src/gateway_platform/row_store.rs
+++ b/crates/standin/src/gateway_platform/row_store.rs
@@ -149,6 +149,16 @@
         self.state.lock().content.row(table, key).is_some()
     }
 
+    /// Returns the version of a row; zero if it does not exist.
+    pub fn row_version(&self, table: &str, key: &str) -> u64 {
+        self.state.lock().content.row(table, key).map_or(0, |row| row.version)
+    }
+
+    /// Returns the version of the last write.
+    pub fn version(&self) -> u64 {
+        self.state.lock().content.version
+    }
+
     /// Copies the present rows.
     pub fn copy(&self) -> StoreCopy {
         StoreCopy(self.state.lock().content.clone())
@@ -212,7 +222,8 @@
         self.state.lock().read_count
     }
 
-    fn now_ms(&self) -> u64 {
+    /// Returns the time by the store's clock, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 }
