Begin fencing tokens with the number of the store's history

A store that comes back from an older copy as a new process may count its clock from zero. Tokens were above the row's token, the known ones and the clock; an instance that knows none, as after a restart of the whole fleet, then promoted with tokens that an earlier history had used. The number rises with each return, so all tokens of a history are above those of earlier ones. Stores that name no history give the same tokens as before. Not covered: a store that comes back older without naming a new history and with a clock that starts again.

--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use coord::lease_claim::{ClaimDecision, LeaseClaim, LeaseRow};
+use coord::lease_claim::{ClaimDecision, LeaseClaim, LeaseRow, lowest_token};
 use coord::membership::{InstanceRecord, MemberStatus};
 use coord::promotion::{
     LEADER_GRACE_PERIOD, MemberObservation, MemberReport, PromotionDecision, PromotionMachine,
@@ -189,14 +189,15 @@
         let mut current = snapshot.lease.unwrap_or_default();
         if let Some(row) = &snapshot.refused {
             self.refused_rows.borrow_mut().record("lease", row);
-            // The last token is not known; the store's clock has counted further than all holders.
-            current.token = snapshot.now_ms;
+            // The last token is not known, but is lower than this one.
+            current.token = lowest_token(snapshot.version.history, snapshot.now_ms);
         }
         // Both times are by the store's clock, so the difference needs no synchronized clocks.
         let row = LeaseRow {
             token: current.token,
             is_own: current.holder == self.name(),
             remaining: Duration::from_millis(current.ends_ms.saturating_sub(snapshot.now_ms)),
+            history: snapshot.version.history,
             now_ms: snapshot.now_ms,
         };
         let decision = {
@@ -524,7 +525,7 @@
             let token = {
                 let claim = &mut held.borrow_mut().claim;
                 claim.record_token(self.peers.membership.borrow().newest_promotion_token());
-                claim.next_token(store_now_ms)
+                claim.next_token(version.history, store_now_ms)
             };
             self.write_lease(held, version, store_now_ms, token).await;
         }
