Keep the grace period of a planned stop that has begun

A process went on waiting for open work past the time at which it is killed, so that requests it had passed on would have ended without an answer. Cause: the schedule of a stop is computed from the grace period in force, which a change of the settings file replaced while the stop was running. And the end of the registration was awaited for up to 2.6 s before the first phase, whatever the grace period is. The registration ends beside the wait for open work.

--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -225,8 +225,12 @@
     }
 
     /// Applies limits that changed in the settings while the instance runs.
+    ///
+    /// The grace period of a planned stop that has begun does not change.
     pub fn update_limits(&self, grace_period: Duration, drain_timeout: Duration) {
-        self.grace_period.set(grace_period);
+        if !self.is_leaving() {
+            self.grace_period.set(grace_period);
+        }
         self.directory.borrow_mut().set_drain_timeout(drain_timeout);
     }
 
--- a/crates/engine/src/lifecycle.rs
+++ b/crates/engine/src/lifecycle.rs
@@ -99,16 +99,17 @@
     pub async fn stop(self: &Rc<Self>) {
         log_event!(LogEvent::DrainStarted, "callers={}", self.caller_count.get());
         self.start_leaving();
-        let unregistration = self.platform.unregister_instance(self.name());
-        let started_at = self.now();
-        tokio::pin!(unregistration);
-        let unregistered = tokio::time::timeout(LEAVE_NOTICE_PERIOD, unregistration).await;
-        if let Ok(Err(error)) = &unregistered {
-            log_event!(LogEvent::PlatformLost, "step=unregister cause=\"{error}\"");
-        }
-        self.wait_for_open_work(StopPhase::Answering, started_at + LEAVE_NOTICE_PERIOD).await;
+        let instance = self.clone();
+        // A store that does not answer must not delay the stop.
+        tokio::task::spawn_local(async move {
+            if let Err(error) = instance.platform.unregister_instance(instance.name()).await {
+                log_event!(LogEvent::PlatformLost, "step=unregister cause=\"{error}\"");
+            }
+        });
+        let earliest_end = self.now() + LEAVE_NOTICE_PERIOD;
+        self.wait_for_open_work(StopPhase::Answering, earliest_end).await;
         self.release_peer_transactions();
-        self.wait_for_open_work(StopPhase::Closing, started_at + LEAVE_NOTICE_PERIOD).await;
+        self.wait_for_open_work(StopPhase::Closing, earliest_end).await;
         self.start_closing();
         // Connections that were accepted last get the time to send their request.
         self.wait_for_open_work(StopPhase::Ended, self.now() + DRAIN_POLL_INTERVAL).await;
