Receive answers while a long setup is sent

Cause: all statements that give a connection the values and names of a session were sent before the first answer was read. A member that answers each statement before it reads the next one stops reading once its answers fill the connection, and both sides wait until the answer counts as lost. Change: answers are received into the connection's buffer while statements are sent.

--- a/crates/engine/src/endpoint_connection.rs
+++ b/crates/engine/src/endpoint_connection.rs
@@ -1,6 +1,7 @@
 //! Connection to an endpoint: statements are pipelined and their answers read in order.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use coord::connection_setup::ConnectionSetup;
@@ -101,8 +102,24 @@
     }
 
     /// Sends encoded statements.
+    ///
+    /// Answers are received meanwhile: an endpoint whose answers are not taken reads no further
+    /// statements.
     pub async fn send(&mut self, bytes: &[u8]) -> Result<(), EndpointError> {
-        self.stream.write_all(bytes).await.map_err(|source| EndpointError::Io { source })
+        let io_error = |source| EndpointError::Io { source };
+        let (mut reader, mut writer) = self.stream.split();
+        let mut writing = pin!(writer.write_all(bytes));
+        loop {
+            tokio::select! {
+                biased;
+                written = &mut writing => return written.map_err(io_error),
+                read = self.input.fill(&mut reader) => {
+                    if read.map_err(io_error)? == 0 {
+                        return ClosedSnafu.fail();
+                    }
+                }
+            }
+        }
     }
 
     /// Reads the answer to one statement.
