Receive responses while a batch is sent to a member

A member that responds to each message before it reads the next one stops reading once its responses fill the connection; the write has no limit in time, so the caller waited without end. Evidence: crates/net/tests/long_batches.rs: with the write of before neither side goes on until the limit of 30 s. Change: responses are read into the connection's buffer while a request is written to a member.

--- a/crates/net/src/member.rs
+++ b/crates/net/src/member.rs
@@ -182,9 +182,9 @@
         Ok(self.socket.write(&output).await?)
     }
 
-    /// Writes encoded messages to the connection.
+    /// Writes encoded messages to the connection; responses are received meanwhile.
     pub async fn send(&mut self, bytes: &[u8]) -> Result<(), MemberError> {
-        Ok(self.socket.write(bytes).await?)
+        Ok(self.socket.write_while_reading(bytes).await?)
     }
 
     /// Reads the next frame and records the position or transaction state that it reports.
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -113,6 +113,33 @@
         Ok(())
     }
 
+    /// Writes all of `bytes`, and meanwhile reads into the buffer what the remote end sends.
+    ///
+    /// A remote end whose responses are not taken reads no further requests.
+    pub async fn write_while_reading(&mut self, bytes: &[u8]) -> Result<(), SocketError> {
+        let mut written = 0;
+        loop {
+            match self.stream.try_write(&bytes[written..]) {
+                Ok(count) => written += count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(source) => return Err(SocketError::Io { source }),
+            }
+            if written == bytes.len() {
+                return Ok(());
+            }
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            if !self.stream.ready(interest).await.context(IoSnafu)?.is_readable() {
+                continue;
+            }
+            match self.read_available() {
+                Ok(0) => return ClosedSnafu.fail(),
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(source) => return Err(SocketError::Io { source }),
+            }
+        }
+    }
+
     /// Shuts down the write half once all written bytes are sent.
     pub async fn shutdown(&mut self) {
         let _ = self.stream.shutdown().await;
