Bound the promotions that a reported hold causes

Callers would have lost their writes to a leader that leaves: it was not replaced while members reported the term of a hold at rest. Cause: an instance that acquires the lease looks for held replicas, supersedes earlier promotions by one of the present leader and resumes them. A hold that the resume does not end was found again each second, with one more promotion each time, after which nothing is evaluated for 1.5 s. A replica that refuses to be held was asked again in each round of probes. Change: coord::replica_hold::LastingHolds: a replica is resumed once for each term that it reports, by one holder of the lease. One promotion of the present leader supersedes all earlier ones, so it is not repeated for each resume. A refused hold postpones the next attempt like a requested promotion. HB5009 names the replica and the reason. Not covered: a replica that restarts within the promotion, which ends its hold.

--- a/crates/coord/src/promotion.rs
+++ b/crates/coord/src/promotion.rs
@@ -12,6 +12,7 @@
 use state::position::LogPosition;
 
 use crate::evacuation::ZonePhase;
+use crate::replica_hold::{HoldAnswer, LastingHolds};
 
 /// Time for which the owner of a leader's connections must fail to reach the leader before it is
 /// suspected.
@@ -93,7 +94,8 @@
 pub struct PromotionMachine {
     failed_rounds: u32,
     probed_at: Option<Instant>,
-    promotion_requested_at: Option<Instant>,
+    /// Time of the last promotion that was requested, or that a replica prevented.
+    attempted_at: Option<Instant>,
     /// Position of the most advanced candidate in the last round of probes.
     candidate_position: Option<LogPosition>,
     /// Consecutive rounds in which that position did not change.
@@ -102,6 +104,9 @@
     closed_rounds: u32,
     /// All members answered that they are not held.
     is_inspected: bool,
+    /// Earlier promotions without an answer are certainly refused from now on.
+    is_superseded: bool,
+    lasting_holds: LastingHolds,
     /// Time of the last round of probes that looked for held replicas.
     inspected_at: Option<Instant>,
 }
@@ -114,7 +119,7 @@
     }
 
     fn is_promoting(&self, now: Instant) -> bool {
-        self.promotion_requested_at
+        self.attempted_at
             .is_some_and(|at| now.saturating_duration_since(at) < PROMOTION_RETRY_INTERVAL)
     }
 
@@ -127,7 +132,30 @@
 
     /// Requires an inspection: replicas may be held.
     pub fn require_inspection(&mut self) {
-        self.is_inspected = false;
+        (self.is_inspected, self.is_superseded) = (false, false);
+        self.lasting_holds = LastingHolds::default();
+    }
+
+    /// Returns whether a replica reports a hold that a resume may end.
+    pub fn is_resumable(&self, name: &str, report: &MemberReport) -> bool {
+        self.lasting_holds.is_resumable(name, report)
+    }
+
+    /// Records the answer of a replica that was held for `held_term` to a resume. Returns whether the
+    /// hold lasts.
+    pub fn record_resume(&mut self, name: &str, held_term: u64, answer: HoldAnswer) -> bool {
+        self.lasting_holds.record_resume(name, held_term, answer)
+    }
+
+    /// Returns whether a promotion of the present leader must supersede earlier ones before replicas
+    /// are resumed.
+    pub fn must_supersede(&self) -> bool {
+        !self.is_superseded
+    }
+
+    /// Records that the promotion of the present leader was accepted.
+    pub fn record_superseded(&mut self) {
+        self.is_superseded = true;
     }
 
     /// Records whether all members answered a round of probes that they are not held.
@@ -164,7 +192,13 @@
 
     /// Records that a promotion was requested.
     pub fn record_promotion(&mut self, now: Instant) {
-        self.promotion_requested_at = Some(now);
+        self.record_refused_hold(now);
+        self.is_superseded = false;
+    }
+
+    /// Records that a replica refused to be held, so that the promotion was not requested.
+    pub fn record_refused_hold(&mut self, now: Instant) {
+        self.attempted_at = Some(now);
         self.failed_rounds = 0;
     }
 
--- a/crates/coord/src/replica_hold.rs
+++ b/crates/coord/src/replica_hold.rs
@@ -7,8 +7,60 @@
 //! candidate. Commits that were confirmed earlier were received by a held replica, so the candidate
 //! has them once it has received as much as each held replica.
 
+use std::collections::HashMap;
+
 use crate::promotion::MemberReport;
 
+/// Answer of a replica that was asked to stop receiving, or to receive again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HoldAnswer {
+    /// Status of the replica afterwards.
+    Status(MemberReport),
+    /// The replica answered with an error.
+    Refused,
+    /// No answer arrived.
+    Missing,
+}
+
+impl HoldAnswer {
+    /// Returns the status, if there is one.
+    pub fn report(self) -> Option<MemberReport> {
+        match self {
+            Self::Status(report) => Some(report),
+            Self::Refused | Self::Missing => None,
+        }
+    }
+}
+
+/// Holds that replicas report although they were resumed.
+///
+/// A replica may report a term at rest, or refuse to be resumed. It is asked once, so that its report
+/// does not cause promotions without end.
+#[derive(Clone, Debug, Default)]
+pub struct LastingHolds {
+    /// Terms of the holds, by the name of the replica.
+    terms: HashMap<String, u64>,
+}
+
+impl LastingHolds {
+    /// Returns whether a replica reports a hold that a resume may end.
+    pub fn is_resumable(&self, name: &str, report: &MemberReport) -> bool {
+        !report.leads && report.held_term > 0 && self.terms.get(name) != Some(&report.held_term)
+    }
+
+    /// Records the answer of a replica that was held for `held_term` to a resume. Returns whether the
+    /// hold lasts.
+    pub fn record_resume(&mut self, name: &str, held_term: u64, answer: HoldAnswer) -> bool {
+        let lasting_term = match answer {
+            HoldAnswer::Status(report) if report.held_term > 0 => report.held_term,
+            HoldAnswer::Refused => held_term,
+            HoldAnswer::Status(_) | HoldAnswer::Missing => return false,
+        };
+        self.terms.insert(name.to_owned(), lasting_term);
+        true
+    }
+}
+
 /// State of a hold after its members were asked to stop receiving.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HoldState {
--- a/crates/engine/src/endpoint_probe.rs
+++ b/crates/engine/src/endpoint_probe.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use coord::promotion::MemberReport;
+use coord::replica_hold::HoldAnswer;
 use tokio::time::{sleep, timeout};
 
 use crate::endpoint_connection::{EndpointConnection, EndpointError, OPEN_TIMEOUT};
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::interface::{ControlStatement, WireCodec};
+use crate::interface::{ControlStatement, RefusalCode, WireCodec};
 use crate::message::{ExecuteCall, StatementAnswer};
 use crate::pool::EndpointPool;
 use crate::replication::{ReplicationCodec, ReplicationStatement};
@@ -27,26 +28,34 @@
     /// Returns `None` if the endpoint does not answer within `PROBE_TIMEOUT`, or if its zone is
     /// closed, so that nothing may be sent to it.
     pub async fn probe_member(&self, endpoint: &str) -> Option<MemberReport> {
-        self.request_status(endpoint, |out| E::Codec::encode_control(out, ControlStatement::Status))
-            .await
+        let encode = |out: &mut Vec<u8>| E::Codec::encode_control(out, ControlStatement::Status);
+        E::Codec::decode_status(&self.run_on_new_connection(endpoint, encode).await?.content)
     }
 
-    /// Changes whether a replica receives commits, and returns its status afterwards; `None` as for
-    /// a probe, or if the replica refused.
+    /// Changes whether a replica receives commits.
     pub(crate) async fn set_replication(
         &self,
         endpoint: &str,
         statement: ReplicationStatement,
-    ) -> Option<MemberReport> {
-        self.request_status(endpoint, |out| E::Codec::encode_replication(out, statement)).await
+    ) -> HoldAnswer {
+        let encode = |out: &mut Vec<u8>| E::Codec::encode_replication(out, statement);
+        let Some(answer) = self.run_on_new_connection(endpoint, encode).await else {
+            return HoldAnswer::Missing;
+        };
+        match E::Codec::decode_status(&answer.content) {
+            Some(report) => HoldAnswer::Status(report),
+            // The replica has not looked at the statement.
+            None if answer.error == Some(RefusalCode::Busy) => HoldAnswer::Missing,
+            None => HoldAnswer::Refused,
+        }
     }
 
-    /// Sends a statement that is answered with the status of the endpoint on a new connection.
-    async fn request_status(
+    /// Runs a statement of the engine on a new connection; `None` as for a probe.
+    async fn run_on_new_connection(
         &self,
         endpoint: &str,
         encode: impl FnOnce(&mut Vec<u8>),
-    ) -> Option<MemberReport> {
+    ) -> Option<StatementAnswer> {
         if self.is_closed(endpoint) {
             return None;
         }
@@ -63,10 +72,7 @@
                 EndpointConnection::open::<E::Codec>(address, &startup, OPEN_TIMEOUT).await?;
             connection.read_answer::<E::Codec>().await
         };
-        match timeout(PROBE_TIMEOUT, probe).await {
-            Ok(Ok(answer)) => E::Codec::decode_status(&answer.content),
-            Ok(Err(_)) | Err(_) => None,
-        }
+        timeout(PROBE_TIMEOUT, probe).await.ok()?.ok()
     }
 
     /// Reads an answer, and probes the endpoint on a new connection while it does not respond.
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -2,7 +2,9 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use coord::lease_claim::{ClaimDecision, LeaseClaim, LeaseRow, lowest_token};
@@ -399,10 +401,12 @@
                     return;
                 };
                 machine.borrow_mut().require_inspection();
-                if !self.hold_replicas(service, &hold, &members[index], &members).await {
+                let subject = (service, machine);
+                if !self.hold_replicas(subject, &hold, &members[index], &members).await {
                     return;
                 }
-                held_replicas = hold.replicas;
+                let held = |index: &usize| (members[*index].as_str(), hold.term);
+                held_replicas = hold.replicas.iter().map(held).collect();
             }
             let (name, was) = (&members[index], leader.as_deref().unwrap_or("none"));
             log_event!(
@@ -411,9 +415,7 @@
             );
             machine.borrow_mut().record_promotion(now);
             if self.request_promotion(service, name, held).await && self.await_leader(name).await {
-                let names: Vec<&str> =
-                    held_replicas.iter().map(|index| members[*index].as_str()).collect();
-                self.resume_replicas(service, &names).await;
+                self.resume_replicas((service, machine), &held_replicas).await;
             }
         }
     }
@@ -471,7 +473,7 @@
     }
 
     async fn probe_members(&self, members: &[String]) -> Vec<Option<MemberReport>> {
-        join_reports(members.iter().map(|member| self.probe_member(member))).await
+        join_all(members.iter().map(|member| self.probe_member(member))).await
     }
 
     /// Returns whether another instance reaches a member; asks other availability zones first.
@@ -559,28 +561,21 @@
 }
 
 /// Awaits answers concurrently, so that an unreachable member does not delay the others.
-pub(crate) async fn join_reports(
-    requests: impl Iterator<Item = impl Future<Output = Option<MemberReport>>>,
-) -> Vec<Option<MemberReport>> {
-    let mut reports = Vec::new();
-    let mut requests: Vec<_> = requests.map(Box::pin).collect();
-    let joined = std::future::poll_fn(|context| {
-        let mut ready = true;
-        for (index, request) in requests.iter_mut().enumerate() {
-            if reports.len() <= index {
-                reports.resize(index + 1, None);
-            }
-            if reports[index].is_none() {
-                match request.as_mut().poll(context) {
-                    std::task::Poll::Ready(report) => reports[index] = Some(report),
-                    std::task::Poll::Pending => ready = false,
-                }
+pub(crate) async fn join_all<T>(requests: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
+    let mut requests: Vec<_> = requests.map(|request| (Box::pin(request), None)).collect();
+    let joined = poll_fn(|context| {
+        for (request, answer) in &mut requests {
+            if answer.is_none()
+                && let Poll::Ready(answered) = request.as_mut().poll(context)
+            {
+                *answer = Some(answered);
             }
         }
-        if ready { std::task::Poll::Ready(()) } else { std::task::Poll::Pending }
+        let is_done = requests.iter().all(|(_, answer)| answer.is_some());
+        if is_done { Poll::Ready(()) } else { Poll::Pending }
     });
     joined.await;
-    reports.into_iter().map(Option::flatten).collect()
+    requests.into_iter().filter_map(|(_, answer)| answer).collect()
 }
 
 fn millis(span: Duration) -> u64 {
--- a/crates/engine/src/replica_hold.rs
+++ b/crates/engine/src/replica_hold.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use coord::promotion::{MemberReport, PromotionMachine};
-use coord::replica_hold::{HoldState, ReplicaHold};
+use coord::replica_hold::{HoldAnswer, HoldState, ReplicaHold};
 use telemetry::event::LogEvent;
 use telemetry::log_event;
 use tokio::time::sleep;
 
-use crate::failover::{HeldLease, join_reports};
+use crate::failover::{HeldLease, join_all};
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::replication::ReplicationStatement;
 
@@ -23,14 +23,26 @@
     /// acknowledged commit. The replicas stay held if it has not.
     pub(crate) async fn hold_replicas(
         &self,
-        service: &str,
+        (service, machine): (&str, &RefCell<PromotionMachine>),
         hold: &ReplicaHold,
         candidate: &str,
         members: &[String],
     ) -> bool {
         let statement = ReplicationStatement::Hold { term: hold.term };
         let names = || hold.replicas.iter().map(|index| members[*index].as_str());
-        let answers = join_reports(names().map(|name| self.set_replication(name, statement))).await;
+        let answers = join_all(names().map(|name| self.set_replication(name, statement))).await;
+        let refused = names().zip(&answers).filter(|(_, answer)| **answer == HoldAnswer::Refused);
+        let refused: Vec<&str> = refused.map(|(name, _)| name).collect();
+        if !refused.is_empty() {
+            log_event!(
+                LogEvent::ReplicationRefused,
+                "service={service} step=hold replicas={refused:?} term={} candidate={candidate}",
+                hold.term
+            );
+            machine.borrow_mut().record_refused_hold(self.now());
+            return false;
+        }
+        let answers: Vec<_> = answers.into_iter().map(HoldAnswer::report).collect();
         let mut state = HoldState::Incomplete;
         for _ in 0..MAX_CANDIDATE_PROBES {
             // The positions of the held replicas no longer change.
@@ -49,18 +61,30 @@
         state == HoldState::Complete
     }
 
-    /// Resumes replicas.
-    pub(crate) async fn resume_replicas(&self, service: &str, names: &[&str]) {
-        if names.is_empty() || self.promotion_token().is_none() {
+    /// Resumes replicas, given with the terms for which they are held.
+    pub(crate) async fn resume_replicas(
+        &self,
+        (service, machine): (&str, &RefCell<PromotionMachine>),
+        held: &[(&str, u64)],
+    ) {
+        if held.is_empty() || self.promotion_token().is_none() {
             return;
         }
         let statement = ReplicationStatement::Resume;
-        let requests = names.iter().map(|name| self.set_replication(name, statement));
-        let answers = join_reports(requests).await;
+        let requests = held.iter().map(|(name, _)| self.set_replication(name, statement));
+        let answers = join_all(requests).await;
         log_event!(
             LogEvent::ReplicationChanged,
-            "service={service} resumed={names:?} answers={answers:?}"
+            "service={service} resumed={held:?} answers={answers:?}"
         );
+        for ((name, held_term), answer) in held.iter().zip(answers) {
+            if machine.borrow_mut().record_resume(name, *held_term, answer) {
+                log_event!(
+                    LogEvent::ReplicationRefused,
+                    "service={service} step=resume replicas={name} term={held_term} answer={answer:?}"
+                );
+            }
+        }
     }
 
     /// Returns whether replicas of a service may still be held.
@@ -85,24 +109,33 @@
         members: &[String],
         reports: &[Option<MemberReport>],
     ) {
-        let is_held = |report: &MemberReport| !report.leads && report.held_term > 0;
-        let is_known_free = |(name, report): (&String, &Option<MemberReport>)| {
-            self.is_closed(name) || report.is_some_and(|report| !is_held(&report))
+        let observed = || members.iter().zip(reports);
+        let held: Vec<(&str, u64)> = {
+            let machine = machine.borrow();
+            let held = observed().filter_map(|(name, report)| Some((name.as_str(), (*report)?)));
+            let held = held.filter(|(name, report)| machine.is_resumable(name, report));
+            held.map(|(name, report)| (name, report.held_term)).collect()
         };
-        let none_held = members.iter().zip(reports).all(is_known_free);
+        let is_known =
+            |(name, report): (&String, &Option<_>)| self.is_closed(name) || report.is_some();
+        let none_held = held.is_empty() && observed().all(is_known);
         machine.borrow_mut().record_inspection(none_held, self.now());
         let leads = |index: &usize| reports[*index].is_some_and(|report| report.leads);
         let Some(leader) = leader.filter(leads) else {
             // Without a leader nothing is received, and a member is to be promoted.
             return;
         };
-        let held = members.iter().zip(reports);
-        let held = held.filter(|(_, report)| report.is_some_and(|report| is_held(&report)));
-        let names: Vec<&str> = held.map(|(name, _)| name.as_str()).collect();
+        if held.is_empty() {
+            return;
+        }
         // An earlier promotion without an answer may still be carried out, for a candidate that
         // would lack commits. One of the present leader changes nothing, but supersedes it.
-        if !names.is_empty() && self.request_promotion(service, &members[leader], lease).await {
-            self.resume_replicas(service, &names).await;
+        if machine.borrow().must_supersede() {
+            if !self.request_promotion(service, &members[leader], lease).await {
+                return;
+            }
+            machine.borrow_mut().record_superseded();
         }
+        self.resume_replicas((service, machine), &held).await;
     }
 }
--- a/crates/standin/src/gateway_platform/group.rs
+++ b/crates/standin/src/gateway_platform/group.rs
@@ -38,6 +38,10 @@
     pub loses_commit_responses: bool,
     /// Responds to reads with an error while everything else works.
     pub fails_reads: bool,
+    /// States its term as the term of a hold while it is not held.
+    pub states_hold_at_rest: bool,
+    /// Answers statements about its replication with an error.
+    pub refuses_holds: bool,
     /// Team whose statements are slow, with the duration of each statement.
     pub slow_team: Option<(String, Duration)>,
     /// Duration of each statement of the other teams; `None` for the usual one.
--- a/crates/standin/src/gateway_platform/member.rs
+++ b/crates/standin/src/gateway_platform/member.rs
@@ -171,6 +171,7 @@
         }
         match words[0] {
             "STATUS" => Some(Ok(self.status())),
+            "PAUSE" | "RESUME" if self.refuses_holds() => Some(Err("MALFORMED")),
             "PAUSE" => {
                 let Some(term) = words.get(1).and_then(|term| term.parse().ok()) else {
                     return Some(Err("MALFORMED"));
@@ -307,12 +308,18 @@
         Ok(StatementResult { content, faults, committed })
     }
 
+    fn refuses_holds(&self) -> bool {
+        self.group.lock().members[self.member].faults.refuses_holds
+    }
+
     fn status(&self) -> String {
         let state = self.group.lock();
         let (term, index) = state.position(self.member);
         let role = if state.leader == self.member { "primary" } else { "replica" };
         let member = &state.members[self.member];
-        let (held_term, open) = (member.held_term, member.connections.len());
+        let stated_at_rest = if member.faults.states_hold_at_rest { term } else { 0 };
+        let held_term = member.held_term.max(stated_at_rest);
+        let open = member.connections.len();
         format!("ROW {role} {term} {term}.{index} {held_term} 0 0 {open}\r\nCOMPLETE -\r\n")
     }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -172,6 +172,8 @@
     SubscriberLost = 5007, Info, "subscriber_lost";
     /// Replicas were held for a promotion, or resumed.
     ReplicationChanged = 5008, Info, "replication_changed";
+    /// A replica refused to be held or resumed, or reports a hold that a resume did not end.
+    ReplicationRefused = 5009, Warn, "replication_refused";
     /// The instance started to drain.
     DrainStarted = 6001, Info, "drain_started";
     /// The instance has drained or reached its drain deadline.
