Take no acknowledgement for the answer to a statement about data

Evidence: an_acknowledgement_without_a_digest_is_no_success: a member that answers a write, a read and a statement in a transaction with the acknowledgement of other statements; without the change callers get these as successes. Change: reads, writes and commits succeed only with a digest. Otherwise the connection is closed, a read is tried again and a write has the outcome UNKNOWN; HB3033 names the endpoint.

--- a/crates/engine/src/connection_acquire.rs
+++ b/crates/engine/src/connection_acquire.rs
@@ -14,7 +14,7 @@
 
 use crate::connection_owner::CLEANUP_TIMEOUT;
 use crate::endpoint_connection::{
-    CONNECT_TIMEOUT, EndpointConnection, EndpointError, OPEN_TIMEOUT,
+    AnswerKind, CONNECT_TIMEOUT, EndpointConnection, EndpointError, OPEN_TIMEOUT,
 };
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
@@ -267,7 +267,7 @@
         pool.charge_cold(self.now());
         let check = async {
             connection.send(&bytes).await.ok()?;
-            connection.read_answer::<E::Codec>().await.ok()
+            connection.read_answer::<E::Codec>(AnswerKind::Control).await.ok()
         };
         let answer = timeout(CLEANUP_TIMEOUT, check).await.ok().flatten()?;
         connection.setup.record_reset(0, answer.error.is_some());
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::connection_acquire::{request_kind, team_hash};
-use crate::endpoint_connection::EndpointConnection;
+use crate::endpoint_connection::{AnswerKind, EndpointConnection};
 use crate::exchange::needs_setup;
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
@@ -489,7 +489,8 @@
             E::Codec::encode_control(&mut bytes, ControlStatement::Rollback);
             let rolled_back = async {
                 pooled.connection.send(&bytes).await.ok()?;
-                let answer = pooled.connection.read_answer::<E::Codec>().await.ok()?;
+                let answer =
+                    pooled.connection.read_answer::<E::Codec>(AnswerKind::Control).await.ok()?;
                 (answer.state == TransactionState::Idle).then_some(())
             };
             match timeout(CLEANUP_TIMEOUT, rolled_back).await {
--- a/crates/engine/src/endpoint_connection.rs
+++ b/crates/engine/src/endpoint_connection.rs
@@ -48,6 +48,15 @@
     MalformedAnswer,
 }
 
+/// Statement whose answer is read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerKind {
+    /// Statement of a caller, which reads, writes or commits data.
+    Data,
+    /// Statement of the engine or of a session's setup.
+    Control,
+}
+
 /// Open connection to an endpoint. It serves one team for its whole life.
 #[derive(Debug)]
 pub struct EndpointConnection {
@@ -123,7 +132,12 @@
     }
 
     /// Reads the answer to one statement.
-    pub async fn read_answer<C: WireCodec>(&mut self) -> Result<StatementAnswer, EndpointError> {
+    ///
+    /// An acknowledgement does not answer a statement about data: it belongs to another one.
+    pub async fn read_answer<C: WireCodec>(
+        &mut self,
+        kind: AnswerKind,
+    ) -> Result<StatementAnswer, EndpointError> {
         let mut content = Vec::new();
         let mut error = None;
         let mut completed = false;
@@ -134,6 +148,7 @@
             };
             match C::decode_answer(self.input.line(length)) {
                 AnswerLine::Content { completes } => completed |= completes,
+                AnswerLine::Acknowledgement if kind == AnswerKind::Control => completed = true,
                 AnswerLine::Error(code) => error = Some(code),
                 AnswerLine::Ready { state, position } => {
                     self.input.consume_line(length);
@@ -142,7 +157,9 @@
                     }
                     return Ok(StatementAnswer { content, error, state, position });
                 }
-                AnswerLine::Malformed => return MalformedAnswerSnafu.fail(),
+                AnswerLine::Acknowledgement | AnswerLine::Malformed => {
+                    return MalformedAnswerSnafu.fail();
+                }
             }
             self.input.copy_line(length, &mut content);
             self.input.consume_line(length);
--- a/crates/engine/src/endpoint_probe.rs
+++ b/crates/engine/src/endpoint_probe.rs
@@ -5,9 +5,11 @@
 
 use coord::promotion::MemberReport;
 use coord::replica_hold::HoldAnswer;
+use telemetry::event::LogEvent;
+use telemetry::log_event;
 use tokio::time::{sleep, timeout};
 
-use crate::endpoint_connection::{EndpointConnection, EndpointError, OPEN_TIMEOUT};
+use crate::endpoint_connection::{AnswerKind, EndpointConnection, EndpointError, OPEN_TIMEOUT};
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
 use crate::message::{ExecuteCall, StatementAnswer};
@@ -70,7 +72,7 @@
             encode(&mut startup);
             let mut connection =
                 EndpointConnection::open::<E::Codec>(address, &startup, OPEN_TIMEOUT).await?;
-            connection.read_answer::<E::Codec>().await
+            connection.read_answer::<E::Codec>(AnswerKind::Control).await
         };
         timeout(PROBE_TIMEOUT, probe).await.ok()?.ok()
     }
@@ -83,12 +85,21 @@
         pool: &Rc<EndpointPool>,
         connection: &mut EndpointConnection,
         call: &ExecuteCall,
+        kind: AnswerKind,
     ) -> Option<StatementAnswer> {
-        let reading = connection.read_answer::<E::Codec>();
+        let reading = connection.read_answer::<E::Codec>(kind);
         tokio::pin!(reading);
         loop {
             tokio::select! {
                 answer = &mut reading => {
+                    if let Err(EndpointError::MalformedAnswer) = answer {
+                        log_event!(
+                            LogEvent::AnswerMalformed,
+                            "endpoint={} service={} kind={kind:?}",
+                            pool.endpoint,
+                            pool.service
+                        );
+                    }
                     let answer = answer.ok()?;
                     pool.record_response(self.now());
                     return Some(answer);
--- a/crates/engine/src/exchange.rs
+++ b/crates/engine/src/exchange.rs
@@ -9,7 +9,7 @@
 use telemetry::meter;
 use tokio::time::timeout;
 
-use crate::endpoint_connection::EndpointConnection;
+use crate::endpoint_connection::{AnswerKind, EndpointConnection};
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::message::{ExecuteCall, StatementAnswer};
 use crate::pool::{EndpointPool, RunPermit};
@@ -86,7 +86,8 @@
         }
         let mut has_failed = false;
         for _ in 0..setup_count {
-            let answer = self.read_answer_or_probe(pool, connection, call).await?;
+            let answer =
+                self.read_answer_or_probe(pool, connection, call, AnswerKind::Control).await?;
             has_failed |= answer.error.is_some();
         }
         match (setup_count, call.pinned) {
@@ -94,21 +95,20 @@
             (_, true) => connection.setup.record_change(call.setup_id, has_failed),
             (_, false) => connection.setup.record_reset(call.setup_id, has_failed),
         }
+        let mut answers = Vec::with_capacity(1 + usize::from(call.count));
         if opens_transaction {
-            let begin_answer = self.read_answer_or_probe(pool, connection, call).await?;
+            let begin_answer =
+                self.read_answer_or_probe(pool, connection, call, AnswerKind::Control).await?;
             if begin_answer.error.is_some() {
                 return Some(vec![begin_answer]);
             }
             connection.send(&call.bytes).await.ok()?;
-            let mut answers = vec![begin_answer];
-            for _ in 0..call.count {
-                answers.push(self.read_answer_or_probe(pool, connection, call).await?);
-            }
-            return Some(answers);
+            answers.push(begin_answer);
         }
-        let mut answers = Vec::with_capacity(call.count.into());
-        for _ in 0..call.count {
-            answers.push(self.read_answer_or_probe(pool, connection, call).await?);
+        for index in 0..call.count {
+            // The caller's statement comes first.
+            let kind = if index == 0 { AnswerKind::Data } else { AnswerKind::Control };
+            answers.push(self.read_answer_or_probe(pool, connection, call, kind).await?);
         }
         Some(answers)
     }
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -318,6 +318,8 @@
         /// The line reports success of the statement.
         completes: bool,
     },
+    /// Success of a statement that neither read, wrote nor committed data.
+    Acknowledgement,
     /// The statement failed.
     Error(RefusalCode),
     /// The answer is complete.
--- a/crates/standin/src/gateway_platform/group.rs
+++ b/crates/standin/src/gateway_platform/group.rs
@@ -40,6 +40,8 @@
     pub fails_reads: bool,
     /// States its term as the term of a hold while it is not held.
     pub states_hold_at_rest: bool,
+    /// Answers reads, writes and commits without a digest, as other statements.
+    pub omits_digests: bool,
     /// Answers statements about its replication with an error.
     pub refuses_holds: bool,
     /// Team whose statements are slow, with the duration of each statement.
--- a/crates/standin/src/gateway_platform/member.rs
+++ b/crates/standin/src/gateway_platform/member.rs
@@ -299,7 +299,9 @@
             let row = state.read(self.member, words[words.len() - 1]).unwrap_or_default();
             content = format!("ROW {row}\r\n");
         }
-        content += &format!("COMPLETE {}.{id}\r\n", state.members[self.member].id);
+        let digest = format!("{}.{id}", state.members[self.member].id);
+        let digest = if faults.omits_digests { "-" } else { &digest };
+        content += &format!("COMPLETE {digest}\r\n");
         let mut committed = None;
         if !writes.is_empty() {
             state.commit(writes);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -148,6 +148,8 @@
     MemberDegraded = 3031, Warn, "member_degraded";
     /// A degraded member is as fast as the others again and answers without errors.
     MemberRecovered = 3032, Info, "member_recovered";
+    /// An answer of a member violates the protocol or belongs to another statement.
+    AnswerMalformed = 3033, Warn, "answer_malformed";
     /// A platform service stopped responding.
     PlatformLost = 4001, Warn, "platform_lost";
     /// A platform service responds again.
