Bring documents into force that the lost history cannot have had

Cause: after the store came back older, a document with a lower number than the one in force counts as new only if its row is above the store's version at the first contact, or above a row that a member wrote since. The operator had written before any instance reached the store. Evidence: HB1121 in_force=2.69#5 store=3.55#4 step=Wait, for 12 s, although every instance had seen another number 4 before. Change: numbers of documents rise with the versions of their rows. A document that contradicts what an instance saw of the last history, and of each earlier one that it knows, is not the copy's, and comes into force after the settle time. Tried and dropped: a mark in the version of settled documents, so that instances do not take a kept one back; the test for it passed without it, as a document that waits leaves the version of the one in force as it is.

--- a/crates/coord/src/document_choice.rs
+++ b/crates/coord/src/document_choice.rs
@@ -5,13 +5,16 @@
 //! number stays in force. An operator may also go on from the number that the copy has: a document
 //! with a lower number comes into force once it is certain that it was written after the return, and
 //! it was not replaced within a while, as documents that are written again in their order are.
+//!
+//! A document is certainly new if its row is above one that was written after the return, or if the
+//! history before the return cannot have had it: numbers rise with the versions of their rows.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use state::store_version::{DocumentVersion, StoreVersion};
 
-/// Number of contents that are remembered.
+/// Number of documents that are remembered.
 const MAX_EARLIER: usize = 64;
 
 /// Document that the store has.
@@ -46,6 +49,8 @@
     origin: u64,
     /// Hashes of the contents that have been in force.
     earlier: VecDeque<u64>,
+    /// Documents that the store has had.
+    offered: VecDeque<DocumentVersion>,
     /// Document that may come into force, and since when it is known.
     pending: Option<(OfferedDocument, Instant)>,
     /// Lowest version from which on everything was written after the store's last return.
@@ -74,9 +79,11 @@
     /// Returns what becomes of a document that the store has.
     pub fn offer(&mut self, offered: OfferedDocument, now: Instant) -> DocumentStep {
         let Some(in_force) = self.in_force else {
+            remember(&mut self.offered, offered.version);
             return self.adopt(offered);
         };
         let (row, number) = (offered.version.row, offered.version.number);
+        remember(&mut self.offered, offered.version);
         let newest_row = self.pending.map_or(in_force.version.row, |(pending, _)| {
             pending.version.row.max(in_force.version.row)
         });
@@ -123,8 +130,9 @@
         let Some((pending, since)) = self.pending else {
             return false;
         };
-        let is_new = pending.version.row >= self.written_since
-            && pending.version.row.history == self.written_since.history;
+        let row = pending.version.row;
+        let is_above = row >= self.written_since && row.history == self.written_since.history;
+        let is_new = is_above || self.contradicts_earlier_histories(pending.version);
         if !is_new || now.saturating_duration_since(since) < settle_time {
             return false;
         }
@@ -136,16 +144,39 @@
         self.in_force = Some(document);
         self.origin = document.version.row.history;
         self.pending = None;
-        self.earlier.push_back(document.digest);
-        if self.earlier.len() > MAX_EARLIER {
-            self.earlier.pop_front();
-        }
+        remember(&mut self.earlier, document.digest);
         DocumentStep::Adopt
     }
 
+    /// Returns whether no copy of a known earlier history can have this document, the last one before
+    /// its own included.
+    fn contradicts_earlier_histories(&self, document: DocumentVersion) -> bool {
+        let history = document.row.history;
+        let earlier = || self.offered.iter().filter(|known| known.row.history < history);
+        let contradicts = |known: &DocumentVersion| {
+            known.row.number.cmp(&document.row.number) != known.number.cmp(&document.number)
+        };
+        let is_contradicted = |history: u64| {
+            earlier().any(|known| known.row.history == history && contradicts(known))
+        };
+        history.checked_sub(1).is_some_and(is_contradicted)
+            && earlier().all(|known| is_contradicted(known.row.history))
+    }
+
     fn keep(&mut self, in_force: OfferedDocument, row: StoreVersion) -> DocumentStep {
         let version = DocumentVersion { row, ..in_force.version };
         self.in_force = Some(OfferedDocument { version, ..in_force });
         DocumentStep::Keep
     }
 }
+
+/// Appends a new entry, and evicts the oldest one above [`MAX_EARLIER`].
+fn remember<T: PartialEq>(entries: &mut VecDeque<T>, entry: T) {
+    if entries.contains(&entry) {
+        return;
+    }
+    entries.push_back(entry);
+    if entries.len() > MAX_EARLIER {
+        entries.pop_front();
+    }
+}
--- a/crates/coord/tests/document_choice.rs
+++ b/crates/coord/tests/document_choice.rs
@@ -69,6 +69,27 @@
     assert!(choice.settle(SETTLE_TIME, at(2_000)));
 });
 
+// The first answer after the return came after the operator had written, so nothing else showed it.
+choice_case!(a_document_that_the_lost_history_cannot_have_had_is_new, choice, at => {
+    // Number 41 was at 60, so the copy has no other one of this number, and no 42 below it.
+    for (row, number) in [(65, 41), (55, 42), (72, 40)] {
+        let mut choice = choice.clone();
+        let changed = OfferedDocument { digest: 1, ..document(2, row, number) };
+        choice.record_written(StoreVersion::new(2, 90));
+        assert_eq!(choice.offer(changed, at(0)), DocumentStep::Wait);
+        assert!(!choice.settle(SETTLE_TIME, at(899)));
+        assert!(choice.settle(SETTLE_TIME, at(900)), "{row} {number}");
+    }
+});
+
+// What another history had says nothing about the copy of this one.
+choice_case!(a_document_after_an_unknown_history_waits, choice, at => {
+    choice.record_written(StoreVersion::new(3, 90));
+    let changed = OfferedDocument { digest: 1, ..document(3, 65, 41) };
+    assert_eq!(choice.offer(changed, at(0)), DocumentStep::Wait);
+    assert!(!choice.settle(SETTLE_TIME, at(60_000)));
+});
+
 choice_case!(documents_that_are_written_again_in_their_order_revert_nothing, choice, at => {
     assert_eq!(choice.offer(document(2, 72, 41), at(0)), DocumentStep::Keep);
     assert_eq!(choice.offer(document(2, 73, 42), at(100)), DocumentStep::Wait);
