--- a/crates/coord/src/document_choice.rs
+++ b/crates/coord/src/document_choice.rs
@@ -49,7 +49,7 @@
     origin: u64,
     /// Hashes of the contents that have been in force.
     earlier: VecDeque<u64>,
-    /// Documents that the store has had.
+    /// Versions of the documents that the store has had.
     offered: VecDeque<DocumentVersion>,
     /// Document that may come into force, and since when it is known.
     pending: Option<(OfferedDocument, Instant)>,
@@ -78,12 +78,11 @@
 
     /// Returns what becomes of a document that the store has.
     pub fn offer(&mut self, offered: OfferedDocument, now: Instant) -> DocumentStep {
+        remember(&mut self.offered, offered.version);
         let Some(in_force) = self.in_force else {
-            remember(&mut self.offered, offered.version);
             return self.adopt(offered);
         };
         let (row, number) = (offered.version.row, offered.version.number);
-        remember(&mut self.offered, offered.version);
         let newest_row = self.pending.map_or(in_force.version.row, |(pending, _)| {
             pending.version.row.max(in_force.version.row)
         });
--- a/crates/coord/src/promotion.rs
+++ b/crates/coord/src/promotion.rs
@@ -192,12 +192,16 @@
 
     /// Records that a promotion was requested.
     pub fn record_promotion(&mut self, now: Instant) {
-        self.record_refused_hold(now);
+        self.record_attempt(now);
         self.is_superseded = false;
     }
 
     /// Records that a replica refused to be held, so that the promotion was not requested.
     pub fn record_refused_hold(&mut self, now: Instant) {
+        self.record_attempt(now);
+    }
+
+    fn record_attempt(&mut self, now: Instant) {
         self.attempted_at = Some(now);
         self.failed_rounds = 0;
     }
