Compare the content of documents with those of the lost history

Only versions and numbers were compared. Change: documents of one row version and number with different content contradict each other as well, so the new one comes into force after the settle time.

--- a/crates/coord/src/document_choice.rs
+++ b/crates/coord/src/document_choice.rs
@@ -9,6 +9,7 @@
 //! A document is certainly new if its row is above one that was written after the return, or if the
 //! history before the return cannot have had it: numbers rise with the versions of their rows.
 
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,17 @@
     pub digest: u64,
 }
 
+impl OfferedDocument {
+    /// Returns whether no history can have had both documents, whatever the histories of their rows.
+    fn contradicts(&self, other: &Self) -> bool {
+        let (row, other_row) = (self.version.row.number, other.version.row.number);
+        match (row.cmp(&other_row), self.version.number.cmp(&other.version.number)) {
+            (Ordering::Equal, Ordering::Equal) => self.digest != other.digest,
+            (by_row, by_number) => by_row != by_number,
+        }
+    }
+}
+
 /// What becomes of a document that the store has.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum DocumentStep {
@@ -49,8 +61,8 @@
     origin: u64,
     /// Hashes of the contents that have been in force.
     earlier: VecDeque<u64>,
-    /// Versions of the documents that the store has had.
-    offered: VecDeque<DocumentVersion>,
+    /// Documents that the store has had.
+    offered: VecDeque<OfferedDocument>,
     /// Document that may come into force, and since when it is known.
     pending: Option<(OfferedDocument, Instant)>,
     /// Lowest version from which on everything was written after the store's last return.
@@ -78,7 +90,7 @@
 
     /// Returns what becomes of a document that the store has.
     pub fn offer(&mut self, offered: OfferedDocument, now: Instant) -> DocumentStep {
-        remember(&mut self.offered, offered.version);
+        remember(&mut self.offered, offered);
         let Some(in_force) = self.in_force else {
             return self.adopt(offered);
         };
@@ -131,7 +143,7 @@
         };
         let row = pending.version.row;
         let is_above = row >= self.written_since && row.history == self.written_since.history;
-        let is_new = is_above || self.contradicts_earlier_histories(pending.version);
+        let is_new = is_above || self.contradicts_earlier_histories(pending);
         if !is_new || now.saturating_duration_since(since) < settle_time {
             return false;
         }
@@ -149,17 +161,15 @@
 
     /// Returns whether no copy of a known earlier history can have this document, the last one before
     /// its own included.
-    fn contradicts_earlier_histories(&self, document: DocumentVersion) -> bool {
-        let history = document.row.history;
-        let earlier = || self.offered.iter().filter(|known| known.row.history < history);
-        let contradicts = |known: &DocumentVersion| {
-            known.row.number.cmp(&document.row.number) != known.number.cmp(&document.number)
-        };
+    fn contradicts_earlier_histories(&self, document: OfferedDocument) -> bool {
+        let history_of = |known: &OfferedDocument| known.version.row.history;
+        let history = history_of(&document);
+        let earlier = || self.offered.iter().filter(|known| history_of(known) < history);
         let is_contradicted = |history: u64| {
-            earlier().any(|known| known.row.history == history && contradicts(known))
+            earlier().any(|known| history_of(known) == history && known.contradicts(&document))
         };
         history.checked_sub(1).is_some_and(is_contradicted)
-            && earlier().all(|known| is_contradicted(known.row.history))
+            && earlier().all(|known| is_contradicted(history_of(known)))
     }
 
     fn keep(&mut self, in_force: OfferedDocument, row: StoreVersion) -> DocumentStep {
--- a/crates/coord/tests/document_choice.rs
+++ b/crates/coord/tests/document_choice.rs
@@ -71,12 +71,12 @@
 
 // The first answer after the return came after the operator had written, so nothing else showed it.
 choice_case!(a_document_that_the_lost_history_cannot_have_had_is_new, choice, at => {
-    // Number 41 was at 60, so the copy has no other one of this number, and no 42 below it.
-    for (row, number) in [(65, 41), (55, 42), (72, 40)] {
+    // Number 41 was at 60, so the copy has no other one of this number or row, and no 42 below it.
+    for (row, number) in [(65, 41), (55, 42), (72, 40), (60, 41)] {
         let mut choice = choice.clone();
         let changed = OfferedDocument { digest: 1, ..document(2, row, number) };
         choice.record_written(StoreVersion::new(2, 90));
-        assert_eq!(choice.offer(changed, at(0)), DocumentStep::Wait);
+        assert_eq!(choice.offer(changed, at(0)), DocumentStep::Wait, "{row} {number}");
         assert!(!choice.settle(SETTLE_TIME, at(899)));
         assert!(choice.settle(SETTLE_TIME, at(900)), "{row} {number}");
     }
