Tell from the versions of other rows that a document was written after the return

Cause: such a document comes into force only if it is certainly new. Only other documents and reports of members counted as evidence, and every known earlier history had to be contradicted by a document, also one that ended below the document's row.

Evidence: no two transactions of a history have the same version.

Change: DocumentChoice remembers the versions of other rows by history (RowLog), also of removals that the change feed states. A document at the version of a lost row is new, unless the store has a row of that version, as after one transaction. Histories whose known versions do not reach the document's row are not asked.

Conclusion: what no instance saw in the lost history still waits for the next document; the limits are in docs/design/store-history.md.

--- a/crates/coord/src/document_choice.rs
+++ b/crates/coord/src/document_choice.rs
@@ -7,7 +7,8 @@
 //! it was not replaced within a while, as documents that are written again in their order are.
 //!
 //! A document is certainly new if its row is above one that was written after the return, or if the
-//! history before the return cannot have had it: numbers rise with the versions of their rows.
+//! history before the return cannot have had it: numbers rise with the versions of their rows, and no
+//! two transactions of a history have the same version.
 
 use std::cmp::Ordering;
 use std::collections::VecDeque;
@@ -15,6 +16,8 @@
 
 use state::store_version::{DocumentVersion, StoreVersion};
 
+use crate::row_log::RowLog;
+
 /// Number of documents that are remembered.
 const MAX_EARLIER: usize = 64;
 
@@ -63,6 +66,8 @@
     earlier: VecDeque<u64>,
     /// Documents that the store has had.
     offered: VecDeque<OfferedDocument>,
+    /// Versions of rows that hold no document.
+    other_rows: RowLog,
     /// Document that may come into force, and since when it is known.
     pending: Option<(OfferedDocument, Instant)>,
     /// Lowest version from which on everything was written after the store's last return.
@@ -88,6 +93,11 @@
         }
     }
 
+    /// Records that a row other than the document's was written with this version.
+    pub fn record_other_row(&mut self, version: StoreVersion) {
+        self.other_rows.record(version);
+    }
+
     /// Returns what becomes of a document that the store has.
     pub fn offer(&mut self, offered: OfferedDocument, now: Instant) -> DocumentStep {
         remember(&mut self.offered, offered);
@@ -159,17 +169,26 @@
         DocumentStep::Adopt
     }
 
-    /// Returns whether no copy of a known earlier history can have this document, the last one before
-    /// its own included.
+    /// Returns whether the history before the document's own cannot have had it, nor any earlier one
+    /// whose known versions reach that of its row.
     fn contradicts_earlier_histories(&self, document: OfferedDocument) -> bool {
-        let history_of = |known: &OfferedDocument| known.version.row.history;
-        let history = history_of(&document);
-        let earlier = || self.offered.iter().filter(|known| history_of(known) < history);
-        let is_contradicted = |history: u64| {
-            earlier().any(|known| history_of(known) == history && known.contradicts(&document))
-        };
-        history.checked_sub(1).is_some_and(is_contradicted)
-            && earlier().all(|known| is_contradicted(history_of(known)))
+        let row = document.version.row;
+        let documents = self.offered.iter().map(|known| known.version.row);
+        let newest_rows = self.other_rows.newest_before(row.history).chain(documents);
+        let reaching = newest_rows.filter(|newest| newest.history < row.history);
+        let mut reaching = reaching.filter(|newest| newest.number >= row.number);
+        row.history.checked_sub(1).is_some_and(|last| self.is_contradicted_in(last, document))
+            && reaching.all(|newest| self.is_contradicted_in(newest.history, document))
+    }
+
+    fn is_contradicted_in(&self, history: u64, document: OfferedDocument) -> bool {
+        let row = document.version.row;
+        // One transaction gives all of its rows the same version.
+        let is_shared = self.other_rows.contains(row);
+        let is_other_row = self.other_rows.contains(StoreVersion { history, ..row });
+        let mut documents =
+            self.offered.iter().filter(|known| known.version.row.history == history);
+        (is_other_row && !is_shared) || documents.any(|known| known.contradicts(&document))
     }
 
     fn keep(&mut self, in_force: OfferedDocument, row: StoreVersion) -> DocumentStep {
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -8,8 +8,8 @@
 //! [`routing`] and, in its connection pools, [`queue`]; these modules speak of a database group and
 //! its primary. The engine uses the others, which speak of a service and its leader. It replicates
 //! the platform's tables with [`read_schedule`], [`table_source`], [`transfer_gate`] and
-//! [`table_age`], chooses and judges its document with [`document_choice`], [`document_state`],
-//! [`document_lag`] and [`document_history`], keeps acknowledged commits over a promotion with
+//! [`table_age`], chooses and judges its document with [`document_choice`] (built on
+//! [`row_log`]), [`document_state`], [`document_lag`] and [`document_history`], keeps acknowledged commits over a promotion with
 //! [`replica_hold`], claims the promotion lease with [`lease_claim`], ends its work before a planned
 //! stop with [`stop_schedule`], keeps work out of zones and regions with [`evacuation`] and [`regions`],
 //! and sheds load with [`priority`] (built on [`queue`]), [`service_time`], [`turn_meter`] and
@@ -46,7 +46,7 @@
 pub mod replica_lag;
 pub mod retry_budget;
 pub mod routing;
-
+pub mod row_log;
 pub mod service_time;
 pub mod session;
 pub mod stop_schedule;
--- a/crates/coord/tests/document_choice.rs
+++ b/crates/coord/tests/document_choice.rs
@@ -90,6 +90,39 @@
     assert!(!choice.settle(SETTLE_TIME, at(60_000)));
 });
 
+// No instance had seen a document of that number before the drill (soak seeds 90019 and 90020).
+choice_case!(a_document_at_the_version_of_a_lost_row_is_new, choice, at => {
+    choice.record_other_row(StoreVersion::new(1, 55));
+    choice.record_written(StoreVersion::new(2, 90));
+    assert_eq!(choice.offer(document(2, 55, 40), at(0)), DocumentStep::Wait);
+    assert!(!choice.settle(SETTLE_TIME, at(899)));
+    assert!(choice.settle(SETTLE_TIME, at(900)));
+});
+
+// The operator wrote it in one transaction with another row, which the copy has, too.
+choice_case!(a_document_that_shares_its_version_with_a_lost_row_waits, choice, at => {
+    choice.record_other_row(StoreVersion::new(1, 55));
+    choice.record_other_row(StoreVersion::new(2, 55));
+    assert_eq!(choice.offer(document(2, 55, 40), at(0)), DocumentStep::Wait);
+    assert!(!choice.settle(SETTLE_TIME, at(60_000)));
+});
+
+// The history before the last one ended below the row (soak seeds 91018 and 91024).
+choice_case!(a_history_that_ended_below_the_row_cannot_have_had_the_document, choice, at => {
+    for (row, number) in [(160, 45), (170, 46)] {
+        assert_eq!(choice.offer(document(2, row, number), at(0)), DocumentStep::Adopt);
+    }
+    choice.record_written(StoreVersion::new(3, 200));
+    let offered = OfferedDocument { digest: 1, ..document(3, 150, 45) };
+    assert_eq!(choice.offer(offered, at(0)), DocumentStep::Wait);
+    for (newest_row, is_new) in [(149, true), (150, true), (151, false)] {
+        let mut choice = choice.clone();
+        choice.record_other_row(StoreVersion::new(1, newest_row));
+        assert!(!choice.settle(SETTLE_TIME, at(899)));
+        assert_eq!(choice.settle(SETTLE_TIME, at(900)), is_new, "{newest_row}");
+    }
+});
+
 choice_case!(documents_that_are_written_again_in_their_order_revert_nothing, choice, at => {
     assert_eq!(choice.offer(document(2, 72, 41), at(0)), DocumentStep::Keep);
     assert_eq!(choice.offer(document(2, 73, 42), at(100)), DocumentStep::Wait);
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -243,6 +243,11 @@
         self.choice.record_written(version);
     }
 
+    /// Records that a row other than the document's was written with this version.
+    pub fn record_other_row(&mut self, version: StoreVersion) {
+        self.choice.record_other_row(version);
+    }
+
     /// Returns whether the store has another document than the one in force.
     pub fn has_pending_document(&self) -> bool {
         self.choice.is_pending()
--- a/crates/engine/src/watch.rs
+++ b/crates/engine/src/watch.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::interface::{PlatformApi, WatchedTable};
+use crate::interface::{PlatformApi, RowChange, WatchedTable};
 use crate::table_change::PackedChange;
 use crate::tables::StoredRow;
 
@@ -50,6 +50,9 @@
             cache.merge_store_changes(cache.version(), rows)
         };
         self.push_change(table, &change);
+        // Other removals have versions that the store did not give.
+        let removed = changed.iter().filter(|row| row.value.is_none());
+        removed.for_each(|row| self.directory.borrow_mut().record_other_row(row.version));
         self.apply_changed_rows(table, &changed);
         self.peers.changed.notify_one();
     }
@@ -99,7 +102,11 @@
     fn apply_changed_rows(&self, table: WatchedTable, rows: &[StoredRow]) {
         let is_first = self.directory.borrow().document().version == 0;
         for row in rows {
-            if let Some(change) = self.platform.decode_row(table, row) {
+            let change = self.platform.decode_row(table, row);
+            if row.value.is_some() && !matches!(change, Some(RowChange::Document(_))) {
+                self.directory.borrow_mut().record_other_row(row.version);
+            }
+            if let Some(change) = change {
                 self.apply_row_change(change, row);
             }
         }
