Keep an evacuation in force that the store has lost

Callers: reads and writes reached a zone that the operator had evacuated, from the first answer of a store that came back from a copy without the evacuation until the operator wrote it again.

Cause: rows that the copy lacks count as removed, and a removed evacuation reopened its zone at once. Endpoints have a grace period for the same case; evacuations had none.

Change: a removal at the start of a history, which is that of a row the copy lacks, leaves the zone evacuated for 2.5 s (HB3014). Writing the row again ends the wait; a withdrawal that the operator writes reopens the zone at once, as before.

Conclusion: an evacuation that was withdrawn, and that the copy has again, still counts until the operator writes: in doubt a zone stays without work.

--- a/crates/coord/src/evacuation.rs
+++ b/crates/coord/src/evacuation.rs
@@ -13,6 +13,8 @@
 /// Fraction of the bound after which a zone is closed. The rest is left for the row to reach all
 /// instances, and for statements that were sent before.
 const CLOSING_FRACTION: f64 = 0.4;
+/// Time for which an evacuation that the store has lost stays in force.
+const REWRITE_PERIOD: Duration = Duration::from_millis(2_500);
 /// Time after a withdrawal in which the share of admitted teams grows from none to all.
 const RETURN_PERIOD: Duration = Duration::from_secs(3);
 
@@ -61,8 +63,15 @@
 /// State of a zone that is evacuated or was so recently.
 #[derive(Clone, Debug)]
 enum ZoneState {
-    Evacuated { closes_at: Instant },
-    Returning { since: Instant, was_closed: bool },
+    /// It is evacuated, until `reopens_at` if the store has lost the evacuation.
+    Evacuated {
+        closes_at: Instant,
+        reopens_at: Option<Instant>,
+    },
+    Returning {
+        since: Instant,
+        was_closed: bool,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -100,9 +109,13 @@
 
     /// Records an evacuation; returns whether it is new. A repeated one does not start again.
     pub fn evacuate(&mut self, zone: &str, now: Instant) -> bool {
-        let state = ZoneState::Evacuated { closes_at: now + self.closing_delay };
+        let closes_at = now + self.closing_delay;
+        let state = ZoneState::Evacuated { closes_at, reopens_at: None };
         match self.entries.iter_mut().find(|entry| entry.zone == zone) {
-            Some(ZoneEntry { state: ZoneState::Evacuated { .. }, .. }) => return false,
+            Some(ZoneEntry { state: ZoneState::Evacuated { reopens_at, .. }, .. }) => {
+                *reopens_at = None;
+                return false;
+            }
             Some(entry) => entry.state = state,
             None => {
                 let (zone, reported) = (zone.to_owned(), ZonePhase::Open);
@@ -117,19 +130,32 @@
         let Some(entry) = self.entries.iter_mut().find(|entry| entry.zone == zone) else {
             return false;
         };
-        let ZoneState::Evacuated { closes_at } = entry.state else {
+        let ZoneState::Evacuated { closes_at, .. } = entry.state else {
             return false;
         };
         entry.state = ZoneState::Returning { since: now, was_closed: now >= closes_at };
         true
     }
 
+    /// Records that the store has lost an evacuation, which stays in force until the operator has had
+    /// time to write it again; returns whether it was in force.
+    pub fn record_lost(&mut self, zone: &str, now: Instant) -> bool {
+        let Some(entry) = self.entries.iter_mut().find(|entry| entry.zone == zone) else {
+            return false;
+        };
+        let ZoneState::Evacuated { reopens_at, .. } = &mut entry.state else {
+            return false;
+        };
+        reopens_at.get_or_insert(now + REWRITE_PERIOD);
+        true
+    }
+
     /// Closes all evacuated zones at once.
     ///
     /// For an instance that finds the evacuations when it starts: they may be in force for long.
     pub fn close_evacuated(&mut self, now: Instant) {
         for entry in &mut self.entries {
-            if let ZoneState::Evacuated { closes_at } = &mut entry.state {
+            if let ZoneState::Evacuated { closes_at, .. } = &mut entry.state {
                 *closes_at = now.min(*closes_at);
             }
         }
@@ -162,7 +188,7 @@
             return true;
         };
         match (&entry.state, kind) {
-            (ZoneState::Evacuated { closes_at }, WorkKind::Leader | WorkKind::Pinned) => {
+            (ZoneState::Evacuated { closes_at, .. }, WorkKind::Leader | WorkKind::Pinned) => {
                 now < *closes_at
             }
             (ZoneState::Evacuated { .. }, WorkKind::Replica) => false,
@@ -176,11 +202,16 @@
         }
     }
 
-    /// Removes zones that have returned, and returns the zones whose phase has changed since the
-    /// last call.
+    /// Removes zones that have returned, reopens those whose evacuation stays lost, and returns the
+    /// zones whose phase has changed since the last call.
     pub fn advance(&mut self, now: Instant) -> Vec<(String, ZonePhase)> {
         let mut changes = Vec::new();
         self.entries.retain_mut(|entry| {
+            if let ZoneState::Evacuated { closes_at, reopens_at: Some(at) } = entry.state
+                && now >= at
+            {
+                entry.state = ZoneState::Returning { since: now, was_closed: now >= closes_at };
+            }
             let phase = entry.phase(now);
             if entry.reported != phase {
                 changes.push((entry.zone.clone(), phase));
@@ -206,7 +237,7 @@
 impl ZoneEntry {
     fn phase(&self, now: Instant) -> ZonePhase {
         match self.state {
-            ZoneState::Evacuated { closes_at } if now < closes_at => ZonePhase::Leaving,
+            ZoneState::Evacuated { closes_at, .. } if now < closes_at => ZonePhase::Leaving,
             ZoneState::Evacuated { .. } => ZonePhase::Closed,
             ZoneState::Returning { since, .. }
                 if now.saturating_duration_since(since) < RETURN_PERIOD =>
--- a/crates/engine/src/row_changes.rs
+++ b/crates/engine/src/row_changes.rs
@@ -76,7 +76,12 @@
             }
             RowChange::ZoneReopened(zone) => {
                 let mut directory = self.directory.borrow_mut();
-                if directory.evacuations_mut().reopen(&zone, now) {
+                // Removals at the start of a history are those of rows that the store's copy lacks.
+                if row.version.is_start() {
+                    if directory.evacuations_mut().record_lost(&zone, now) {
+                        log_event!(LogEvent::EvacuationLost, "zone={zone}");
+                    }
+                } else if directory.evacuations_mut().reopen(&zone, now) {
                     log_event!(LogEvent::EvacuationWithdrawn, "zone={zone}");
                 }
             }
--- a/crates/state/src/store_version.rs
+++ b/crates/state/src/store_version.rs
@@ -38,6 +38,11 @@
     pub fn start_of(history: u64) -> Self {
         Self { history, number: 0 }
     }
+
+    /// Returns whether this is the version below all changes of its history.
+    pub fn is_start(self) -> bool {
+        self.number == 0
+    }
 }
 
 impl fmt::Display for StoreVersion {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -136,6 +136,8 @@
     ZonePhaseChanged = 3012, Info, "zone_phase_changed";
     /// Open transactions were rolled back because the zone of their member is closed.
     TransactionsEvacuated = 3013, Warn, "transactions_evacuated";
+    /// The store came back without the row of an evacuation, which stays in force for a while.
+    EvacuationLost = 3014, Warn, "evacuation_lost";
     /// A member is cold: its connection owner limits the requests that it gets.
     MemberCold = 3021, Info, "member_cold";
     /// A member is warm: the budget of its connection owner ended.
