End the instances of a soak that a signal ends

Six gateways of a soak that was ended by a signal ran on for ten minutes.

Cause: hibiscus-load had no handler for signals, so nothing ended the processes that it had started. Change: SIGTERM and SIGINT end the run with an error, and the instances end with the runtime that started them.

Before: the new test fails, the instances still run 8 s after the signal. After: it passes.

Conclusion: SIGKILL still leaves them; a run must be ended by a signal that it can handle.

--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -33,6 +33,9 @@
         /// Failed seeds, separated by commas.
         seeds: String,
     },
+    /// A signal ended a soak run.
+    #[snafu(display("ended by a signal"))]
+    Interrupted,
     /// The report could not be serialized.
     #[snafu(display("{source}"), context(false))]
     Report {
--- a/crates/load/src/soak.rs
+++ b/crates/load/src/soak.rs
@@ -4,17 +4,24 @@
 use std::time::Duration;
 
 use ::soak::run::{SoakReport, SoakSettings, run as run_soak, seed_folder};
+use telemetry::program::shutdown_signal;
 use tokio::runtime::Runtime;
 
 use crate::cli::SoakOptions;
-use crate::report::{LoadError, SoakSnafu};
+use crate::report::{InterruptedSnafu, LoadError, SoakSnafu};
 
 /// Runs every seed and prints a line for each.
 ///
-/// Returns an error if an invariant was violated or a seed could not be run.
+/// Returns an error if an invariant was violated, a seed could not be run or a signal ended the run.
 pub fn run(options: &SoakOptions) -> Result<(), LoadError> {
     let runtime = Runtime::new()?;
-    let failed = runtime.block_on(run_seeds(options));
+    // The instances end with the runtime that started them.
+    let failed = runtime.block_on(async {
+        tokio::select! {
+            failed = run_seeds(options) => Ok(failed),
+            () = shutdown_signal() => InterruptedSnafu.fail(),
+        }
+    })?;
     if failed.is_empty() {
         return Ok(());
     }
