Test team limits with bursts of which half does not run

On that mutant (add_tokens(2.0) in return_token) all 8 tests of quota_owners and returned_tokens passed: their teams ask steadily, so they count as over their limit, and get no tokens back, before doubled tokens add up.

Change: a case in which the demand of the team changes between 0 and 16 times its rate and half of its operations do not run. The arguments of the load are one type; the random choices of the other cases are as before.

--- a/crates/coord/tests/quota_owners.rs
+++ b/crates/coord/tests/quota_owners.rs
@@ -20,6 +20,8 @@
 const SEEDS: u64 = 24;
 /// Fraction of the operations that do not run.
 const NOT_RUN: f64 = 0.2;
+/// Demands of a team that asks in bursts, as multiples of its rate.
+const BURST_DEMANDS: [f64; 5] = [0.0, 0.5, 2.0, 8.0, 16.0];
 
 /// How the network is cut.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -199,16 +201,26 @@
     }
 }
 
-/// Lets a team ask for `demand` times its rate while owners change and a fraction of the operations do
-/// not run, and returns the largest number of
-/// operations that ran in a window.
-fn most_in_a_window(
-    fault: NetworkFault,
-    size: usize,
+/// What a team asks for.
+#[derive(Clone, Copy, Debug)]
+struct TeamLoad {
+    /// Operations as a multiple of the rate.
     demand: f64,
+    /// Whether the demand changes to one of [`BURST_DEMANDS`] from time to time.
+    has_bursts: bool,
+    /// Fraction of the operations that do not run.
     not_run: f64,
-    seed: u64,
-) -> usize {
+}
+
+impl TeamLoad {
+    fn steady(demand: f64) -> Self {
+        Self { demand, has_bursts: false, not_run: NOT_RUN }
+    }
+}
+
+/// Lets a team ask for operations while owners change, and returns the largest number of operations
+/// that ran in a window.
+fn most_in_a_window(fault: NetworkFault, size: usize, mut load: TeamLoad, seed: u64) -> usize {
     let mut fleet = OwnerFleet::new(size, seed);
     let mut ran: Vec<Instant> = Vec::new();
     let mut pending: Vec<TakenToken> = Vec::new();
@@ -217,7 +229,10 @@
         if fleet.random.random_bool(0.04) {
             fleet.change(fault);
         }
-        let asked = (LIMIT.rate * demand * TICK.as_secs_f64()) as u32;
+        if load.has_bursts && fleet.random.random_bool(0.1) {
+            load.demand = BURST_DEMANDS[fleet.random.random_range(0..BURST_DEMANDS.len())];
+        }
+        let asked = (LIMIT.rate * load.demand * TICK.as_secs_f64()) as u32;
         for call in 0..asked {
             let now = fleet.now + TICK * call / asked;
             let index = fleet.random.random_range(0..size);
@@ -225,7 +240,7 @@
                 && let Some(token) = fleet.ask(index, now)
             {
                 // Part of the operations do not run, and their tokens come back late.
-                if fleet.random.random_bool(not_run) {
+                if fleet.random.random_bool(load.not_run) {
                     pending.push(token);
                 } else {
                     ran.push(now);
@@ -243,13 +258,8 @@
     (0..ran.len()).map(in_window).max().unwrap_or(0)
 }
 
-fn most_of_seeds(fault: NetworkFault, size: usize, demand: f64) -> (usize, u64) {
-    most_of_runs(fault, size, demand, NOT_RUN)
-}
-
-fn most_of_runs(fault: NetworkFault, size: usize, demand: f64, not_run: f64) -> (usize, u64) {
-    let counts =
-        (0..SEEDS).map(|seed| (most_in_a_window(fault, size, demand, not_run, seed), seed));
+fn most_of_seeds(fault: NetworkFault, size: usize, load: TeamLoad) -> (usize, u64) {
+    let counts = (0..SEEDS).map(|seed| (most_in_a_window(fault, size, load, seed), seed));
     counts.max().expect("there are seeds")
 }
 
@@ -258,7 +268,7 @@
 fn owners_in_a_row_stay_within_the_rule() {
     for size in 1..=8 {
         for demand in [0.9, 3.0] {
-            let (most, seed) = most_of_seeds(NetworkFault::Sides, size, demand);
+            let (most, seed) = most_of_seeds(NetworkFault::Sides, size, TeamLoad::steady(demand));
             println!("{size} instances, demand {demand}: {most} of {ALLOWED}, seed {seed}");
             assert!(most <= ALLOWED, "{most} with {size} instances, demand {demand}, seed {seed}");
         }
@@ -269,7 +279,7 @@
 #[test]
 fn an_owner_beside_the_first_stays_within_the_rule() {
     for size in 3..=8 {
-        let (most, seed) = most_of_seeds(NetworkFault::Pair, size, 8.0);
+        let (most, seed) = most_of_seeds(NetworkFault::Pair, size, TeamLoad::steady(8.0));
         println!("{size} instances: {most} of {ALLOWED}, seed {seed}");
         assert!(most <= ALLOWED, "{most} with {size} instances, seed {seed}");
     }
@@ -279,7 +289,7 @@
 #[test]
 fn several_owners_beside_the_first_stay_within_the_rule() {
     for size in 3..=8 {
-        let (most, seed) = most_of_seeds(NetworkFault::Star, size, 8.0);
+        let (most, seed) = most_of_seeds(NetworkFault::Star, size, TeamLoad::steady(8.0));
         println!("{size} instances: {most} of {ALLOWED}, seed {seed}");
         assert!(most <= ALLOWED, "{most} with {size} instances, seed {seed}");
     }
@@ -290,9 +300,21 @@
 fn operations_that_all_run_stay_within_the_rule() {
     for fault in [NetworkFault::Sides, NetworkFault::Pair, NetworkFault::Star] {
         for size in 3..=9 {
-            let (most, seed) = most_of_runs(fault, size, 3.0, 0.0);
+            let load = TeamLoad { not_run: 0.0, ..TeamLoad::steady(3.0) };
+            let (most, seed) = most_of_seeds(fault, size, load);
             println!("{fault:?}, {size} instances: {most} of {ALLOWED}, seed {seed}");
             assert!(most <= ALLOWED, "{most}, {fault:?}, {size} instances, seed {seed}");
         }
     }
 }
+
+// Tokens that are returned twice let a team run several bursts before it counts as over its limit.
+#[test]
+fn operations_of_bursts_stay_within_the_rule_whatever_is_returned() {
+    let load = TeamLoad { demand: 0.0, has_bursts: true, not_run: 0.5 };
+    for size in 1..=8 {
+        let (most, seed) = most_of_seeds(NetworkFault::Sides, size, load);
+        println!("{size} instances: {most} of {ALLOWED}, seed {seed}");
+        assert!(most <= ALLOWED, "{most} with {size} instances, seed {seed}");
+    }
+}
