Compare the instances of a fleet with hibiscusctl fleet

The command asks instances for /status and /metrics at once, prints a line for each, and names what is wrong at one instance and what instances disagree about: documents, histories of the store, phases of zones, owners of connections. It fails if there is a finding. The client of the inspection port leaves explain.rs for a file of its own. The gateway is unchanged.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -71,6 +71,9 @@
     /// Shows where an instance of `hibiscus-gateway` would send a request now, and why. Nothing is
     /// sent. Needs no operator token.
     Explain(ExplainArguments),
+    /// Shows what instances of `hibiscus-gateway` have in force and reach, and where they disagree.
+    /// Fails if there is anything to look at. Needs no operator token.
+    Fleet(FleetArguments),
     /// Creates, limits and removes teams.
     #[command(subcommand)]
     Team(TeamCommand),
@@ -87,6 +90,17 @@
     },
 }
 
+/// Instances to be compared.
+#[derive(Args, Debug)]
+pub struct FleetArguments {
+    /// Base URLs of the instances' metrics ports.
+    #[arg(required = true)]
+    pub instances: Vec<String>,
+    /// Prints the state as JSON.
+    #[arg(long)]
+    pub json: bool,
+}
+
 /// Request to be explained, and the instance that explains it.
 #[derive(Args, Debug, serde::Serialize)]
 pub struct ExplainArguments {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -13,7 +13,9 @@
 use crate::cli::{ControlArguments, ControlCommand, KeyCommand, TeamCommand};
 use crate::client::{AdminClient, ClientError};
 use crate::edit::{self, DocumentEdit, EditError};
-use crate::explain::{self, InspectionError};
+use crate::explain;
+use crate::fleet;
+use crate::inspection::InspectionError;
 use crate::output;
 
 /// Maximum number of attempts at an edit while other operators change the document.
@@ -60,6 +62,12 @@
         /// Cause.
         source: InspectionError,
     },
+    /// An instance cannot be reached, or something is wrong with the fleet.
+    #[snafu(display("findings: {count}"))]
+    Findings {
+        /// Number of findings.
+        count: usize,
+    },
     /// The status cannot be formatted as JSON.
     #[snafu(display("{source}"), context(false))]
     Json {
@@ -98,6 +106,10 @@
             Ok(())
         }
         ControlCommand::Explain(arguments) => Ok(explain::run(&arguments).await?),
+        ControlCommand::Fleet(arguments) => match fleet::run(&arguments).await? {
+            0 => Ok(()),
+            count => FindingsSnafu { count }.fail(),
+        },
         command => run_remote(&AdminClient::new(api_arguments)?, command).await,
     }
 }
@@ -142,7 +154,8 @@
         ControlCommand::Drain { database, undo } => {
             edit_document(client, DocumentEdit::SetLeaving { database, leaving: !undo }).await?;
         }
-        ControlCommand::Validate { .. } | ControlCommand::Explain(_) => {}
+        ControlCommand::Validate { .. } | ControlCommand::Explain(_) | ControlCommand::Fleet(_) => {
+        }
     }
     Ok(())
 }
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -1,64 +1,18 @@
 //! Command `explain`: where an instance would send a request, and why.
 
 use std::fmt::Write as _;
-use std::time::Duration;
 
 use engine::explain::{CandidateExplanation, RequestExplanation};
-use reqwest::{Client, StatusCode};
-use serde_json::Value;
-use snafu::{ResultExt as _, Snafu};
+use snafu::ResultExt as _;
 
 use crate::cli::ExplainArguments;
-
-/// Timeout of a request; the instance answers from memory.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Error of an inspection.
-#[derive(Debug, Snafu)]
-pub enum InspectionError {
-    /// The instance sent no response.
-    #[snafu(display("cannot reach instance {instance}: {source}"))]
-    Unreachable {
-        /// Base URL of the instance.
-        instance: String,
-        /// Cause reported by the HTTP client.
-        source: reqwest::Error,
-    },
-    /// The instance cannot answer the request.
-    #[snafu(display("instance {instance} answered {status}: {reason}"))]
-    Rejected {
-        /// Base URL of the instance.
-        instance: String,
-        /// Status of the response.
-        status: StatusCode,
-        /// Cause stated by the instance.
-        reason: String,
-    },
-    /// The response is no explanation.
-    #[snafu(display("instance {instance} sent a malformed response: {source}"))]
-    Malformed {
-        /// Base URL of the instance.
-        instance: String,
-        /// Cause reported by the decoder.
-        source: serde_json::Error,
-    },
-}
+use crate::inspection::{InspectionClient, InspectionError, MalformedSnafu};
 
 /// Asks the instance and prints its explanation.
 pub async fn run(arguments: &ExplainArguments) -> Result<(), InspectionError> {
-    let instance = arguments.instance.trim_end_matches('/');
-    let unreachable = UnreachableSnafu { instance };
-    let client = Client::builder().timeout(REQUEST_TIMEOUT).build().context(unreachable)?;
-    let request = client.get(format!("{instance}/explain")).query(arguments);
-    let response = request.send().await.context(unreachable)?;
-    let status = response.status();
-    let text = response.text().await.context(unreachable)?;
-    let malformed = MalformedSnafu { instance };
-    if !status.is_success() {
-        let body: Value = serde_json::from_str(&text).unwrap_or_default();
-        let reason = body["error"].as_str().unwrap_or("no cause stated");
-        return RejectedSnafu { instance, status, reason }.fail();
-    }
+    let client = InspectionClient::new(&arguments.instance)?;
+    let text = client.fetch("/explain", arguments).await?;
+    let malformed = MalformedSnafu { instance: client.instance() };
     let explanation: RequestExplanation = serde_json::from_str(&text).context(malformed)?;
     if arguments.json {
         println!("{}", serde_json::to_string_pretty(&explanation).context(malformed)?);
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,6 +6,9 @@
 mod commands;
 mod edit;
 mod explain;
+mod fleet;
+mod gauges;
+mod inspection;
 mod output;
 
 use std::process::ExitCode;
