Trace a request through the logs of instances with hibiscusctl trace

The command prints the request's lines from all logs in the order of their times, with the faults of the instances that handled it and whatever names its service or one of its endpoints, from 5 s before to 1 s after it.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -74,6 +74,9 @@
     /// Shows what instances of `hibiscus-gateway` have in force and reach, and where they disagree.
     /// Fails if there is anything to look at. Needs no operator token.
     Fleet(FleetArguments),
+    /// Shows what logs of instances say about a request, with the events around it that concern it.
+    /// Needs no operator token.
+    Trace(TraceArguments),
     /// Creates, limits and removes teams.
     #[command(subcommand)]
     Team(TeamCommand),
@@ -101,6 +104,20 @@
     pub json: bool,
 }
 
+/// Request to be traced, and the logs to search.
+#[derive(Args, Debug)]
+pub struct TraceArguments {
+    /// Identifier of the request.
+    #[arg(long)]
+    pub request: String,
+    /// Seconds before the request from which events are shown.
+    #[arg(long, default_value_t = 5)]
+    pub seconds: u64,
+    /// Logs of instances; their file names name the instances.
+    #[arg(required = true)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Request to be explained, and the instance that explains it.
 #[derive(Args, Debug, serde::Serialize)]
 pub struct ExplainArguments {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -17,6 +17,7 @@
 use crate::fleet;
 use crate::inspection::InspectionError;
 use crate::output;
+use crate::trace;
 
 /// Maximum number of attempts at an edit while other operators change the document.
 const MAX_EDIT_ATTEMPTS: usize = 5;
@@ -68,6 +69,12 @@
         /// Number of findings.
         count: usize,
     },
+    /// No log names the request.
+    #[snafu(display("no log names request {request:?}"))]
+    UnknownRequest {
+        /// Identifier of the request.
+        request: String,
+    },
     /// The status cannot be formatted as JSON.
     #[snafu(display("{source}"), context(false))]
     Json {
@@ -110,6 +117,11 @@
             0 => Ok(()),
             count => FindingsSnafu { count }.fail(),
         },
+        ControlCommand::Trace(arguments) => match trace::run(&arguments) {
+            Ok(true) => Ok(()),
+            Ok(false) => UnknownRequestSnafu { request: arguments.request }.fail(),
+            Err((path, source)) => Err(ControlError::Read { path, source }),
+        },
         command => run_remote(&AdminClient::new(api_arguments)?, command).await,
     }
 }
@@ -154,8 +166,10 @@
         ControlCommand::Drain { database, undo } => {
             edit_document(client, DocumentEdit::SetLeaving { database, leaving: !undo }).await?;
         }
-        ControlCommand::Validate { .. } | ControlCommand::Explain(_) | ControlCommand::Fleet(_) => {
-        }
+        ControlCommand::Validate { .. }
+        | ControlCommand::Explain(_)
+        | ControlCommand::Fleet(_)
+        | ControlCommand::Trace(_) => {}
     }
     Ok(())
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -9,7 +9,9 @@
 mod fleet;
 mod gauges;
 mod inspection;
+mod log_line;
 mod output;
+mod trace;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/ctl/src/trace.rs
@@ -0,0 +1,109 @@
+//! Command `trace`: what instances logged about a request, and what happened around it.
+
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::fs::File;
+use std::io::{BufRead as _, BufReader};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use chrono::{DateTime, SecondsFormat, Utc};
+
+use crate::cli::TraceArguments;
+use crate::log_line::LogLine;
+
+/// Field that names the request of a line.
+const REQUEST_FIELD: &str = "request";
+/// Fields whose values a request shares with the events that may have caused its outcome.
+const SUBJECT_FIELDS: [&str; 2] = ["endpoint", "service"];
+/// Time after the last line of the request for which events are shown.
+const FOLLOWING_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of events that are shown around a request; the ones closest to it are kept.
+const MAX_EVENTS: usize = 60;
+
+/// Line of one of the logs.
+#[derive(Debug)]
+struct TracedLine {
+    instance: String,
+    line: LogLine,
+    is_of_request: bool,
+}
+
+/// Prints what the logs say about a request. Returns false if none of them names it.
+pub fn run(arguments: &TraceArguments) -> Result<bool, (PathBuf, std::io::Error)> {
+    let read =
+        |path: &PathBuf| read_log(path, &arguments.request).map_err(|error| (path.clone(), error));
+    let mut lines = Vec::new();
+    for path in &arguments.logs {
+        lines.extend(read(path)?);
+    }
+    lines.sort_by_key(|traced| traced.line.time);
+    let window = Duration::from_secs(arguments.seconds);
+    let Some(lines) = select_lines(lines, window) else {
+        return Ok(false);
+    };
+    print!("{}", format_lines(&arguments.request, &lines));
+    Ok(true)
+}
+
+/// Reads the lines of a log, but for those of other requests.
+fn read_log(path: &Path, request: &str) -> Result<Vec<TracedLine>, std::io::Error> {
+    let instance = path.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+    let mut lines = Vec::new();
+    for line in BufReader::new(File::open(path)?).split(b'\n') {
+        // Output of other programs may be in the same file.
+        let Some(line) = LogLine::parse(&String::from_utf8_lossy(&line?)) else {
+            continue;
+        };
+        let is_of_request = line.values(REQUEST_FIELD).any(|value| value == request);
+        if is_of_request || line.values(REQUEST_FIELD).next().is_none() {
+            lines.push(TracedLine { instance: instance.clone(), line, is_of_request });
+        }
+    }
+    Ok(lines)
+}
+
+/// Selects the lines of the request, and the events from `window` before it that concern it: faults
+/// of the instances that handled it, and whatever names its service or one of its endpoints.
+fn select_lines(lines: Vec<TracedLine>, window: Duration) -> Option<Vec<TracedLine>> {
+    let own = || lines.iter().filter(|traced| traced.is_of_request);
+    let (first, last) = (own().next()?.line.time, own().next_back()?.line.time);
+    let instances: BTreeSet<String> = own().map(|traced| traced.instance.clone()).collect();
+    let subjects: BTreeSet<String> = own()
+        .flat_map(|traced| SUBJECT_FIELDS.map(|field| traced.line.values(field)))
+        .flatten()
+        .map(str::to_owned)
+        .collect();
+    let concerns = |traced: &TracedLine| {
+        let line = &traced.line;
+        let mut named = SUBJECT_FIELDS.into_iter().flat_map(|field| line.values(field));
+        line.is_fault && instances.contains(&traced.instance)
+            || named.any(|subject| subjects.contains(subject))
+    };
+    let is_near = |time: DateTime<Utc>| time >= first - window && time <= last + FOLLOWING_TIME;
+    let mut selected = lines;
+    selected.retain(|traced| traced.is_of_request || is_near(traced.line.time) && concerns(traced));
+    let mut distances: Vec<_> = selected
+        .iter()
+        .filter(|traced| !traced.is_of_request)
+        .map(|traced| (first - traced.line.time).abs())
+        .collect();
+    distances.sort();
+    if let Some(farthest) = distances.get(MAX_EVENTS) {
+        selected
+            .retain(|traced| traced.is_of_request || (first - traced.line.time).abs() < *farthest);
+    }
+    Some(selected)
+}
+
+fn format_lines(request: &str, lines: &[TracedLine]) -> String {
+    let width = lines.iter().map(|traced| traced.instance.len()).max().unwrap_or(0);
+    let count = lines.iter().filter(|traced| traced.is_of_request).count();
+    let mut text = format!("request {request}: {count} lines, marked with >\n");
+    for TracedLine { instance, line, is_of_request } in lines {
+        let time = line.time.to_rfc3339_opts(SecondsFormat::Millis, true);
+        let mark = if *is_of_request { '>' } else { ' ' };
+        _ = writeln!(text, "{time} {instance:width$} {mark} {}", line.text);
+    }
+    text
+}
--- a/crates/ctl/tests/fleet.rs
+++ b/crates/ctl/tests/fleet.rs
@@ -71,7 +71,7 @@
         "is_unreachable": true, "cold_wait_ms": null, "pace": null, "outstanding_requests": 0,
         "open_connections": 0, "max_connections": 4,
     }]);
-    let first = status("i-1", &json!({ "endpoints": owned.clone() }));
+    let first = status("i-1", &json!({ "endpoints": owned }));
     let second = json!({
         "document_version": 42, "is_ready": false, "live_instances": 1, "endpoints": owned,
         "zones": [{ "zone": "b", "phase": "closed" }],
