--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -17,7 +17,7 @@
 use crate::fleet;
 use crate::inspection::InspectionError;
 use crate::output;
-use crate::trace;
+use crate::trace::{self, TraceError};
 
 /// Maximum number of attempts at an edit while other operators change the document.
 const MAX_EDIT_ATTEMPTS: usize = 5;
@@ -69,11 +69,11 @@
         /// Number of findings.
         count: usize,
     },
-    /// No log names the request.
-    #[snafu(display("no log names request {request:?}"))]
-    UnknownRequest {
-        /// Identifier of the request.
-        request: String,
+    /// The request cannot be traced.
+    #[snafu(display("{source}"), context(false))]
+    Trace {
+        /// Cause.
+        source: TraceError,
     },
     /// The status cannot be formatted as JSON.
     #[snafu(display("{source}"), context(false))]
@@ -90,6 +90,7 @@
         match self {
             Self::Client { source } => source.exit_code(),
             Self::Read { .. } | Self::Document { .. } => 2,
+            Self::Trace { source: TraceError::Read { .. } } => 2,
             _ => 1,
         }
     }
@@ -117,11 +118,7 @@
             0 => Ok(()),
             count => FindingsSnafu { count }.fail(),
         },
-        ControlCommand::Trace(arguments) => match trace::run(&arguments) {
-            Ok(true) => Ok(()),
-            Ok(false) => UnknownRequestSnafu { request: arguments.request }.fail(),
-            Err((path, source)) => Err(ControlError::Read { path, source }),
-        },
+        ControlCommand::Trace(arguments) => Ok(trace::run(&arguments)?),
         command => run_remote(&AdminClient::new(api_arguments)?, command).await,
     }
 }
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use chrono::{DateTime, SecondsFormat, Utc};
+use snafu::{OptionExt as _, ResultExt as _, Snafu};
 
 use crate::cli::TraceArguments;
 use crate::log_line::LogLine;
@@ -21,6 +22,25 @@
 /// Maximum number of events that are shown around a request; the ones closest to it are kept.
 const MAX_EVENTS: usize = 60;
 
+/// Error of a trace.
+#[derive(Debug, Snafu)]
+pub enum TraceError {
+    /// A log cannot be read.
+    #[snafu(display("cannot read {}: {source}", path.display()))]
+    Read {
+        /// Path of the log.
+        path: PathBuf,
+        /// Cause reported by the system.
+        source: std::io::Error,
+    },
+    /// No log names the request.
+    #[snafu(display("no log names request {request:?}"))]
+    UnknownRequest {
+        /// Identifier of the request.
+        request: String,
+    },
+}
+
 /// Line of one of the logs.
 #[derive(Debug)]
 struct TracedLine {
@@ -29,21 +49,18 @@
     is_of_request: bool,
 }
 
-/// Prints what the logs say about a request. Returns false if none of them names it.
-pub fn run(arguments: &TraceArguments) -> Result<bool, (PathBuf, std::io::Error)> {
-    let read =
-        |path: &PathBuf| read_log(path, &arguments.request).map_err(|error| (path.clone(), error));
+/// Prints what the logs say about a request.
+pub fn run(arguments: &TraceArguments) -> Result<(), TraceError> {
+    let request = &arguments.request;
     let mut lines = Vec::new();
     for path in &arguments.logs {
-        lines.extend(read(path)?);
+        lines.extend(read_log(path, request).context(ReadSnafu { path })?);
     }
     lines.sort_by_key(|traced| traced.line.time);
     let window = Duration::from_secs(arguments.seconds);
-    let Some(lines) = select_lines(lines, window) else {
-        return Ok(false);
-    };
-    print!("{}", format_lines(&arguments.request, &lines));
-    Ok(true)
+    let lines = select_lines(lines, window).context(UnknownRequestSnafu { request })?;
+    print!("{}", format_lines(request, &lines));
+    Ok(())
 }
 
 /// Reads the lines of a log, but for those of other requests.
@@ -64,7 +81,8 @@
 }
 
 /// Selects the lines of the request, and the events from `window` before it that concern it: faults
-/// of the instances that handled it, and whatever names its service or one of its endpoints.
+/// of the instances that handled it, and whatever names its service or one of its endpoints. Returns
+/// `None` if there is no line of the request.
 fn select_lines(lines: Vec<TracedLine>, window: Duration) -> Option<Vec<TracedLine>> {
     let own = || lines.iter().filter(|traced| traced.is_of_request);
     let (first, last) = (own().next()?.line.time, own().next_back()?.line.time);
