Show the events of an instance around a request that names no endpoint

Such a request is shown with whatever the instances that handled it say about any endpoint or service.

--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -81,8 +81,9 @@
 }
 
 /// Selects the lines of the request, and the events from `window` before it that concern it: faults
-/// of the instances that handled it, and whatever names its service or one of its endpoints. Returns
-/// `None` if there is no line of the request.
+/// of the instances that handled it, and whatever names its service or one of its endpoints; if its
+/// lines name none, whatever those instances say about any. Returns `None` if there is no line of the
+/// request.
 fn select_lines(lines: Vec<TracedLine>, window: Duration) -> Option<Vec<TracedLine>> {
     let own = || lines.iter().filter(|traced| traced.is_of_request);
     let (first, last) = (own().next()?.line.time, own().next_back()?.line.time);
@@ -94,9 +95,10 @@
         .collect();
     let concerns = |traced: &TracedLine| {
         let line = &traced.line;
+        let is_handler = instances.contains(&traced.instance);
         let mut named = SUBJECT_FIELDS.into_iter().flat_map(|field| line.values(field));
-        line.is_fault && instances.contains(&traced.instance)
-            || named.any(|subject| subjects.contains(subject))
+        is_handler && line.is_fault
+            || named.any(|subject| subjects.contains(subject) || subjects.is_empty() && is_handler)
     };
     let is_near = |time: DateTime<Utc>| time >= first - window && time <= last + FOLLOWING_TIME;
     let mut selected = lines;
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -47,6 +47,17 @@
     assert_eq!(String::from_utf8_lossy(&output.stdout), expected);
 }
 
+// A refusal names the database only.
+#[test]
+fn a_request_without_endpoint_is_shown_with_the_events_of_its_instance() {
+    let refused =
+        "2026-12-05T13:03:48.300Z INFO engine::caller HB2003 request_refused request=r3\n";
+    let output = trace("r3", [&format!("{FIRST_LOG}{refused}"), SECOND_LOG]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    let shown: Vec<&str> = text.lines().skip(1).map(|line| &line[25..41]).collect();
+    assert_eq!(shown, ["i-1   HB4001 pla", "i-1   HB3002 mem", "i-1 > HB2003 req"], "{text}");
+}
+
 #[test]
 fn a_request_that_no_log_names_is_an_error() {
     let output = trace("r2", [FIRST_LOG, SECOND_LOG]);
