--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -111,7 +111,7 @@
     #[arg(long)]
     pub request: String,
     /// Seconds before the request from which events are shown.
-    #[arg(long, default_value_t = 5)]
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(..=86_400))]
     pub seconds: u64,
     /// Logs of instances; their file names name the instances.
     #[arg(required = true)]
--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -103,17 +103,19 @@
     let is_near = |time: DateTime<Utc>| time >= first - window && time <= last + FOLLOWING_TIME;
     let mut selected = lines;
     selected.retain(|traced| traced.is_of_request || is_near(traced.line.time) && concerns(traced));
-    let mut distances: Vec<_> = selected
-        .iter()
-        .filter(|traced| !traced.is_of_request)
-        .map(|traced| (first - traced.line.time).abs())
-        .collect();
+    keep_nearest_events(&mut selected, first);
+    Some(selected)
+}
+
+/// Removes all but the [`MAX_EVENTS`] events that are nearest to a time.
+fn keep_nearest_events(lines: &mut Vec<TracedLine>, time: DateTime<Utc>) {
+    let distance = |traced: &TracedLine| (time - traced.line.time).abs();
+    let events = lines.iter().filter(|traced| !traced.is_of_request);
+    let mut distances: Vec<_> = events.map(distance).collect();
     distances.sort();
     if let Some(farthest) = distances.get(MAX_EVENTS) {
-        selected
-            .retain(|traced| traced.is_of_request || (first - traced.line.time).abs() < *farthest);
+        lines.retain(|traced| traced.is_of_request || distance(traced) < *farthest);
     }
-    Some(selected)
 }
 
 fn format_lines(request: &str, lines: &[TracedLine]) -> String {
