Share the server of the tests of hibiscusctl

The tests of explain and fleet each had a server with fixed responses. That of fleet took what a single read returned for the whole request, so a request in two parts would have been answered too early. Both use one server now, which reads to the end of the request.

--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -1,28 +1,19 @@
 //! The command `explain` against a server with fixed responses.
 
-use std::io::{Read, Write};
-use std::net::TcpListener;
+mod common;
+
 use std::process::{Command, Output};
 
+use common::{response, serve};
 use serde_json::json;
 
 /// Runs the command against a server that sends one response; returns the output and the request.
 fn explain_with(response: &str, arguments: &[&str]) -> (Output, String, String) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let instance = format!("http://{}", listener.local_addr().expect("it has an address"));
     let response = response.to_owned();
-    let server = std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().expect("the command connects");
-        let (mut request, mut buffer) = (String::new(), [0; 1_024]);
-        while !request.contains("\r\n\r\n") {
-            let length = stream.read(&mut buffer).expect("the command sends a request");
-            request += &String::from_utf8_lossy(&buffer[..length]);
-        }
-        stream.write_all(response.as_bytes()).expect("the command reads");
-        request
-    });
+    let (instance, server) = serve(1, move |_| response.clone());
     let output = explain(&instance, arguments);
-    (output, server.join().expect("the server ends"), instance)
+    let mut requests = server.join().expect("the server ends");
+    (output, requests.remove(0), instance)
 }
 
 fn explain(instance: &str, arguments: &[&str]) -> Output {
@@ -31,14 +22,6 @@
     command.args(["--kind", "read"]).args(arguments).output().expect("the command runs")
 }
 
-fn response(status: &str, body: &serde_json::Value) -> String {
-    let body = body.to_string();
-    format!(
-        "HTTP/1.1 {status}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-        body.len()
-    )
-}
-
 // Guards against a lost part of the explanation and a query that names another request.
 #[test]
 fn explanation_is_printed_as_text_and_json() {
@@ -56,7 +39,7 @@
         "refusals": [{ "cause": "over the limit of the team", "retry_after_ms": 40.0 }],
         "team_limit": { "outcome": "refused", "quota_owner": "i-1", "wait_ms": null },
     });
-    let response = response("200 OK", &explanation);
+    let response = response("200 OK", &explanation.to_string());
     let (output, request, _) = explain_with(&response, &["--position", "2.9"]);
     assert!(
         request.starts_with("GET /explain?team=a+b&database=strict&kind=read&position=2.9 "),
@@ -81,7 +64,7 @@
 #[test]
 fn errors_name_the_instance_and_the_cause() {
     let body = json!({ "error": "team \"a b\" is unknown in document 7" });
-    let (output, _, instance) = explain_with(&response("404 Not Found", &body), &[]);
+    let (output, _, instance) = explain_with(&response("404 Not Found", &body.to_string()), &[]);
     let text = String::from_utf8_lossy(&output.stderr);
     assert!(text.contains(&instance) && text.contains("team \"a b\" is unknown"), "{text}");
     assert_eq!(output.status.code(), Some(1));
--- a/crates/ctl/tests/fleet.rs
+++ b/crates/ctl/tests/fleet.rs
@@ -1,29 +1,20 @@
 //! The command `fleet` against servers with fixed responses.
 
-use std::io::{Read, Write};
-use std::net::TcpListener;
+mod common;
+
 use std::process::{Command, Output};
 
+use common::{response, serve};
 use serde_json::{Value, json};
 
 /// Serves the status and the metrics of an instance once each, and returns its URL.
-fn serve(status: &Value, metrics: &str) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let instance = format!("http://{}", listener.local_addr().expect("it has an address"));
+fn serve_instance(status: &Value, metrics: &str) -> String {
     let (status, metrics) = (status.to_string(), metrics.to_owned());
-    std::thread::spawn(move || {
-        for _ in 0..2 {
-            let (mut stream, _) = listener.accept().expect("the command connects");
-            let mut buffer = [0; 1_024];
-            let length = stream.read(&mut buffer).expect("the command sends a request");
-            let is_status = buffer[..length].starts_with(b"GET /status");
-            let body = if is_status { &status } else { &metrics };
-            let length = body.len();
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nconnection: close");
-            write!(stream, "{head}\r\n\r\n{body}").expect("the command reads");
-        }
-    });
-    instance
+    let body = move |request: &str| match request.starts_with("GET /status") {
+        true => response("200 OK", &status),
+        false => response("200 OK", &metrics),
+    };
+    serve(2, body).0
 }
 
 fn status(name: &str, changes: &Value) -> Value {
@@ -54,7 +45,8 @@
 
 #[test]
 fn a_fleet_that_agrees_has_no_findings() {
-    let instances = ["i-2", "i-1"].map(|name| serve(&status(name, &json!({})), &metrics(2, 0)));
+    let instances =
+        ["i-2", "i-1"].map(|name| serve_instance(&status(name, &json!({})), &metrics(2, 0)));
     let output = fleet(&instances, &[]);
     let text = String::from_utf8_lossy(&output.stdout);
     assert!(output.status.success(), "{text}");
@@ -77,8 +69,8 @@
         "zones": [{ "zone": "b", "phase": "closed" }],
     });
     let instances = [
-        serve(&first, &metrics(3, 1)),
-        serve(&status("i-2", &second), &metrics(2, 0)),
+        serve_instance(&first, &metrics(3, 1)),
+        serve_instance(&status("i-2", &second), &metrics(2, 0)),
         "http://127.0.0.1:1".to_owned(),
     ];
     let output = fleet(&instances, &["--json"]);
