--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Command `fleet`: what each instance has in force and reaches, and where instances disagree.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{Display, Write as _};
 
 use engine::status::InstanceStatus;
@@ -101,13 +101,9 @@
     let histories = instances.iter().map(|report| (report, report.gauges.store_history));
     let histories = histories.filter_map(|(report, history)| Some((report, history?)));
     findings.extend(find_difference("histories of the store", histories));
-    let mut zones: Vec<&str> = Vec::new();
-    for zone in instances.iter().flat_map(|report| &report.status.zones) {
-        if !zones.contains(&zone.zone.as_str()) {
-            zones.push(&zone.zone);
-        }
-    }
-    for name in zones {
+    let zones = instances.iter().flat_map(|report| &report.status.zones);
+    let names: BTreeSet<&str> = zones.map(|zone| zone.zone.as_str()).collect();
+    for name in names {
         let phases = instances.iter().map(|report| {
             let zone = report.status.zones.iter().find(|zone| zone.zone == name);
             (report, zone.map_or("open", |zone| zone.phase.as_str()))
