Send statements only after the member has accepted their setup

Cause: a connection without the setup of a session got RESET, the session's settings and the statement in one piece. The answers to the setup were used to label the connection only, when the statement had run already.

Ruled out: the label itself. A refused setup leaves it unknown, and the next call resets the connection, as before.

Change: the setup is answered before the statement is sent; a BEGIN, whose answer was awaited already, travels with it. After a refusal the call is retried elsewhere within its limits, a transaction is aborted, and its COMMIT is not sent. If the answers to the setup are lost, nothing of the caller was sent, so a write is no longer reported as possibly run. Event HB3034.

Why this works: what follows the setup is sent only if no answer to it was an error, so no statement can run on a connection without its setup.

Before: all six tests of refused_setups fail, four of them as a statement ran with {"language": "nl"} of another session. After: they pass, and so do all tests of platform, engine, coord, standin and telemetry. session_isolation has two more faults of members (refused setups, lost answers to setups) and a case with members that revert settings on rollback; its three cases pass.

Cost: one round trip to the member for a single statement on a connection that needs a setup; none for transactions and for reads of the leader.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -94,11 +94,15 @@
                         Duration::from_millis(retry_ms.into()).max(BUSY_BACKOFF)
                     }
                     NotSentReason::Evacuated => Duration::ZERO,
+                    NotSentReason::SetupRefused | NotSentReason::SetupLost { .. } => BUSY_BACKOFF,
                     _ => NO_LEADER_BACKOFF,
                 },
                 origin: match reason {
                     NotSentReason::QueueDelay | NotSentReason::NoConnection => RetryOrigin::Queue,
                     NotSentReason::Evacuated => RetryOrigin::Evacuated,
+                    NotSentReason::SetupRefused | NotSentReason::SetupLost { .. } => {
+                        RetryOrigin::Member
+                    }
                     _ => RetryOrigin::Unreached,
                 },
             },
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -21,7 +21,7 @@
 
 use crate::connection_acquire::{request_kind, team_hash};
 use crate::endpoint_connection::{AnswerKind, EndpointConnection};
-use crate::exchange::needs_setup;
+use crate::exchange::{ExchangeEnd, needs_setup};
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
 use crate::message::{
@@ -337,29 +337,60 @@
         }
         permit.has_run = true;
         let mut permit = Some(permit);
-        let exchange = self.exchange(pool, &mut connection, call);
-        let answered = self.await_answers(pool, call, exchange, &mut permit, deadline).await;
+        let is_sent = Cell::new(false);
+        let exchange = self.exchange(pool, &mut connection, call, &is_sent);
+        let end = self.await_exchange(pool, call, exchange, &is_sent, &mut permit, deadline).await;
         // A statement of an open transaction may wait for locks of another one.
         if !call.pinned && pool.pace.borrow().is_some() {
-            pool.record_pace(call, answered.as_deref(), sent_at, self.now());
-        }
-        let Some(answers) = answered else {
-            pool.close_connection(connection);
-            pool.health.borrow_mut().record_outcome(true, self.now());
-            let answers_others = pool.last_answer_at.get().is_some_and(|at| at > sent_at);
-            return if answers_others {
-                ExecuteOutcome::AnswerLost
-            } else {
-                ExecuteOutcome::InDoubt
+            let answers = match &end {
+                Some(ExchangeEnd::Answered(answers)) => Some(answers.as_slice()),
+                Some(ExchangeEnd::SetupRefused { .. }) | None => None,
             };
+            pool.record_pace(call, answers, sent_at, self.now());
+        }
+        let answers = match end {
+            None => return self.close_lost(pool, connection, is_sent.get(), sent_at),
+            Some(ExchangeEnd::SetupRefused { code, state }) => {
+                // The hold time of the permit says nothing about the statements.
+                if let Some(permit) = &mut permit {
+                    permit.has_run = false;
+                }
+                drop(permit);
+                let now = self.now();
+                pool.last_answer_at.set(Some(now));
+                pool.health.borrow_mut().record_outcome(is_endpoint_failure(code), now);
+                self.recycle_connection(pool, origin, call, connection, state, true);
+                return not_sent(NotSentReason::SetupRefused, Duration::ZERO);
+            }
+            Some(ExchangeEnd::Answered(answers)) => answers,
         };
         drop(permit);
         pool.last_answer_at.set(Some(self.now()));
         self.record_answers(pool, call, &answers, sent_at);
-        self.recycle_connection(pool, origin, call, connection, &answers);
+        let state = answers.last().map_or(TransactionState::Failed, |answer| answer.state);
+        let has_failed = answers.iter().any(|answer| answer.error.is_some());
+        self.recycle_connection(pool, origin, call, connection, state, has_failed);
         ExecuteOutcome::Answered(answers)
     }
 
+    /// Closes a connection on which answers are lost, and returns the outcome of its call.
+    fn close_lost(
+        &self,
+        pool: &Rc<EndpointPool>,
+        connection: EndpointConnection,
+        is_sent: bool,
+        sent_at: Instant,
+    ) -> ExecuteOutcome {
+        pool.close_connection(connection);
+        pool.health.borrow_mut().record_outcome(true, self.now());
+        let answers_others = pool.last_answer_at.get().is_some_and(|at| at > sent_at);
+        match (is_sent, answers_others) {
+            (false, _) => not_sent(NotSentReason::SetupLost { answers_others }, Duration::ZERO),
+            (true, true) => ExecuteOutcome::AnswerLost,
+            (true, false) => ExecuteOutcome::InDoubt,
+        }
+    }
+
     /// Records the position and the leadership of an endpoint from the answers to a call.
     fn record_answers(
         &self,
@@ -429,22 +460,22 @@
         origin: CallOrigin,
         call: &ExecuteCall,
         connection: EndpointConnection,
-        answers: &[StatementAnswer],
+        state: TransactionState,
+        has_failed: bool,
     ) {
-        let state = answers.last().map_or(TransactionState::Failed, |answer| answer.state);
         let mut pooled =
             PooledConnection { pool: pool.clone(), team: call.team.clone(), connection };
         // A failed statement may leave the transaction open at the endpoint, but its session
         // abandons it.
-        let failed = answers.iter().any(|answer| answer.error.is_some());
         let is_ended = origin != 0 && self.has_stop_reached(StopPhase::Answering);
-        let kept = call.keep_pinned && !failed && !is_ended && self.pools.is_live_origin(origin);
+        let kept =
+            call.keep_pinned && !has_failed && !is_ended && self.pools.is_live_origin(origin);
         match state {
             TransactionState::Open if kept => {
                 self.pools.pinned.borrow_mut().insert((origin, call.transaction_id), pooled);
             }
             TransactionState::Idle => {
-                pooled.connection.setup.end_transaction(!call.keep_pinned && !failed);
+                pooled.connection.setup.end_transaction(!call.keep_pinned && !has_failed);
                 self.return_idle(pooled);
             }
             TransactionState::Open | TransactionState::Failed => self.roll_back(pooled),
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -253,7 +253,12 @@
             match &reply.outcome {
                 ExecuteOutcome::Answered(_) => view.failed_at = None,
                 ExecuteOutcome::InDoubt
-                | ExecuteOutcome::NotSent { reason: NotSentReason::Unreachable, .. } => {
+                | ExecuteOutcome::NotSent {
+                    reason:
+                        NotSentReason::Unreachable
+                        | NotSentReason::SetupLost { answers_others: false },
+                    ..
+                } => {
                     view.failed_at = Some(now);
                 }
                 ExecuteOutcome::NotSent { .. } | ExecuteOutcome::AnswerLost => {}
--- a/crates/engine/src/exchange.rs
+++ b/crates/engine/src/exchange.rs
@@ -1,34 +1,52 @@
 //! Exchange of the statements and answers of a call with a member.
 
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use coord::answer_order::{OverdueAnswer, patience};
+use coord::session::TransactionState;
 use metrics::counter;
-use telemetry::meter;
+use telemetry::event::LogEvent;
+use telemetry::{log_event, meter};
 use tokio::time::timeout;
 
 use crate::endpoint_connection::{AnswerKind, EndpointConnection};
 use crate::instance::{EngineTypes, GatewayInstance};
+use crate::interface::RefusalCode;
 use crate::message::{ExecuteCall, StatementAnswer};
 use crate::pool::{EndpointPool, RunPermit};
 
 /// Interval at which an answer that is overdue is checked for later ones.
 const LOST_ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// End of an exchange whose connection is not lost.
+pub(crate) enum ExchangeEnd {
+    /// The endpoint answered the statements of the caller.
+    Answered(Vec<StatementAnswer>),
+    /// The endpoint refused a part of the setup, and no statement of the caller was sent.
+    SetupRefused {
+        /// Reason stated by the endpoint.
+        code: RefusalCode,
+        /// State of the connection afterwards.
+        state: TransactionState,
+    },
+}
+
 impl<E: EngineTypes> GatewayInstance<E> {
-    /// Awaits the answers to a call until its deadline. Returns `None` if they are lost.
+    /// Awaits the end of an exchange until the deadline of its call. Returns `None` if answers are lost.
     ///
     /// Answers that are presumed lost hold no permit, and are awaited only if the call cannot be retried.
-    pub(crate) async fn await_answers(
+    pub(crate) async fn await_exchange(
         &self,
         pool: &EndpointPool,
         call: &ExecuteCall,
-        exchange: impl Future<Output = Option<Vec<StatementAnswer>>>,
+        exchange: impl Future<Output = Option<ExchangeEnd>>,
+        is_sent: &Cell<bool>,
         permit: &mut Option<RunPermit>,
         deadline: Instant,
-    ) -> Option<Vec<StatementAnswer>> {
+    ) -> Option<ExchangeEnd> {
         let mut exchange = pin!(exchange);
         let usual_maximum = {
             let queue = pool.queue.borrow();
@@ -53,7 +71,8 @@
                 permit.has_run = false;
             }
             // A statement of an open transaction may wait for locks of other ones.
-            if overdue == OverdueAnswer::Lost && call.retryable && !call.pinned {
+            let is_retryable = (call.retryable && !call.pinned) || !is_sent.get();
+            if overdue == OverdueAnswer::Lost && is_retryable {
                 counter!(meter::PRESUMED_LOST_ANSWERS).increment(1);
                 break None;
             }
@@ -67,50 +86,63 @@
 
     /// Sends the statements and reads their answers. Returns `None` if the connection is lost.
     ///
-    /// A statement that opens a transaction must succeed before the others are sent.
+    /// The setup, and a statement that opens a transaction, must succeed before the others are sent;
+    /// `is_sent` is set then.
     pub(crate) async fn exchange(
         self: &Rc<Self>,
         pool: &Rc<EndpointPool>,
         connection: &mut EndpointConnection,
         call: &ExecuteCall,
-    ) -> Option<Vec<StatementAnswer>> {
-        let needs_setup = needs_setup(connection, call);
-        let setup_count = if needs_setup { call.setup_count } else { 0 };
+        is_sent: &Cell<bool>,
+    ) -> Option<ExchangeEnd> {
+        let setup_count = if needs_setup(connection, call) { call.setup_count } else { 0 };
         let setup_bytes = if setup_count > 0 { call.setup_bytes.as_slice() } else { &[] };
         let opens_transaction = !call.begin_bytes.is_empty();
-        let first_bytes = if opens_transaction { &call.begin_bytes } else { &call.bytes };
-        if setup_bytes.is_empty() {
-            connection.send(first_bytes).await.ok()?;
-        } else {
-            connection.send(&[setup_bytes, first_bytes].concat()).await.ok()?;
+        if setup_count > 0 || opens_transaction {
+            connection.send(&[setup_bytes, &call.begin_bytes].concat()).await.ok()?;
         }
-        let mut has_failed = false;
+        let mut refusal = None;
+        let mut state = TransactionState::Idle;
         for _ in 0..setup_count {
             let answer =
                 self.read_answer_or_probe(pool, connection, call, AnswerKind::Control).await?;
-            has_failed |= answer.error.is_some();
+            refusal = refusal.or(answer.error);
+            state = answer.state;
         }
         match (setup_count, call.pinned) {
             (0, _) => {}
-            (_, true) => connection.setup.record_change(call.setup_id, has_failed),
-            (_, false) => connection.setup.record_reset(call.setup_id, has_failed),
+            (_, true) => connection.setup.record_change(call.setup_id, refusal.is_some()),
+            (_, false) => connection.setup.record_reset(call.setup_id, refusal.is_some()),
         }
         let mut answers = Vec::with_capacity(1 + usize::from(call.count));
         if opens_transaction {
             let begin_answer =
                 self.read_answer_or_probe(pool, connection, call, AnswerKind::Control).await?;
             if begin_answer.error.is_some() {
-                return Some(vec![begin_answer]);
+                return Some(ExchangeEnd::Answered(vec![begin_answer]));
             }
-            connection.send(&call.bytes).await.ok()?;
+            state = begin_answer.state;
             answers.push(begin_answer);
         }
+        if let Some(code) = refusal {
+            log_event!(
+                LogEvent::SetupRefused,
+                "endpoint={} service={} team={} code={code:?} statements={setup_count} pinned={}",
+                pool.endpoint,
+                pool.service,
+                call.team,
+                call.pinned
+            );
+            return Some(ExchangeEnd::SetupRefused { code, state });
+        }
+        is_sent.set(true);
+        connection.send(&call.bytes).await.ok()?;
         for index in 0..call.count {
             // The caller's statement comes first.
             let kind = if index == 0 { AnswerKind::Data } else { AnswerKind::Control };
             answers.push(self.read_answer_or_probe(pool, connection, call, kind).await?);
         }
-        Some(answers)
+        Some(ExchangeEnd::Answered(answers))
     }
 }
 
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -102,7 +102,7 @@
     pub position: Option<LogPosition>,
 }
 
-/// Reason why statements were not sent to an endpoint.
+/// Reason why the statements of a caller were not sent to an endpoint.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum NotSentReason {
     /// The connection owner cannot reach the endpoint.
@@ -121,6 +121,13 @@
     Evacuated,
     /// The connection owner has replaced the document by which the call was decided.
     DocumentOutdated,
+    /// The endpoint refused a part of the setup that precedes the statements.
+    SetupRefused,
+    /// The connection was lost before the endpoint answered what precedes the statements.
+    SetupLost {
+        /// The endpoint answered later calls.
+        answers_others: bool,
+    },
 }
 
 impl NotSentReason {
@@ -135,6 +142,8 @@
             Self::NoOwner => "no_holder",
             Self::Evacuated => "evacuated",
             Self::DocumentOutdated => "document_outdated",
+            Self::SetupRefused => "setup_refused",
+            Self::SetupLost { .. } => "setup_lost",
         }
     }
 }
@@ -144,7 +153,7 @@
 pub enum ExecuteOutcome {
     /// The endpoint answered every statement.
     Answered(Vec<StatementAnswer>),
-    /// No statement was sent to the endpoint.
+    /// No statement of the caller was sent to the endpoint.
     NotSent {
         /// Reason.
         reason: NotSentReason,
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -305,6 +305,10 @@
             ExecuteOutcome::NotSent { reason: NotSentReason::Evacuated, .. } => {
                 evacuated_transaction()
             }
+            ExecuteOutcome::NotSent { reason: NotSentReason::SetupRefused, .. } => {
+                let explanation = "the member refused a setting of the session".to_owned();
+                failure(RefusalCode::Aborted, explanation)
+            }
             ExecuteOutcome::Answered(answers) => build_result(answers, 0, None),
             ExecuteOutcome::InDoubt | ExecuteOutcome::AnswerLost if commits => {
                 failure(RefusalCode::Unknown, "the answer to the commit is lost".to_owned())
--- a/crates/standin/src/gateway_platform/group.rs
+++ b/crates/standin/src/gateway_platform/group.rs
@@ -44,6 +44,13 @@
     pub omits_digests: bool,
     /// Answers statements about its replication with an error.
     pub refuses_holds: bool,
+    /// Answers statements that change session values or prepared statements with an error, and does not
+    /// run them.
+    pub refuses_setups: bool,
+    /// Runs such statements and sends no answer to them, while it answers the later ones.
+    pub loses_setup_responses: bool,
+    /// A rollback takes back what its transaction changed of the session values and prepared statements.
+    pub rollback_reverts_setups: bool,
     /// Team whose statements are slow, with the duration of each statement.
     pub slow_team: Option<(String, Duration)>,
     /// Duration of each statement of the other teams; `None` for the usual one.
--- a/crates/standin/src/gateway_platform/member.rs
+++ b/crates/standin/src/gateway_platform/member.rs
@@ -45,6 +45,8 @@
     /// Whether each prepared statement is a write, by statement name.
     prepared: HashMap<String, bool>,
     values: BTreeMap<String, String>,
+    /// `prepared` and `values` at the begin of the transaction.
+    saved_setup: (HashMap<String, bool>, BTreeMap<String, String>),
 }
 
 /// Outcome of a statement that ran.
@@ -93,6 +95,7 @@
         writes: Vec::new(),
         prepared: HashMap::new(),
         values: BTreeMap::new(),
+        saved_setup: Default::default(),
     };
     let ready_line = connection.ready_line();
     if writer.write_all(ready_line.as_bytes()).await.is_ok() {
@@ -128,6 +131,10 @@
         }
     }
 
+    fn faults(&self) -> MemberFaults {
+        self.group.lock().members[self.member].faults.clone()
+    }
+
     fn ignores_statements(&self) -> bool {
         self.group.lock().members[self.member].faults.ignores_statements
     }
@@ -144,10 +151,13 @@
             self.group.lock().members[self.member].arrivals.push(Instant::now());
         }
         let outcome = self.execute(id, text).await?;
+        if is_setup(text) && self.faults().loses_setup_responses {
+            return Some(String::new());
+        }
         let body = match outcome {
             Ok(content) => content,
             Err(code) => {
-                if self.transaction_state == 'T' && code != "LAGGING" {
+                if self.transaction_state == 'T' && !matches!(code, "LAGGING" | "BUSY") {
                     self.transaction_state = 'E';
                 }
                 format!("ERROR {code} -\r\n")
@@ -183,6 +193,7 @@
                 self.group.lock().resume(self.member);
                 Some(Ok(self.status()))
             }
+            _ if is_setup(text) && self.faults().refuses_setups => Some(Err("BUSY")),
             "RESET" => {
                 self.prepared.clear();
                 self.values.clear();
@@ -204,10 +215,14 @@
             "BEGIN" if words.len() == 1 && !is_leader => Some(Err("READONLY")),
             "BEGIN" => {
                 (self.transaction_state, self.is_writable) = ('T', words.len() == 1);
+                self.saved_setup = (self.prepared.clone(), self.values.clone());
                 complete()
             }
             "ROLLBACK" => {
                 self.writes.clear();
+                if self.transaction_state != 'I' && self.faults().rollback_reverts_setups {
+                    (self.prepared, self.values) = std::mem::take(&mut self.saved_setup);
+                }
                 self.transaction_state = 'I';
                 complete()
             }
@@ -238,7 +253,7 @@
         if modifies_data && !is_leader {
             return Some(Err("READONLY"));
         }
-        let faults = self.group.lock().members[self.member].faults.clone();
+        let faults = self.faults();
         let duration = faults
             .slow_team
             .filter(|(team, _)| *team == self.team)
@@ -346,6 +361,11 @@
     }
 }
 
+/// Returns whether a statement changes the session values or prepared statements of its connection.
+fn is_setup(text: &str) -> bool {
+    matches!(text.split(' ').next(), Some("RESET" | "SET" | "PREPARE" | "DEALLOCATE"))
+}
+
 /// Splits the position that the member must have applied from the statement text.
 fn split_required_position(text: &str) -> (Option<(u64, u64)>, &str) {
     let position = text.strip_prefix("AFTER ").and_then(|arguments| {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -152,6 +152,8 @@
     MemberRecovered = 3032, Info, "member_recovered";
     /// An answer of a member violates the protocol or belongs to another statement.
     AnswerMalformed = 3033, Warn, "answer_malformed";
+    /// A member refused session values or prepared statements; what should follow them was not sent.
+    SetupRefused = 3034, Warn, "setup_refused";
     /// A platform service stopped responding.
     PlatformLost = 4001, Warn, "platform_lost";
     /// A platform service responds again.
