Identify the setup of a connection without truncating the session's number

Cause: the identifier of a setup packed 32 of the 64 random bits of an instance's start, the number of the session and the version of its settings into 64 bits, with the version over the others by exclusive or. Two sessions of instances whose starts agree in 12 bits, and differ in the next 20 only where the versions do, had the same one; a connection with the setup of one counted as set up for the other. With 6,900 instances and up to 16 versions about one pair of instances in 2^28 agrees so, and there are 2^24.5 pairs.

Change: `SetupId` holds the whole start, the number of the session in 64 bits and the version.

Why this works: two identifiers are equal only if all three parts are.

--- a/crates/coord/src/session.rs
+++ b/crates/coord/src/session.rs
@@ -6,6 +6,7 @@
 
 use std::time::Instant;
 
+use serde::{Deserialize, Serialize};
 use state::position::LogPosition;
 
 /// Maximum number of parameters and prepared statements of a session.
@@ -19,6 +20,15 @@
 /// They travel between instances in one message with a statement of up to 1 MiB.
 pub const MAX_SETUP_BYTES: usize = 2 << 20;
 
+/// Identifies a session, unique over all instances.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct SessionId {
+    /// Random number that the instance chose at its start.
+    pub incarnation: u64,
+    /// Number of the session on its instance.
+    pub number: u64,
+}
+
 /// Statement of a caller, reduced to what the session must know about it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StatementClass {
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use coord::connection_setup::SetupId;
 use state::position::LogPosition;
 
 use crate::attempt_history::RetryOrigin;
@@ -120,7 +121,7 @@
         batch: StatementBatch,
         transaction_id: u32,
     ) -> ExecuteCall {
-        let setup_version = context.machine.setup_version();
+        let setup_id = SetupId::new(context.session_id, context.machine.setup_version());
         let mut setup_bytes = Vec::new();
         // Counts the reset that precedes the session's own statements.
         let mut setup_count = 1;
@@ -129,11 +130,6 @@
             E::Codec::encode_control(&mut setup_bytes, ControlStatement::Setup(text));
             setup_count += 1;
         }
-        // Differs between sessions and between versions of a session's settings.
-        let setup_id = match setup_version {
-            0 => 0,
-            _ => context.session_id.rotate_left(20) ^ u64::from(setup_version),
-        };
         ExecuteCall {
             endpoint: endpoint.to_owned(),
             team: context.team.to_owned(),
--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use coord::session::{
-    ForwardPlan, SessionMachine, StatementAction, StatementClass, StatementError, TransactionState,
+    ForwardPlan, SessionId, SessionMachine, StatementAction, StatementClass, StatementError,
+    TransactionState,
 };
 use coord::stop_schedule::StopPhase;
 use metrics::{counter, histogram};
@@ -63,7 +64,7 @@
     database: String,
     key: Option<String>,
     machine: SessionMachine,
-    session_id: u64,
+    session_id: SessionId,
     pinned: Option<PinnedTransaction>,
     progress: Rc<SessionProgress>,
     /// Time at which the current statement arrived.
--- a/crates/engine/src/connection_acquire.rs
+++ b/crates/engine/src/connection_acquire.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use coord::connection_setup::SetupId;
 use coord::priority::{PermitKey, RequestKind, StartWindow};
 use coord::rendezvous;
 use coord::turn_meter::TURN_INTERVAL;
@@ -270,7 +271,7 @@
             connection.read_answer::<E::Codec>(AnswerKind::Control).await.ok()
         };
         let answer = timeout(CLEANUP_TIMEOUT, check).await.ok().flatten()?;
-        connection.setup.record_reset(0, answer.error.is_some());
+        connection.setup.record_reset(SetupId::NONE, answer.error.is_some());
         Some(connection)
     }
 }
--- a/crates/engine/src/explain.rs
+++ b/crates/engine/src/explain.rs
@@ -10,7 +10,7 @@
 use coord::placement::RankedCandidate;
 use coord::regions::RegionScope;
 use coord::replica_lag::RequiredPosition;
-use coord::session::{ForwardPlan, SessionMachine, StatementAction, StatementClass};
+use coord::session::{ForwardPlan, SessionId, SessionMachine, StatementAction, StatementClass};
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, Snafu};
 use state::position::LogPosition;
@@ -244,7 +244,7 @@
             request_id: "explain",
             text: "",
             machine: &machine,
-            session_id: 0,
+            session_id: SessionId::default(),
             pending_setup: Vec::new(),
             arrived_at: now,
         };
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -16,6 +16,7 @@
 use coord::quota::{LimitWindow, TeamQuotas};
 use coord::refusal_cache::RefusalCache;
 use coord::rendezvous;
+use coord::session::SessionId;
 use coord::stop_schedule::{StopPhase, StopSchedule};
 use coord::table_age::TableAge;
 use coord::validation::{ValidationTracker, key_validation_ttl};
@@ -164,7 +165,7 @@
     pub(crate) registered: Notify,
     promotion_token: Cell<Option<u64>>,
     next_transaction_id: Cell<u32>,
-    next_session_id: Cell<u32>,
+    next_session_number: Cell<u64>,
     /// Place of this instance among those that read the store at spread times, from zero to one.
     pub(crate) read_spread: f64,
     rng: RefCell<StdRng>,
@@ -218,7 +219,7 @@
             store_reachable: Cell::new(false),
             promotion_token: Cell::new(None),
             next_transaction_id: Cell::new(1),
-            next_session_id: Cell::new(1),
+            next_session_number: Cell::new(1),
             read_spread: rng.random(),
             rng: RefCell::new(rng),
         })
@@ -413,11 +414,11 @@
         transaction_id
     }
 
-    /// Returns a session identifier, unique over all instances.
-    pub fn new_session_id(&self) -> u64 {
-        let session_id = self.next_session_id.get();
-        self.next_session_id.set(session_id.wrapping_add(1));
-        (self.settings.record.incarnation & 0xffff_ffff) << 32 | u64::from(session_id)
+    /// Returns the identifier of a new session.
+    pub fn new_session_id(&self) -> SessionId {
+        let number = self.next_session_number.get();
+        self.next_session_number.set(number + 1);
+        SessionId { incarnation: self.settings.record.incarnation, number }
     }
 
     /// Returns a random number from 0 to 1 for the choice between endpoints and the spread of retry
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use coord::connection_setup::SetupId;
 use coord::endpoint_health::EndpointSample;
 use coord::membership::{MemberStatus, ViewEntry};
 use coord::priority::PriorityLevel;
@@ -66,9 +67,8 @@
     pub start_timeout_ms: u32,
     /// Maximum time until the last answer, in milliseconds.
     pub answer_timeout_ms: u32,
-    /// Identifier of the session settings and prepared statements that the connection must have;
-    /// zero for none.
-    pub setup_id: u64,
+    /// Identifier of the session settings and prepared statements that the connection must have.
+    pub setup_id: SetupId,
     /// Statements that apply these settings to a connection, as sent to the endpoint.
     pub setup_bytes: Vec<u8>,
     /// Number of statements in `setup_bytes`.
--- a/crates/engine/src/open_sessions.rs
+++ b/crates/engine/src/open_sessions.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use coord::session::SessionId;
 use metrics::counter;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
@@ -78,20 +79,20 @@
 /// Sessions of callers and calls of peers that are open on an instance.
 #[derive(Debug, Default)]
 pub struct OpenSessions {
-    sessions: RefCell<HashMap<u64, Rc<SessionProgress>>>,
+    sessions: RefCell<HashMap<SessionId, Rc<SessionProgress>>>,
     peer_calls: Cell<usize>,
 }
 
 impl OpenSessions {
     /// Adds a session.
-    pub(crate) fn add(&self, session_id: u64) -> Rc<SessionProgress> {
+    pub(crate) fn add(&self, session_id: SessionId) -> Rc<SessionProgress> {
         let progress = Rc::<SessionProgress>::default();
         self.sessions.borrow_mut().insert(session_id, progress.clone());
         progress
     }
 
     /// Removes a session that has ended.
-    pub(crate) fn remove(&self, session_id: u64) {
+    pub(crate) fn remove(&self, session_id: SessionId) {
         self.sessions.borrow_mut().remove(&session_id);
     }
 
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use coord::evacuation::WorkKind;
-use coord::session::{ForwardPlan, SessionMachine};
+use coord::session::{ForwardPlan, SessionId, SessionMachine};
 use metrics::counter;
 use state::position::LogPosition;
 use state::store_version::DocumentVersion;
@@ -76,7 +76,7 @@
     /// State machine of the session.
     pub machine: &'a SessionMachine,
     /// Identifier of the session, unique over all instances.
-    pub session_id: u64,
+    pub session_id: SessionId,
     /// Session settings that the pinned connection of the transaction does not have yet.
     pub pending_setup: Vec<String>,
     /// Time at which the statement arrived; its transaction may have begun long before.
