Roll back the transaction of a call that its instance has given up

Cause: an instance that gives up a call forgets its transaction, but the connection owner runs the call all the same and keeps the connection pinned. The rollback of a session that ended came to nothing, too, if it arrived while the owner ran a statement of the transaction.

Change: a call that opens or continues a transaction and ends without a reply sends its rollback. The owner remembers a rollback that arrives while the statement runs, and rolls back after it.

Why this works: messages of one connection are in order, so the rollback finds the transaction either running or pinned. If it is lost, the connection is lost, whose transactions are rolled back already.

Before: an_owner_keeps_no_transaction_whose_call_was_given_up fails, also with only one half of the change. Not played with real processes that freeze.

--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -43,6 +43,8 @@
 pub struct ConnectionPools {
     pub(crate) by_endpoint: RefCell<HashMap<String, Rc<EndpointPool>>>,
     pinned: RefCell<HashMap<(CallOrigin, u32), PooledConnection>>,
+    /// Transactions that run a statement, and whether they were released meanwhile.
+    running: RefCell<HashMap<(CallOrigin, u32), bool>>,
     live_origins: RefCell<HashMap<CallOrigin, ()>>,
     next_origin: Cell<CallOrigin>,
 }
@@ -138,7 +140,12 @@
         };
         let received_at = self.now();
         let mut had_connection = true;
+        let transaction = call.keep_pinned.then_some((origin, call.transaction_id));
+        self.pools.running.borrow_mut().extend(transaction.map(|key| (key, false)));
         let outcome = self.execute_in_pool(&pool, origin, &call, &mut had_connection).await;
+        if let Some(key) = transaction {
+            self.pools.running.borrow_mut().remove(&key);
+        }
         let now = self.now();
         let handling_time = now.saturating_duration_since(received_at);
         let kept = kept_connections(pool.max_open.get());
@@ -185,13 +192,17 @@
         }
     }
 
-    /// Rolls a transaction back and returns its connection to the pool.
+    /// Rolls a transaction back and returns its connection to the pool, at once or after the statement
+    /// that it runs.
     pub fn release_locally(self: &Rc<Self>, origin: CallOrigin, transaction_id: u32) {
-        let pinned = self.pools.pinned.borrow_mut().remove(&(origin, transaction_id));
-        let Some(pinned) = pinned else {
-            return;
-        };
-        self.roll_back(pinned);
+        let key = (origin, transaction_id);
+        if let Some(is_released) = self.pools.running.borrow_mut().get_mut(&key) {
+            *is_released = true;
+        }
+        let pinned = self.pools.pinned.borrow_mut().remove(&key);
+        if let Some(pinned) = pinned {
+            self.roll_back(pinned);
+        }
     }
 
     /// Unregisters a closed peer connection and rolls back its open transactions.
@@ -467,12 +478,13 @@
             PooledConnection { pool: pool.clone(), team: call.team.clone(), connection };
         // A failed statement may leave the transaction open at the endpoint, but its session
         // abandons it.
+        let key = (origin, call.transaction_id);
         let is_ended = origin != 0 && self.has_stop_reached(StopPhase::Answering);
-        let kept =
-            call.keep_pinned && !has_failed && !is_ended && self.pools.is_live_origin(origin);
+        let is_released = self.pools.running.borrow().get(&key).copied().unwrap_or(false);
+        let is_abandoned = is_ended || is_released || !self.pools.is_live_origin(origin);
         match state {
-            TransactionState::Open if kept => {
-                self.pools.pinned.borrow_mut().insert((origin, call.transaction_id), pooled);
+            TransactionState::Open if call.keep_pinned && !has_failed && !is_abandoned => {
+                self.pools.pinned.borrow_mut().insert(key, pooled);
             }
             TransactionState::Idle => {
                 pooled.connection.setup.end_transaction(!call.keep_pinned && !has_failed);
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -49,6 +49,21 @@
     _count: Rc<()>,
 }
 
+/// Transaction of a call in flight, which is rolled back on drop unless the call was answered: the peer
+/// would keep its connection pinned.
+struct PendingTransaction<'a> {
+    link: &'a PeerLink,
+    transaction_id: Option<u32>,
+}
+
+impl Drop for PendingTransaction<'_> {
+    fn drop(&mut self) {
+        if let Some(transaction_id) = self.transaction_id {
+            self.link.release(transaction_id);
+        }
+    }
+}
+
 /// Link to a peer instance, whose connection is opened when it is needed.
 #[derive(Debug)]
 pub struct PeerLink {
@@ -175,10 +190,15 @@
         }
         let answer_timeout =
             Duration::from_millis(u64::from(body.answer_timeout_ms)) + PING_TIMEOUT;
+        let transaction_id = body.keep_pinned.then_some(body.transaction_id);
+        let mut pending_transaction = PendingTransaction { link: self, transaction_id };
         let request = |call_id| PeerRequest::Execute { call_id, body: Box::new(body) };
         let reply = self.send_call(|pending| &mut pending.execute, answer_timeout, request).await;
-        let in_doubt = ExecuteReply::without_owner(ExecuteOutcome::InDoubt);
-        reply.unwrap_or(in_doubt)
+        let Some(reply) = reply else {
+            return ExecuteReply::without_owner(ExecuteOutcome::InDoubt);
+        };
+        pending_transaction.transaction_id = None;
+        reply
     }
 
     /// Rolls back a transaction whose connection the peer owns.
