Reset pooled connections on which a statement may have left session state

Texts above 64 KiB passed everything that is refused otherwise; a COMMIT in one was acknowledged without the confirmation of a majority.

Connections of all teams share one idle list, and nothing recorded that a statement had changed the session of a connection. Texts that were not parsed counted as single writes.

Change: `SessionEffect` says whether a statement can leave something in its session. If it may, or if the member reports a parameter unasked, the connection is reset with DISCARD ALL before it returns to the pool, and closed if that fails. What is of no use without its session is refused with 0A000: temporary views and sequences, SELECT INTO TEMP, pg_temp, LOAD, set_config, session-level advisory locks, currval and lastval. Texts that are not parsed are classified by their first words; one with further statements counts as one that may commit. A function in the place of a table is no read any more, unless it is known. Event HB2012, metric hibiscus_session_resets_total.

The stand-in runs DISCARD ALL, keeps temporary objects out of its log, and answers with the command tags of a server (comments, TEMP, UNIQUE).

Not seen by the proxy: views, triggers, operators and defaults that call functions with session state.

--- a/crates/net/src/member.rs
+++ b/crates/net/src/member.rs
@@ -24,6 +24,9 @@
 /// Prefix of the application name, by which a member learns the instance's availability zone.
 const APPLICATION_NAME_PREFIX: &str = "hibiscus/";
 
+/// Statement that resets the session of a connection.
+const RESET_STATEMENT: &str = "DISCARD ALL";
+
 /// Error on a connection to a member.
 #[derive(Debug, Snafu)]
 pub enum MemberError {
@@ -99,9 +102,8 @@
     last_active_at: Instant,
     /// Identifiers of the prepared statements that exist on this connection.
     pub prepared_statements: HashSet<u64>,
-    /// Fingerprint of the session parameters set on this connection; always zero, since parameters
-    /// are not sent to members.
-    pub parameter_fingerprint: u64,
+    /// The session may have state that a caller left.
+    has_session_state: bool,
 }
 
 impl MemberConnection {
@@ -124,7 +126,7 @@
             transaction_state: TransactionState::Idle,
             last_active_at: Instant::now(),
             prepared_statements: HashSet::new(),
-            parameter_fingerprint: 0,
+            has_session_state: false,
         };
         connection.complete_startup(target).await?;
         Ok(connection)
@@ -149,7 +151,11 @@
         loop {
             let frame = self.next_frame().await?;
             match frame.tag {
-                backend::READY_FOR_QUERY => return Ok(()),
+                backend::READY_FOR_QUERY => {
+                    // The member has reported the parameters of a new session.
+                    self.has_session_state = false;
+                    return Ok(());
+                }
                 backend::ERROR_RESPONSE => return Err(error_response(frame.body())),
                 backend::PARAMETER_STATUS | backend::NOTICE_RESPONSE => continue,
                 _ => {}
@@ -233,8 +239,46 @@
     }
 
     fn record_parameter(&mut self, body: &[u8]) {
-        if let Some((POSITION_PARAMETER, value)) = backend::read_parameter_status(body) {
-            self.position = value.parse().ok().or(self.position);
+        match backend::read_parameter_status(body) {
+            Some((POSITION_PARAMETER, value)) => {
+                self.position = value.parse().ok().or(self.position);
+            }
+            // A parameter of the session has changed, whatever statement has changed it.
+            _ => self.has_session_state = true,
+        }
+    }
+
+    /// Records that what is sent next may leave state in the session.
+    pub fn expect_session_state(&mut self) {
+        self.has_session_state = true;
+    }
+
+    /// Returns whether the session may have state that a caller left.
+    pub fn has_session_state(&self) -> bool {
+        self.has_session_state
+    }
+
+    /// Resets the session, which forgets its prepared statements, too.
+    pub async fn reset_session(&mut self, limit: Duration) -> Result<(), MemberError> {
+        let mut output = BytesMut::new();
+        frontend::put_query(&mut output, RESET_STATEMENT);
+        self.send(&output).await?;
+        let reset = timeout(limit, self.read_reset_response()).await;
+        reset.ok().context(TimeoutSnafu { limit })??;
+        self.prepared_statements.clear();
+        self.has_session_state = false;
+        Ok(())
+    }
+
+    async fn read_reset_response(&mut self) -> Result<(), MemberError> {
+        let mut response = Ok(());
+        loop {
+            let frame = self.next_frame().await?;
+            match frame.tag {
+                backend::ERROR_RESPONSE => response = Err(error_response(frame.body())),
+                backend::READY_FOR_QUERY => return response,
+                _ => {}
+            }
         }
     }
 
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -4,9 +4,12 @@
 use std::time::{Duration, Instant};
 
 use coord::queue::{FairQueue, QueueRefusal};
+use metrics::counter;
 use parking_lot::Mutex;
 use snafu::Snafu;
 use state::catalog::TeamId;
+use telemetry::event::LogEvent;
+use telemetry::{log_event, meter};
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 use wire::group::TOO_MANY_CONNECTIONS;
@@ -17,6 +20,8 @@
 const LIVENESS_CHECK_THRESHOLD: Duration = Duration::from_secs(1);
 /// Timeout of a liveness check, and retry delay after the member's limit or the deadline is reached.
 const LIVENESS_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Bounds the reset of a session; it waits for no locks.
+const RESET_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle time after which a connection is evicted.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(120);
 
@@ -108,8 +113,31 @@
         &mut self.connection
     }
 
-    /// Returns the connection to the pool. All responses on it must have been read.
+    /// Returns the connection to the pool, after a reset if its session may have state that a caller
+    /// left. All responses on it must have been read.
     pub fn release(self) {
+        if self.connection.has_session_state() {
+            tokio::spawn(self.reset_and_release());
+        } else {
+            self.put_back();
+        }
+    }
+
+    /// Resets the session and returns the connection; closes the connection if that fails.
+    async fn reset_and_release(mut self) {
+        match self.connection.reset_session(RESET_TIMEOUT).await {
+            Ok(()) => {
+                counter!(meter::SESSION_RESETS, "outcome" => "reset").increment(1);
+                self.put_back();
+            }
+            Err(error) => {
+                counter!(meter::SESSION_RESETS, "outcome" => "closed").increment(1);
+                log_event!(LogEvent::SessionResetFailed, "cause=\"{error}\"");
+            }
+        }
+    }
+
+    fn put_back(self) {
         let Self { connection, generation, permit } = self;
         let mut state = permit.pool.state.lock();
         if state.generation == generation && state.idle.len() < state.queue.capacity() {
--- a/crates/proxy/src/session/exchange.rs
+++ b/crates/proxy/src/session/exchange.rs
@@ -172,6 +172,9 @@
         if self.plan.confirm_commit {
             frontend::put_query(&mut bytes, &GroupCommand::Confirm.to_string());
         }
+        if request.class.changes_session {
+            self.connection.expect_session_state();
+        }
         self.connection.send(&bytes).await?;
         if self.plan.confirm_leadership {
             self.read_command_response().await?;
--- a/crates/standin/src/session/simple.rs
+++ b/crates/standin/src/session/simple.rs
@@ -31,15 +31,18 @@
     Rollback,
     /// Sets, shows or resets a session parameter.
     SessionParameter,
+    /// Resets the session.
+    DiscardAll,
     /// None; the statement runs in the database.
     None,
 }
 
 impl ControlStatement {
     pub(crate) fn classify(sql: &str) -> Self {
-        let upper = sql.trim().trim_end_matches(';').to_ascii_uppercase();
+        let upper = without_comments(sql).trim_end_matches(';').to_ascii_uppercase();
         let mut words = upper.split_whitespace();
         match (words.next(), words.next()) {
+            (Some("DISCARD"), Some("ALL")) => Self::DiscardAll,
             (Some("BEGIN" | "START"), _) if upper.contains("READ ONLY") => Self::BeginReadOnly,
             (Some("BEGIN" | "START"), _) => Self::Begin,
             (Some("COMMIT" | "END"), _) => Self::Commit,
@@ -161,6 +164,17 @@
                 done("ROLLBACK")
             }
             ControlStatement::SessionParameter => Ok(session_parameter_response(sql)),
+            ControlStatement::DiscardAll if self.transaction_state == TransactionState::Idle => {
+                let state = self.member.replication.lock();
+                (self.connection, self.generation) = (state.connect()?, state.generation);
+                self.prepared_statements.clear();
+                self.portals.clear();
+                done("DISCARD ALL")
+            }
+            ControlStatement::DiscardAll => Err(ErrorResponse::new(
+                "25001",
+                "DISCARD ALL cannot run inside a transaction block",
+            )),
             ControlStatement::None if self.transaction_state == TransactionState::Open => {
                 self.execute_statement(sql, parameters, formats).await
             }
@@ -217,7 +231,7 @@
             return Ok(("SELECT 1".to_owned(), StatementResult::default()));
         }
         let result = self.connection.run(sql, parameters, formats)?;
-        if !self.connection.is_readonly(sql)? {
+        if !self.connection.is_readonly(sql)? && !creates_temporary(sql) {
             let parameters = parameters.to_vec();
             self.logged_statements.push(LoggedStatement { sql: sql.to_owned(), parameters });
         }
@@ -348,7 +362,10 @@
 }
 
 fn command_tag(sql: &str, result: &StatementResult) -> String {
-    let mut words = sql.split_whitespace().map(str::to_ascii_uppercase);
+    let mut words = without_comments(sql)
+        .split_whitespace()
+        .map(str::to_ascii_uppercase)
+        .filter(|word| !is_modifier(word));
     let keyword = words.next().unwrap_or_default();
     match keyword.as_str() {
         "SELECT" | "WITH" | "VALUES" => format!("SELECT {}", result.rows.len()),
@@ -358,3 +375,28 @@
         _ => keyword,
     }
 }
+
+/// Returns whether a statement creates an object of its session, which is not replicated.
+fn creates_temporary(sql: &str) -> bool {
+    let mut words = without_comments(sql).split_whitespace().map(str::to_ascii_uppercase);
+    words.next().is_some_and(|word| word == "CREATE")
+        && words.next().is_some_and(|word| matches!(word.as_str(), "TEMP" | "TEMPORARY"))
+}
+
+/// Returns whether a word of a statement that creates an object is no part of its command tag.
+fn is_modifier(word: &str) -> bool {
+    matches!(word, "TEMP" | "TEMPORARY" | "UNIQUE" | "OR" | "REPLACE")
+}
+
+/// Returns a statement without the comments and the white space before it.
+fn without_comments(sql: &str) -> &str {
+    let mut rest = sql.trim_start();
+    loop {
+        let after = match rest.get(..2) {
+            Some("--") => rest.split_once('\n').map(|(_, after)| after),
+            Some("/*") => rest.split_once("*/").map(|(_, after)| after),
+            _ => return rest.trim_end(),
+        };
+        rest = after.unwrap_or_default().trim_start();
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -106,6 +106,8 @@
     RegionUnavailable = 2010, Warn, "region_unavailable";
     /// No member of a service takes requests of this instance.
     ServiceUnreached = 2011, Warn, "service_unreached";
+    /// The session of a pooled connection could not be reset, and the connection is closed.
+    SessionResetFailed = 2012, Warn, "session_reset_failed";
     /// A team asks its quota owner for more than its limit, so lower priorities have floors.
     TeamOverLimit = 2021, Info, "team_over_limit";
     /// A team that was over its limit asks for less again.
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -44,6 +44,8 @@
 pub const PACE_CHANGES: &str = "hibiscus_pace_changes_total";
 /// Members whose connections this instance owns, by state: cold, or paced below their maximum.
 pub const HELD_MEMBERS: &str = "hibiscus_held_members";
+/// Pooled connections whose sessions a caller may have changed, by outcome: reset or closed.
+pub const SESSION_RESETS: &str = "hibiscus_session_resets_total";
 /// Connections opened to endpoints.
 pub const CONNECTIONS_OPENED: &str = "hibiscus_connections_opened_total";
 /// Idle connections to endpoints that were closed to make room, by reason.
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -7,65 +7,25 @@
 
 use parking_lot::Mutex;
 use sqlparser::ast::{
-    Expr, Query, Set, SetExpr, Statement, TransactionAccessMode, TransactionMode, Visit, Visitor,
+    Expr, Query, Set, Statement, TransactionAccessMode, TransactionMode, Visit, Visitor,
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 
+use crate::leading_words::leading_words;
+use crate::session_effect::{ReadOnlyCheck, SessionEffect};
+
 /// Number of independently locked cache shards.
 const CACHE_SHARDS: usize = 16;
 /// Maximum number of texts in one generation of a shard.
 const MAX_GENERATION_ENTRIES: usize = 512;
-/// Length of the longest text that is parsed and cached, in bytes; longer ones count as writes.
+/// Length of the longest text that is parsed and cached, in bytes; longer ones are classified by their
+/// first words.
 const MAX_PARSED_BYTES: usize = 64 * 1024;
-/// Functions without side effects whose result depends only on the data and the arguments.
-const PURE_FUNCTIONS: &[&str] = &[
-    "abs",
-    "array_agg",
-    "avg",
-    "ceil",
-    "char_length",
-    "coalesce",
-    "concat",
-    "count",
-    "date_trunc",
-    "dense_rank",
-    "extract",
-    "first_value",
-    "floor",
-    "greatest",
-    "ifnull",
-    "json_agg",
-    "lag",
-    "last_value",
-    "lead",
-    "least",
-    "left",
-    "length",
-    "lower",
-    "ltrim",
-    "max",
-    "min",
-    "mod",
-    "nullif",
-    "rank",
-    "replace",
-    "right",
-    "round",
-    "row_number",
-    "rtrim",
-    "split_part",
-    "string_agg",
-    "substr",
-    "substring",
-    "sum",
-    "to_char",
-    "trim",
-    "upper",
-    "version",
-    "current_schema",
-    "current_database",
-];
+/// Unsupported feature: statements that are prepared by SQL.
+const SQL_PREPARE: &str = "PREPARE in SQL; prepare through the protocol instead";
+/// Unsupported feature: cursors that are declared by SQL.
+const SQL_CURSORS: &str = "cursors in SQL; use portals instead";
 
 /// Effect of a SQL text.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -124,6 +84,8 @@
     pub tables: Vec<String>,
     /// Statement on a session parameter, if the kind is `Session`.
     pub session: Option<SessionStatement>,
+    /// The text may leave something in the session of the connection that runs it.
+    pub changes_session: bool,
     /// Name of the unsupported feature, empty unless the kind is `Unsupported`.
     pub unsupported_feature: &'static str,
 }
@@ -132,7 +94,7 @@
     /// Classifies `text` without the cache.
     pub fn of(text: &str) -> Self {
         if text.len() > MAX_PARSED_BYTES {
-            return Self::with_kind(StatementKind::Write, 1);
+            return Self::of_unparsed(text);
         }
         match Parser::parse_sql(&PostgreSqlDialect {}, text) {
             Ok(statements) => Self::of_statements(&statements),
@@ -146,6 +108,7 @@
             statement_count: count,
             tables: Vec::new(),
             session: None,
+            changes_session: false,
             unsupported_feature: "",
         }
     }
@@ -154,14 +117,32 @@
         Self { unsupported_feature: feature, ..Self::with_kind(StatementKind::Unsupported, 1) }
     }
 
-    /// Classifies a text that the parser rejects by its first keyword.
+    /// Classifies a text that is not parsed by its first words.
     fn of_unparsed(text: &str) -> Self {
-        let keyword = text.trim_start().split(|c: char| !c.is_ascii_alphabetic()).next();
-        match keyword.unwrap_or_default().to_ascii_lowercase().as_str() {
-            "copy" => Self::unsupported("COPY"),
-            "listen" | "unlisten" | "notify" => Self::unsupported("LISTEN and NOTIFY"),
-            _ => Self::with_kind(StatementKind::Write, 1),
-        }
+        let words = leading_words(text);
+        let kind = match words.each_ref().map(String::as_str) {
+            ["copy", ..] => return Self::unsupported("COPY"),
+            ["listen" | "unlisten" | "notify", ..] => {
+                return Self::unsupported("LISTEN and NOTIFY");
+            }
+            ["prepare" | "execute" | "deallocate", ..] => return Self::unsupported(SQL_PREPARE),
+            ["declare" | "fetch" | "move" | "close", ..] => return Self::unsupported(SQL_CURSORS),
+            ["set" | "show" | "reset" | "discard", ..] => {
+                return Self::unsupported("SET, SHOW, RESET and DISCARD in a text of this form");
+            }
+            ["load", ..] => return Self::unsupported("LOAD"),
+            ["create", "temp" | "temporary"] | ["create", "local" | "global"] => {
+                return Self::unsupported("temporary objects");
+            }
+            // A later statement of the text may end a transaction.
+            _ if text.trim_end().trim_end_matches(';').contains(';') => StatementKind::Mixed,
+            ["begin" | "start", ..] => StatementKind::Begin,
+            ["commit" | "end", ..] => StatementKind::Commit,
+            ["rollback" | "abort", ..] => StatementKind::Rollback,
+            ["savepoint" | "release", ..] => StatementKind::Savepoint,
+            _ => StatementKind::Write,
+        };
+        Self { changes_session: true, ..Self::with_kind(kind, 1) }
     }
 
     fn of_statements(statements: &[Statement]) -> Self {
@@ -197,10 +178,20 @@
         let tables: BTreeSet<&String> =
             classes.iter().flat_map(|class| class.tables.iter()).collect();
         let tables = tables.into_iter().cloned().collect();
-        Self { tables, ..Self::with_kind(kind, classes.len()) }
+        let changes_session = classes.iter().any(|class| class.changes_session);
+        Self { tables, changes_session, ..Self::with_kind(kind, classes.len()) }
     }
 
     fn of_statement(statement: &Statement) -> Self {
+        let class = Self::without_session_effect(statement);
+        match SessionEffect::of(statement) {
+            SessionEffect::None => class,
+            SessionEffect::Possible => Self { changes_session: true, ..class },
+            SessionEffect::Needed(feature) => Self::unsupported(feature),
+        }
+    }
+
+    fn without_session_effect(statement: &Statement) -> Self {
         match statement {
             Statement::Query(query) => Self::of_query(statement, query),
             Statement::Explain { analyze: false, .. } => Self::with_tables(statement, true),
@@ -222,15 +213,8 @@
             }
             Statement::Prepare { .. }
             | Statement::Execute { .. }
-            | Statement::Deallocate { .. } => {
-                Self::unsupported("PREPARE in SQL; prepare through the protocol instead")
-            }
-            Statement::Declare { .. } | Statement::Fetch { .. } => {
-                Self::unsupported("cursors in SQL; use portals instead")
-            }
-            Statement::CreateTable(table) if table.temporary => {
-                Self::unsupported("temporary tables")
-            }
+            | Statement::Deallocate { .. } => Self::unsupported(SQL_PREPARE),
+            Statement::Declare { .. } | Statement::Fetch { .. } => Self::unsupported(SQL_CURSORS),
             Statement::Set(set) => Self::of_set(set),
             Statement::ShowVariable { variable } => {
                 let parts: Vec<&str> = variable.iter().map(|part| part.value.as_str()).collect();
@@ -310,42 +294,6 @@
     }
 }
 
-/// Stops at the first part of a query that may write or give another result on a replica.
-#[derive(Default)]
-struct ReadOnlyCheck;
-
-impl Visitor for ReadOnlyCheck {
-    type Break = ();
-
-    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
-        if !query.locks.is_empty() || !is_read_only(&query.body) {
-            return ControlFlow::Break(());
-        }
-        ControlFlow::Continue(())
-    }
-
-    fn pre_visit_expr(&mut self, expression: &Expr) -> ControlFlow<()> {
-        let Expr::Function(function) = expression else {
-            return ControlFlow::Continue(());
-        };
-        let name = function.name.to_string().to_lowercase();
-        let name = name.strip_prefix("pg_catalog.").unwrap_or(&name);
-        if PURE_FUNCTIONS.contains(&name) {
-            return ControlFlow::Continue(());
-        }
-        ControlFlow::Break(())
-    }
-}
-
-fn is_read_only(body: &SetExpr) -> bool {
-    match body {
-        SetExpr::Select(select) => select.into.is_none(),
-        SetExpr::Query(_) | SetExpr::Values(_) | SetExpr::Table(_) => true,
-        SetExpr::SetOperation { left, right, .. } => is_read_only(left) && is_read_only(right),
-        _ => false,
-    }
-}
-
 /// One locked shard; the older generation is dropped when the newer one is full.
 #[derive(Default)]
 struct CacheShard {
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -60,6 +60,54 @@
     }
 }
 
+fn check_session_effect((text, changes_session): (&str, bool)) {
+    let class = StatementClass::of(text);
+    assert_ne!(class.kind, StatementKind::Unsupported, "{text}");
+    assert_eq!(class.changes_session, changes_session, "{text}");
+}
+
+test_cases! {
+    check_session_effect {
+        read_leaves_nothing: ("SELECT max(id) FROM seats", false);
+        write_leaves_nothing: ("UPDATE seats SET at = now() WHERE id IN (SELECT 1)", false);
+        transaction_leaves_nothing: ("BEGIN; DELETE FROM seats; COMMIT", false);
+        unknown_function_in_a_read: ("SELECT pay(id) FROM seats", true);
+        unknown_function_in_a_write: ("INSERT INTO seats SELECT pay(1)", true);
+        unknown_function_as_a_table: ("SELECT * FROM seats, pay(1)", true);
+        unknown_function_in_a_transaction: ("BEGIN; SELECT pay(1); COMMIT", true);
+        definition: ("CREATE TABLE seats (id int)", true);
+        block: ("DO 'BEGIN NULL; END'", true);
+        call: ("CALL pay(1)", true);
+        rejected_by_the_parser: ("FROBNICATE seats", true);
+    }
+}
+
+/// Checks the kind of a text that is too long to be parsed.
+fn check_long_kind((text, kind): (&str, StatementKind)) {
+    let text = format!("{text} /*{}*/", "x".repeat(66_000));
+    let class = StatementClass::of(&text);
+    assert_eq!(class.kind, kind);
+    assert!(class.changes_session || kind == StatementKind::Unsupported);
+}
+
+// All of them counted as writes, so that a commit among them was not confirmed.
+test_cases! {
+    check_long_kind {
+        long_insert: ("INSERT INTO seats VALUES (1)", StatementKind::Write);
+        long_commit: ("-- done\nCOMMIT", StatementKind::Commit);
+        long_commit_after_a_write: ("DELETE FROM a; COMMIT", StatementKind::Mixed);
+        long_rollback: ("ABORT", StatementKind::Rollback);
+        long_cursor: ("DECLARE c CURSOR FOR SELECT 1", StatementKind::Unsupported);
+    }
+}
+
+// A function in the place of a table was taken for one.
+#[test]
+fn a_table_function_is_no_read() {
+    assert_eq!(StatementClass::of("SELECT * FROM pay(1)").kind, StatementKind::Write);
+    assert_eq!(StatementClass::of("SELECT * FROM generate_series(1, 3)").kind, StatementKind::Read);
+}
+
 #[test]
 fn cached_class_equals_fresh_class() {
     let cache = StatementCache::default();
