Run the statements with which clients clean their sessions

Cause: DEALLOCATE was refused as a part of PREPARE in SQL, though its names are those that the proxy itself keeps for the session. DISCARD ALL and RESET name reset all parameters, and kept the prepared statements.

Change: DEALLOCATE, RESET, DISCARD ALL, CLOSE ALL and UNLISTEN * work on what the proxy keeps for the session, with the command tags of a server. An unknown name is refused with 26000, DISCARD ALL inside a transaction with 25001.

Left of the point: other clients and pools, a text of several such statements (asyncpg), SET and SHOW of search_path, lock_timeout and the like.

--- a/crates/proxy/src/parameter.rs
+++ b/crates/proxy/src/parameter.rs
@@ -87,8 +87,11 @@
         (millis > 0).then_some(millis)
     }
 
-    /// Resets all parameters to their defaults.
-    pub fn reset(&mut self) {
-        self.values.clear();
+    /// Resets a parameter to its default, or all of them without a name.
+    pub fn reset(&mut self, name: Option<&str>) {
+        match name {
+            Some(name) => _ = self.values.remove(name),
+            None => self.values.clear(),
+        }
     }
 }
--- a/crates/proxy/src/session/local_response.rs
+++ b/crates/proxy/src/session/local_response.rs
@@ -6,7 +6,7 @@
     DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
 };
 use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
-use wire::backend;
+use wire::backend::{self, TransactionState};
 use wire::refusal::{RefusalReason, RequestRefusal};
 use wire::statement::SessionStatement;
 
@@ -34,7 +34,7 @@
 }
 
 impl CallerSession {
-    /// Runs a statement that sets, shows or resets session parameters.
+    /// Runs a statement on what the proxy itself keeps for the session.
     pub(super) fn run_session_statement(
         &mut self,
         statement: &SessionStatement,
@@ -42,10 +42,34 @@
         match statement {
             SessionStatement::Set { name, value } => self.set_parameter(name, value),
             SessionStatement::Show { name } => self.show_parameter(name),
-            SessionStatement::Reset => {
-                self.parameters.reset();
+            SessionStatement::Reset { name } => {
+                self.parameters.reset(name.as_deref());
                 Ok(LocalResponse::Command("RESET"))
             }
+            SessionStatement::Deallocate { name: None } => {
+                self.prepared_statements.clear();
+                Ok(LocalResponse::Command("DEALLOCATE ALL"))
+            }
+            SessionStatement::Deallocate { name: Some(name) } => {
+                match self.prepared_statements.remove(name) {
+                    Some(_) => Ok(LocalResponse::Command("DEALLOCATE")),
+                    None => {
+                        let detail = format!("prepared statement {name:?} does not exist");
+                        Err(RequestRefusal::new(RefusalReason::UnknownStatement, detail))
+                    }
+                }
+            }
+            SessionStatement::CloseAll => Ok(LocalResponse::Command("CLOSE CURSOR ALL")),
+            SessionStatement::UnlistenAll => Ok(LocalResponse::Command("UNLISTEN")),
+            SessionStatement::DiscardAll if self.transaction_state != TransactionState::Idle => {
+                let detail = "DISCARD ALL cannot run inside a transaction";
+                Err(RequestRefusal::new(RefusalReason::InsideTransaction, detail))
+            }
+            SessionStatement::DiscardAll => {
+                self.parameters.reset(None);
+                self.prepared_statements.clear();
+                Ok(LocalResponse::Command("DISCARD ALL"))
+            }
         }
     }
 
--- a/crates/wire/src/refusal.rs
+++ b/crates/wire/src/refusal.rs
@@ -86,6 +86,10 @@
     Stopping => "stopping", "57P01", NotRun;
     /// The statement needs a feature that the proxy does not support.
     Unsupported => "unsupported", "0A000", NotRun;
+    /// The session has no prepared statement of this name.
+    UnknownStatement => "unknown_statement", "26000", NotRun;
+    /// The statement cannot run inside a transaction.
+    InsideTransaction => "inside_transaction", "25001", NotRun;
     /// A message is malformed or out of order.
     ProtocolViolation => "protocol_violation", "08P01", NotRun;
     /// A message exceeds the size limit.
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -7,7 +7,8 @@
 
 use parking_lot::Mutex;
 use sqlparser::ast::{
-    Expr, Query, Set, Statement, TransactionAccessMode, TransactionMode, Visit, Visitor,
+    CloseCursor, DiscardObject, Expr, Ident, Query, Reset, Set, Statement, TransactionAccessMode,
+    TransactionMode, Visit, Visitor,
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
@@ -46,7 +47,7 @@
     Rollback,
     /// Sets, releases or rolls back to a savepoint.
     Savepoint,
-    /// Sets, shows or resets a session parameter.
+    /// Concerns what the proxy itself keeps for a session.
     Session,
     /// Needs a feature that the proxy does not support.
     Unsupported,
@@ -54,7 +55,7 @@
     Mixed,
 }
 
-/// Statement on a session parameter.
+/// Statement on what the proxy itself keeps for a session.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SessionStatement {
     /// Sets a parameter.
@@ -69,8 +70,22 @@
         /// Name of the parameter in lower case.
         name: String,
     },
-    /// Resets a parameter or discards all session state.
-    Reset,
+    /// Resets a parameter, or all of them without a name.
+    Reset {
+        /// Name of the parameter in lower case.
+        name: Option<String>,
+    },
+    /// Removes a prepared statement, or all of them without a name.
+    Deallocate {
+        /// Name of the statement.
+        name: Option<String>,
+    },
+    /// Closes all cursors; a session has none that SQL names.
+    CloseAll,
+    /// Unlistens all channels; a session listens to none.
+    UnlistenAll,
+    /// Resets the session.
+    DiscardAll,
 }
 
 /// Classification of one SQL text.
@@ -82,7 +97,7 @@
     pub statement_count: usize,
     /// Tables that the text names, in lower case and without common table expressions.
     pub tables: Vec<String>,
-    /// Statement on a session parameter, if the kind is `Session`.
+    /// The statement, if the kind is `Session`.
     pub session: Option<SessionStatement>,
     /// The text may leave something in the session of the connection that runs it.
     pub changes_session: bool,
@@ -208,21 +223,39 @@
             | Statement::ReleaseSavepoint { .. } => Self::with_kind(StatementKind::Savepoint, 1),
             Statement::Rollback { .. } => Self::with_kind(StatementKind::Rollback, 1),
             Statement::Copy { .. } => Self::unsupported("COPY"),
+            Statement::UNLISTEN { channel } if channel.value == "*" => {
+                Self::of_session(SessionStatement::UnlistenAll)
+            }
             Statement::LISTEN { .. } | Statement::NOTIFY { .. } | Statement::UNLISTEN { .. } => {
                 Self::unsupported("LISTEN and NOTIFY")
             }
-            Statement::Prepare { .. }
-            | Statement::Execute { .. }
-            | Statement::Deallocate { .. } => Self::unsupported(SQL_PREPARE),
+            Statement::Prepare { .. } | Statement::Execute { .. } => Self::unsupported(SQL_PREPARE),
+            Statement::Deallocate { name, .. } => {
+                let is_all = name.quote_style.is_none() && name.value.eq_ignore_ascii_case("all");
+                let name = (!is_all).then(|| folded_name(name));
+                Self::of_session(SessionStatement::Deallocate { name })
+            }
+            Statement::Close { cursor: CloseCursor::All } => {
+                Self::of_session(SessionStatement::CloseAll)
+            }
             Statement::Declare { .. } | Statement::Fetch { .. } => Self::unsupported(SQL_CURSORS),
             Statement::Set(set) => Self::of_set(set),
             Statement::ShowVariable { variable } => {
                 let parts: Vec<&str> = variable.iter().map(|part| part.value.as_str()).collect();
                 Self::of_session(SessionStatement::Show { name: parts.join(".").to_lowercase() })
             }
-            Statement::Reset(_) | Statement::Discard { .. } => {
-                Self::of_session(SessionStatement::Reset)
+            Statement::Reset(statement) => match &statement.reset {
+                Reset::ALL => Self::of_session(SessionStatement::Reset { name: None }),
+                Reset::ConfigurationParameter(name) => {
+                    let name = name.to_string().replace('"', "").to_lowercase();
+                    Self::of_session(SessionStatement::Reset { name: Some(name) })
+                }
+                Reset::SessionAuthorization => Self::unsupported("RESET SESSION AUTHORIZATION"),
+            },
+            Statement::Discard { object_type: DiscardObject::ALL } => {
+                Self::of_session(SessionStatement::DiscardAll)
             }
+            Statement::Discard { .. } => Self::unsupported("this form of DISCARD"),
             other => Self::with_tables(other, false),
         }
     }
@@ -266,6 +299,14 @@
     }
 }
 
+/// Returns a name as the server stores it: in lower case unless it is quoted.
+fn folded_name(name: &Ident) -> String {
+    match name.quote_style {
+        Some(_) => name.value.clone(),
+        None => name.value.to_lowercase(),
+    }
+}
+
 fn unquoted_value(value: &Expr) -> String {
     value.to_string().trim_matches('\'').to_owned()
 }
