Run several statements that clean a session in one text

Cause: a text of several statements was refused if one concerned the session. A batch of extended-query messages was classified without that check.

Change: a text of statements on the session only is answered by the proxy, pg_advisory_unlock_all() included, as a session has no advisory locks. The check for other statements beside them holds for batches, too.

Before: the text was refused with 0A000 and the batch was Mixed, by the code. After: the cases of session_statements, session_state and wire messages pass, and so do all tests of lab.

--- a/crates/lab/tests/session_statements.rs
+++ b/crates/lab/tests/session_statements.rs
@@ -44,9 +44,13 @@
 async fn a_session_can_be_cleaned_before_it_is_used_again(environment: LabEnvironment) {
     let caller = connect(&environment, 0).await;
     let statement = caller.client.prepare("SELECT 1").await.expect("prepare");
+    let reset = "SELECT pg_advisory_unlock_all(); CLOSE ALL; UNLISTEN *; RESET ALL";
+    assert_eq!(caller.first_column(reset).await.expect("as one text"), [""]);
     for sql in ["CLOSE ALL", "UNLISTEN *", "DISCARD ALL"] {
         caller.client.batch_execute(sql).await.expect(sql);
     }
+    let error = caller.client.batch_execute("SELECT 1; RESET ALL").await.expect_err("refused");
+    assert_eq!(sqlstate(&error), "0A000");
     let error = caller.client.query(&statement, &[]).await.expect_err("it is removed");
     assert_eq!(sqlstate(&error), "26000");
     caller.client.batch_execute("BEGIN").await.expect("begin");
--- a/crates/proxy/src/session/local_response.rs
+++ b/crates/proxy/src/session/local_response.rs
@@ -28,6 +28,8 @@
         name: String,
         /// Value of the column.
         value: String,
+        /// Command tag.
+        tag: &'static str,
     },
     /// Response to an empty query.
     Empty,
@@ -60,6 +62,11 @@
                 }
             }
             SessionStatement::CloseAll => Ok(LocalResponse::Command("CLOSE CURSOR ALL")),
+            SessionStatement::UnlockAll => Ok(LocalResponse::Value {
+                name: "pg_advisory_unlock_all".to_owned(),
+                value: String::new(),
+                tag: "SELECT 1",
+            }),
             SessionStatement::UnlistenAll => Ok(LocalResponse::Command("UNLISTEN")),
             SessionStatement::DiscardAll if self.transaction_state != TransactionState::Idle => {
                 let detail = "DISCARD ALL cannot run inside a transaction";
@@ -111,7 +118,7 @@
                 })?
             }
         };
-        Ok(LocalResponse::Value { name: name.to_owned(), value })
+        Ok(LocalResponse::Value { name: name.to_owned(), value, tag: "SHOW" })
     }
 
     /// Encodes a response for the protocol and the messages of a request.
@@ -170,13 +177,13 @@
         match response {
             LocalResponse::Command(tag) => backend::put_command_complete(&mut self.output, tag),
             LocalResponse::Empty => backend::put_empty_query_response(&mut self.output),
-            LocalResponse::Value { value, .. } => {
+            LocalResponse::Value { value, tag, .. } => {
                 let mut data = bytes::BytesMut::new();
                 data.extend_from_slice(&(value.len() as i32).to_be_bytes());
                 data.extend_from_slice(value.as_bytes());
                 let row = PgWireBackendMessage::DataRow(DataRow::new(data, 1));
                 backend::put(&mut self.output, row);
-                backend::put_command_complete(&mut self.output, "SHOW");
+                backend::put_command_complete(&mut self.output, tag);
             }
         }
     }
--- a/crates/proxy/src/session/serve.rs
+++ b/crates/proxy/src/session/serve.rs
@@ -68,9 +68,13 @@
         if self.transaction_state == TransactionState::Failed && self.pinned.is_none() {
             return self.serve_failed_transaction(&request).await;
         }
-        if let Some(response) = self.local_response(&request) {
-            match response {
-                Ok(response) => self.put_local_response(&request.body, &response),
+        if let Some(responses) = self.local_responses(&request) {
+            match responses {
+                Ok(responses) => {
+                    for response in &responses {
+                        self.put_local_response(&request.body, response);
+                    }
+                }
                 Err(refusal) => return self.refuse_request(refusal, request.ends_with_sync).await,
             }
             return self.end_request(request.ends_with_sync).await;
@@ -125,15 +129,17 @@
         }
     }
 
-    fn local_response(
+    /// Runs a request that needs no member, and returns the responses to its statements.
+    fn local_responses(
         &mut self,
         request: &CallerRequest,
-    ) -> Option<Result<LocalResponse, RequestRefusal>> {
-        match request.class.kind {
-            StatementKind::Empty => Some(Ok(LocalResponse::Empty)),
+    ) -> Option<Result<Vec<LocalResponse>, RequestRefusal>> {
+        let class = &request.class;
+        match class.kind {
+            StatementKind::Empty => Some(Ok(vec![LocalResponse::Empty])),
             StatementKind::Session => {
-                let statement = request.class.session.clone()?;
-                Some(self.run_session_statement(&statement))
+                let run = |statement| self.run_session_statement(statement);
+                Some(class.session.iter().map(run).collect())
             }
             _ => None,
         }
--- a/crates/wire/src/session_effect.rs
+++ b/crates/wire/src/session_effect.rs
@@ -236,7 +236,8 @@
     }
 }
 
-fn function_name(name: &ObjectName) -> String {
+/// Returns the name of a function in lower case, without quotes and the server's own schema.
+pub(crate) fn function_name(name: &ObjectName) -> String {
     let name = name.to_string().replace('"', "").to_lowercase();
     name.strip_prefix("pg_catalog.").map(str::to_owned).unwrap_or(name)
 }
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -7,14 +7,14 @@
 
 use parking_lot::Mutex;
 use sqlparser::ast::{
-    CloseCursor, DiscardObject, Expr, Ident, Query, Reset, Set, Statement, TransactionAccessMode,
-    TransactionMode, Visit, Visitor,
+    CloseCursor, DiscardObject, Expr, Ident, Query, Reset, SelectItem, Set, SetExpr, Statement,
+    TransactionAccessMode, TransactionMode, Visit, Visitor,
 };
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 
 use crate::leading_words::leading_words;
-use crate::session_effect::{ReadOnlyCheck, SessionEffect};
+use crate::session_effect::{ReadOnlyCheck, SessionEffect, function_name};
 
 /// Number of independently locked cache shards.
 const CACHE_SHARDS: usize = 16;
@@ -28,6 +28,9 @@
 /// Unsupported feature: cursors that are declared by SQL.
 const SQL_CURSORS: &str = "cursors in SQL; use portals instead";
 
+/// Function that releases the advisory locks of a session.
+const UNLOCK_ALL: &str = "pg_advisory_unlock_all";
+
 /// Effect of a SQL text.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StatementKind {
@@ -84,6 +87,8 @@
     CloseAll,
     /// Unlistens all channels; a session listens to none.
     UnlistenAll,
+    /// Releases the advisory locks of a session, which has none.
+    UnlockAll,
     /// Resets the session.
     DiscardAll,
 }
@@ -97,8 +102,8 @@
     pub statement_count: usize,
     /// Tables that the text names, in lower case and without common table expressions.
     pub tables: Vec<String>,
-    /// The statement, if the kind is `Session`.
-    pub session: Option<SessionStatement>,
+    /// The statements, if the kind is `Session`.
+    pub session: Vec<SessionStatement>,
     /// The text may leave something in the session of the connection that runs it.
     pub changes_session: bool,
     /// Name of the unsupported feature, empty unless the kind is `Unsupported`.
@@ -122,7 +127,7 @@
             kind,
             statement_count: count,
             tables: Vec::new(),
-            session: None,
+            session: Vec::new(),
             changes_session: false,
             unsupported_feature: "",
         }
@@ -170,8 +175,9 @@
 
     fn of_multiple(statements: &[Statement]) -> Self {
         let classes: Vec<Self> = statements.iter().map(Self::of_statement).collect();
-        if classes.iter().any(|class| class.kind == StatementKind::Session) {
-            return Self::unsupported("SET and SHOW together with other statements");
+        if classes.iter().all(|class| class.kind == StatementKind::Session) {
+            let session = classes.into_iter().flat_map(|class| class.session).collect();
+            return Self { session, ..Self::with_kind(StatementKind::Session, statements.len()) };
         }
         Self::merge(&classes.iter().collect::<Vec<_>>())
     }
@@ -182,6 +188,9 @@
         if let Some(unsupported) = unsupported {
             return (*unsupported).clone();
         }
+        if classes.iter().any(|class| class.kind == StatementKind::Session) {
+            return Self::unsupported("SET and SHOW together with other statements");
+        }
         let all_of = |kinds: &[StatementKind]| classes.iter().all(|c| kinds.contains(&c.kind));
         let kind = if all_of(&[StatementKind::Read]) {
             StatementKind::Read
@@ -208,6 +217,9 @@
 
     fn without_session_effect(statement: &Statement) -> Self {
         match statement {
+            Statement::Query(query) if releases_locks(query) => {
+                Self::of_session(SessionStatement::UnlockAll)
+            }
             Statement::Query(query) => Self::of_query(statement, query),
             Statement::Explain { analyze: false, .. } => Self::with_tables(statement, true),
             Statement::StartTransaction { modes, .. } => {
@@ -268,7 +280,7 @@
     }
 
     fn of_session(session: SessionStatement) -> Self {
-        Self { session: Some(session), ..Self::with_kind(StatementKind::Session, 1) }
+        Self { session: vec![session], ..Self::with_kind(StatementKind::Session, 1) }
     }
 
     fn of_set(set: &Set) -> Self {
@@ -299,6 +311,19 @@
     }
 }
 
+/// Returns whether a query does nothing but release the advisory locks of its session.
+fn releases_locks(query: &Query) -> bool {
+    let SetExpr::Select(select) = &*query.body else {
+        return false;
+    };
+    match &select.projection[..] {
+        [SelectItem::UnnamedExpr(Expr::Function(function))] if select.from.is_empty() => {
+            function_name(&function.name) == UNLOCK_ALL
+        }
+        _ => false,
+    }
+}
+
 /// Returns a name as the server stores it: in lower case unless it is quoted.
 fn folded_name(name: &Ident) -> String {
     match name.quote_style {
--- a/crates/wire/tests/messages.rs
+++ b/crates/wire/tests/messages.rs
@@ -101,6 +101,14 @@
     }
 }
 
+// Such a batch was sent to a member, which ran the SET on a connection of all sessions.
+#[test]
+fn a_set_in_a_batch_of_other_statements_is_unsupported() {
+    let classes = ["SET search_path = x", "SELECT 1"].map(StatementClass::of);
+    let merged = StatementClass::merge(&classes.each_ref());
+    assert_eq!(merged.kind, StatementKind::Unsupported);
+}
+
 // A function in the place of a table was taken for one.
 #[test]
 fn a_table_function_is_no_read() {
