Skip the comments of a text in one place

The stand-in and the classification of texts each skipped comments; the stand-in did not know that they nest. Both use wire::leading_words now. The module of session effects also decides whether a query only reads, so it is named `effects`.

Unchanged otherwise: the tests of wire and the cases of session_state, session_statements and postgres_driver pass.

--- a/crates/standin/src/session/simple.rs
+++ b/crates/standin/src/session/simple.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 use wire::backend::{self, TransactionState};
 use wire::group::{GroupCommand, NOT_PRIMARY};
+use wire::leading_words::skip_blanks;
 
 use super::transaction::ConfirmError;
 use super::{ErrorResponse, MemberSession, SessionEnd};
@@ -39,7 +40,7 @@
 
 impl ControlStatement {
     pub(crate) fn classify(sql: &str) -> Self {
-        let upper = without_comments(sql).trim_end_matches(';').to_ascii_uppercase();
+        let upper = skip_blanks(sql).trim_end().trim_end_matches(';').to_ascii_uppercase();
         let mut words = upper.split_whitespace();
         match (words.next(), words.next()) {
             (Some("DISCARD"), Some("ALL")) => Self::DiscardAll,
@@ -362,7 +363,7 @@
 }
 
 fn command_tag(sql: &str, result: &StatementResult) -> String {
-    let mut words = without_comments(sql)
+    let mut words = skip_blanks(sql)
         .split_whitespace()
         .map(str::to_ascii_uppercase)
         .filter(|word| !is_modifier(word));
@@ -378,7 +379,7 @@
 
 /// Returns whether a statement creates an object of its session, which is not replicated.
 fn creates_temporary(sql: &str) -> bool {
-    let mut words = without_comments(sql).split_whitespace().map(str::to_ascii_uppercase);
+    let mut words = skip_blanks(sql).split_whitespace().map(str::to_ascii_uppercase);
     words.next().is_some_and(|word| word == "CREATE")
         && words.next().is_some_and(|word| matches!(word.as_str(), "TEMP" | "TEMPORARY"))
 }
@@ -387,16 +388,3 @@
 fn is_modifier(word: &str) -> bool {
     matches!(word, "TEMP" | "TEMPORARY" | "UNIQUE" | "OR" | "REPLACE")
 }
-
-/// Returns a statement without the comments and the white space before it.
-fn without_comments(sql: &str) -> &str {
-    let mut rest = sql.trim_start();
-    loop {
-        let after = match rest.get(..2) {
-            Some("--") => rest.split_once('\n').map(|(_, after)| after),
-            Some("/*") => rest.split_once("*/").map(|(_, after)| after),
-            _ => return rest.trim_end(),
-        };
-        rest = after.unwrap_or_default().trim_start();
-    }
-}
--- a/crates/wire/src/session_effect.rs
+++ b/crates/wire/src/effects.rs
@@ -1,4 +1,4 @@
-//! What a SQL text may leave in the session of the connection that runs it.
+//! Effects of a statement: whether it only reads, and what it may leave in the session of its connection.
 
 use std::ops::ControlFlow;
 
--- a/crates/wire/src/leading_words.rs
+++ b/crates/wire/src/leading_words.rs
@@ -4,7 +4,7 @@
 const WORD_COUNT: usize = 2;
 
 /// Returns the first words of a text in lower case; empty where there is none.
-pub(crate) fn leading_words(text: &str) -> [String; WORD_COUNT] {
+pub fn leading_words(text: &str) -> [String; WORD_COUNT] {
     let mut rest = text;
     std::array::from_fn(|_| {
         rest = skip_blanks(rest);
@@ -16,7 +16,7 @@
 }
 
 /// Skips white space and comments; comments between `/*` and `*/` nest.
-fn skip_blanks(text: &str) -> &str {
+pub fn skip_blanks(text: &str) -> &str {
     let mut rest = text;
     loop {
         rest = rest.trim_start();
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -13,8 +13,8 @@
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 
+use crate::effects::{ReadOnlyCheck, SessionEffect, function_name};
 use crate::leading_words::leading_words;
-use crate::session_effect::{ReadOnlyCheck, SessionEffect, function_name};
 
 /// Number of independently locked cache shards.
 const CACHE_SHARDS: usize = 16;
