Print the connection strings of the lab after its log of the start

Cause: they were printed as soon as the instances listened, before these had found the primaries. The log goes to standard error, which no page said.

Two comments and the text of a refusal in wire::statement say what they mean.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,14 +1,20 @@
 //! `hibiscus-lab`: runs a whole environment in one process, to try the system out.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 use lab::environment::{LabEnvironment, LabError, LabOptions};
 use lab::profile::{DeploymentProfile, ProfileName};
 use telemetry::logging::LoggingSettings;
 use telemetry::program;
+use tokio::time::{sleep, timeout};
 
 const PROGRAM: &str = "hibiscus-lab";
+/// Bounds the wait for the primaries of all databases.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval at which the primaries are looked up meanwhile.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs stand-ins, proxies and the administration API in one process.
 #[derive(Debug, Parser)]
@@ -51,11 +57,27 @@
         ..LabOptions::new(DeploymentProfile::from_name(arguments.profile))
     };
     let environment = LabEnvironment::start(options).await?;
+    // What is printed is not followed by the events of the start.
+    if timeout(START_TIMEOUT, wait_for_primaries(&environment)).await.is_err() {
+        println!("not every database has a primary yet");
+    }
     print_summary(&environment);
     program::shutdown_signal().await;
     Ok(())
 }
 
+/// Waits until each instance knows the primaries of all databases.
+async fn wait_for_primaries(environment: &LabEnvironment) {
+    let has_primaries = || {
+        environment.instances.iter().all(|running| {
+            running.instance.databases().iter().all(|database| database.primary().is_some())
+        })
+    };
+    while !has_primaries() {
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
 fn print_summary(environment: &LabEnvironment) {
     let profile = &environment.options.profile;
     println!("environment {} is up", profile.name.label());
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -137,7 +137,7 @@
         Self { unsupported_feature: feature, ..Self::with_kind(StatementKind::Unsupported, 1) }
     }
 
-    /// Classifies a text that is not parsed by its first words.
+    /// Classifies a text by its first words, without parsing it.
     fn of_unparsed(text: &str) -> Self {
         let words = leading_words(text);
         let kind = match words.each_ref().map(String::as_str) {
@@ -189,7 +189,7 @@
             return (*unsupported).clone();
         }
         if classes.iter().any(|class| class.kind == StatementKind::Session) {
-            return Self::unsupported("SET and SHOW together with other statements");
+            return Self::unsupported("a statement on the session together with other statements");
         }
         let all_of = |kinds: &[StatementKind]| classes.iter().all(|c| kinds.contains(&c.kind));
         let kind = if all_of(&[StatementKind::Read]) {
@@ -207,7 +207,7 @@
     }
 
     fn of_statement(statement: &Statement) -> Self {
-        let class = Self::without_session_effect(statement);
+        let class = Self::of_kind(statement);
         match SessionEffect::of(statement) {
             SessionEffect::None => class,
             SessionEffect::Possible => Self { changes_session: true, ..class },
@@ -215,7 +215,8 @@
         }
     }
 
-    fn without_session_effect(statement: &Statement) -> Self {
+    /// Returns the class of a statement, whatever it leaves in its session.
+    fn of_kind(statement: &Statement) -> Self {
         match statement {
             Statement::Query(query) if releases_locks(query) => {
                 Self::of_session(SessionStatement::UnlockAll)
