Part the return of connections from their owner

Only moved: the tests refused_setups, abandoned_calls, served_sessions, session_isolation and planned_stop pass.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod candidates;
 mod connection_acquire;
 pub mod connection_owner;
+mod connection_return;
 pub mod directory;
 mod discovery;
 pub mod dispatch;
