Give the members of a large soak connections for all long transactions

Cause: the soak runs two callers with long transactions on each instance, 48 with 24, and each occupies a connection of the leader, which accepts 20. Requests were refused at once for the lack of connections (15 to 17 of 20 open at the leader's connection owner, the rest elsewhere), as they should be.

Ruled out: flapping ownership (no link was lost in the last 10 s) and too many statements (about 100 probes a second).

Change: members accept three connections for each instance, and 20 at least, so fleets of up to six instances are as before.

--- a/crates/soak/src/document.rs
+++ b/crates/soak/src/document.rs
@@ -78,14 +78,21 @@
 }
 
 /// Documents that the operator has written, in order, whatever their numbers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DocumentLog {
+    /// Number of connections that a member accepts.
+    max_connections: usize,
     /// Number of the newest document in the store.
     pub number: u64,
     written_at: Vec<Instant>,
 }
 
 impl DocumentLog {
+    /// Creates an empty log for members that accept this number of connections each.
+    pub fn new(max_connections: usize) -> Self {
+        Self { max_connections, number: 0, written_at: Vec::new() }
+    }
+
     /// Returns the position of the newest document, from one.
     pub fn newest(&self) -> u64 {
         self.written_at.len() as u64
@@ -114,7 +121,9 @@
                 route(KEPT_DATABASE, "primary"), route("own", "read_your_writes"),
                 route(&database(document), "primary"), route(&database(previous), "primary"),
             ],
-            "services": [{ "name": SERVICE, "max_connections": 20, "sync_replicas": 0 }],
+            "services": [{
+                "name": SERVICE, "max_connections": self.max_connections, "sync_replicas": 0,
+            }],
             "limits": { "transaction_idle_ms": 3_000 },
             "tenants": [{
                 "name": CALLER_TEAM, "api_keys": [CALLER_API_KEY, key(document), key(previous)],
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -48,6 +48,8 @@
 const SLOW_STATEMENT_DURATION: Duration = Duration::from_millis(250);
 /// Number of callers with long transactions on each instance.
 const LONG_CALLERS: u32 = 2;
+/// Number of connections that a member accepts from a small fleet.
+const MIN_MEMBER_CONNECTIONS: usize = 20;
 /// Number of the first caller with long transactions; other callers have lower ones.
 const FIRST_LONG_CALLER: u32 = 10_000;
 /// Time within which a process must exit after a signal: its grace period of 4 s plus a margin.
@@ -203,6 +205,8 @@
         let ids: Vec<String> = (1..=MEMBER_COUNT).map(|number| format!("m-{number}")).collect();
         let names: Vec<&str> = ids.iter().map(String::as_str).collect();
         let group = GroupState::new(SERVICE, &names);
+        let max_connections = member_connections(settings.instances);
+        group.lock().max_connections = max_connections;
         store.register_group(group.clone());
         let mut member_relays = Vec::new();
         for index in 0..MEMBER_COUNT {
@@ -237,7 +241,7 @@
             store_relays,
             processes,
             failures: Mutex::default(),
-            documents: Mutex::default(),
+            documents: Mutex::new(DocumentLog::new(max_connections)),
             probe_count: AtomicUsize::new(0),
             stop_log: Mutex::default(),
             store_outages: Mutex::new(0),
@@ -515,6 +519,12 @@
     timeout(Duration::from_secs(2), probe).await.ok().flatten().is_some()
 }
 
+/// Returns the number of connections that a member accepts: more than there are callers with long
+/// transactions, each of which occupies one at the leader.
+fn member_connections(instances: usize) -> usize {
+    MIN_MEMBER_CONNECTIONS.max(instances * (LONG_CALLERS as usize + 1))
+}
+
 /// Returns the first of three consecutive ports for the instances.
 ///
 /// Only the first port is checked, and only on the address of the first instance.
