Measure what is served after machines were lost for good

Sought, in the entries: what remains of instances that are gone. Registrations of instances that ended without a planned stop stay in the store, and each instance that reads the list counts them among the known ones.

--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -41,6 +41,11 @@
 impl Fleet {
     /// Starts a number of instances and waits until they are ready.
     pub fn start(count: usize, platform: &Platform) -> Option<Self> {
+        Self::start_of(count, count, platform)
+    }
+
+    /// Starts the first `running` of `count` instances and waits until they are ready.
+    pub fn start_of(count: usize, running: usize, platform: &Platform) -> Option<Self> {
         let folder = std::env::temp_dir().join(format!("hibiscus-review-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let (network, base_port) = free_network(count)?;
@@ -53,11 +58,11 @@
             child: None,
         });
         let mut fleet = Self { gateways: gateways.collect(), folder: folder.clone() };
-        for gateway in &mut fleet.gateways {
+        for gateway in &mut fleet.gateways[..running] {
             gateway.start(platform).ok()?;
         }
         let deadline = Instant::now() + READY_TIMEOUT;
-        while !fleet.gateways.iter().all(Gateway::is_ready) {
+        while !fleet.gateways[..running].iter().all(Gateway::is_ready) {
             if Instant::now() > deadline {
                 return None;
             }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod forgotten_replica;
 mod gateway;
 mod json;
+mod lost_machines;
 mod member;
 mod moved_key;
 mod platform;
@@ -43,6 +44,7 @@
     };
     record.line(&format!("case={name} trouble={has_trouble}"));
     let verdict = match name.as_str() {
+        "lost-machines" => lost_machines::run(has_trouble, &record),
         "moved-key" => moved_key::run(has_trouble, &record),
         "drain-queue" => drain_queue::run(has_trouble, &record),
         "forgotten-replica" => forgotten_replica::run(has_trouble, &record),
