Make a manifest that never comes into force review case 10

Sought: values of a valid manifest that the decoder does not take. A priority above 255 fails the whole document.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -9,7 +9,7 @@
 fi
 # A process group of its own, so that nothing outlives the case.
 set -m
-target/review-2/case drain-queue review/10/record.txt &
+target/review-2/case wide-priority review/10/record.txt &
 pid=$!
 trap 'kill -KILL -- "-$pid" 2>/dev/null || true' EXIT
 wait "$pid"
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -19,7 +19,7 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Bounds in the settings, those of the small installations.
-const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
+pub const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
 pub const DRAIN: Duration = Duration::from_millis(7_000);
 
 /// Instance of the gateway.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod record;
 mod reused_id;
+mod wide_priority;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -49,6 +50,7 @@
         "drain-queue" => drain_queue::run(has_trouble, &record),
         "forgotten-replica" => forgotten_replica::run(has_trouble, &record),
         "reused-id" => reused_id::run(has_trouble, &record),
+        "wide-priority" => wide_priority::run(has_trouble, &record),
         _ => Verdict::NotRun(format!("no case has the name {name}")),
     };
     let (code, text) = match verdict {
