Bring documents into force without the fields that cannot be decoded

Cause: one derived type decoded the whole document, so any field that it could not hold, not just a priority above a byte, kept the former document in force. Ruled out: late delivery, the comparison of versions.

Change: each field is decoded by itself. What restricts callers gets its strictest value, an entry without what it needs is left out alone, and a version that cannot be decoded is replaced by the number of the document before it. Priorities are 32 bits wide. HB1122, a gauge, /status and hibiscusctl name what was not decoded.

The type of levels in four tests of coord is widened with PriorityLevel; no bound changes.

--- a/crates/coord/src/document_choice.rs
+++ b/crates/coord/src/document_choice.rs
@@ -80,6 +80,12 @@
         self.in_force.map(|document| document.version).unwrap_or_default()
     }
 
+    /// Returns the number for a document whose own cannot be decoded. It comes into force by its row, and
+    /// is replaced by any document with a higher number than the one before it.
+    pub fn substitute_number(&self) -> u64 {
+        self.version().number.max(1)
+    }
+
     /// Returns whether the store has another document than the one in force.
     pub fn is_pending(&self) -> bool {
         self.pending.is_some()
@@ -121,7 +127,11 @@
             return self.adopt(offered);
         }
         if row.history == self.origin {
-            return DocumentStep::Ignore;
+            // Only a substitute number can occur twice in a history.
+            return match number == in_force.version.number {
+                true => self.adopt(offered),
+                false => DocumentStep::Ignore,
+            };
         }
         if self.earlier.contains(&offered.digest) {
             return self.keep(in_force, row);
--- a/crates/coord/src/priority.rs
+++ b/crates/coord/src/priority.rs
@@ -16,7 +16,7 @@
 use crate::turn_meter::TurnMeter;
 
 /// Priority of a request; zero is the highest and is served first.
-pub type PriorityLevel = u8;
+pub type PriorityLevel = u32;
 
 /// Maximum wait that is estimated; longer ones are reported as this.
 const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(3_600);
@@ -90,7 +90,7 @@
 impl WaitFloorView {
     /// Records the report about a priority; low priorities are not tracked.
     pub fn record(&mut self, level: PriorityLevel, floor: WaitFloor, now: Instant) {
-        if let Some(report) = self.reports.get_mut(usize::from(level)) {
+        if let Some(report) = self.reports.get_mut(level as usize) {
             *report = Some((floor, now));
         }
     }
@@ -101,7 +101,7 @@
     /// drains as fast as time passes, so the age of a report is subtracted.
     pub fn floor(&self, level: PriorityLevel, now: Instant) -> WaitFloor {
         let mut floor = WaitFloor::default();
-        for (reported, at) in self.reports.iter().take(usize::from(level) + 1).flatten() {
+        for (reported, at) in self.reports.iter().take(level as usize + 1).flatten() {
             let age = now.saturating_duration_since(*at);
             if age < REPORT_TTL {
                 floor.in_time = floor.in_time.max(reported.in_time.saturating_sub(age));
--- a/crates/coord/src/service_time.rs
+++ b/crates/coord/src/service_time.rs
@@ -8,6 +8,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::priority::PriorityLevel;
+
 /// Weight of the newest sample in the moving averages.
 const SMOOTHING: f64 = 0.1;
 /// Hold time assumed before the first sample, in seconds: a statement of 12 ms.
@@ -20,6 +22,11 @@
 /// Number of deviations by which a hold time may exceed its mean before it is unusually long.
 const USUAL_DEVIATIONS: f64 = 2.0;
 
+/// Returns the number by which estimates tell priorities apart; those from 255 on share one.
+pub fn priority_class(priority: PriorityLevel) -> u8 {
+    u8::try_from(priority).unwrap_or(u8::MAX)
+}
+
 /// Class of requests with similar service times: those of routes with the same consistency,
 /// priority and target latency.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -30,11 +37,11 @@
     const TARGET_MASK: u32 = (1 << Self::TARGET_BITS) - 1;
 
     /// Returns the class of a route; `consistency` numbers the kinds of read consistency.
-    pub fn new(consistency: u8, priority: u8, target_latency: Duration) -> Self {
+    pub fn new(consistency: u8, priority: PriorityLevel, target_latency: Duration) -> Self {
         let target_ms = u32::try_from(target_latency.as_millis())
             .map_or(Self::TARGET_MASK, |target_ms| target_ms.min(Self::TARGET_MASK));
         let consistency = u32::from(consistency & 3) << (u32::BITS - 2);
-        Self(consistency | u32::from(priority) << Self::TARGET_BITS | target_ms)
+        Self(consistency | u32::from(priority_class(priority)) << Self::TARGET_BITS | target_ms)
     }
 
     /// Returns the target latency of the class.
--- a/crates/coord/tests/common/fleet_model.rs
+++ b/crates/coord/tests/common/fleet_model.rs
@@ -342,7 +342,7 @@
 }
 
 fn class_of(kind: usize) -> ServiceClass {
-    ServiceClass::new(0, kind as u8, Duration::ZERO)
+    ServiceClass::new(0, kind as u32, Duration::ZERO)
 }
 
 fn connection_key(team: u64, member: usize) -> u64 {
--- a/crates/coord/tests/document_choice.rs
+++ b/crates/coord/tests/document_choice.rs
@@ -156,6 +156,18 @@
     assert!(!choice.settle(Duration::ZERO, now));
 }
 
+// The document before it stayed in force for good.
+#[test]
+fn a_document_whose_number_cannot_be_decoded_comes_into_force_until_the_next_one() {
+    let (mut choice, now) = (DocumentChoice::default(), Instant::now());
+    assert_eq!(choice.offer(document(1, 10, 7), now), DocumentStep::Adopt);
+    let mut odd = document(1, 11, choice.substitute_number());
+    odd.digest = 1;
+    assert_eq!(choice.offer(odd, now), DocumentStep::Adopt);
+    assert_eq!(choice.offer(odd, now), DocumentStep::Ignore);
+    assert_eq!(choice.offer(document(1, 12, 8), now), DocumentStep::Adopt);
+}
+
 // Both have the copy's row, and one of them the document that the store lost.
 #[test]
 fn an_instance_that_missed_the_lost_document_is_behind_the_others() {
--- a/crates/coord/tests/load_patterns.rs
+++ b/crates/coord/tests/load_patterns.rs
@@ -46,7 +46,7 @@
 }
 
 /// Returns the kind of a request of the only service class.
-fn request_kind(level: u8, team: u32) -> RequestKind<u32> {
+fn request_kind(level: u32, team: u32) -> RequestKind<u32> {
     RequestKind { level, team, class: ServiceClass::default() }
 }
 
@@ -60,7 +60,7 @@
 
 /// Simulates a queue with one permit, which each request holds for 10 ms, under `arrivals`
 /// (priority, team) 1 ms apart. Returns their indices in start order, without refused ones.
-fn simulate_queue(arrivals: &[(u8, u32)], max_wait: Duration, start: Instant) -> Vec<usize> {
+fn simulate_queue(arrivals: &[(u32, u32)], max_wait: Duration, start: Instant) -> Vec<usize> {
     let mut queue = PriorityQueue::new(1);
     let mut started = Vec::new();
     let mut running: Option<(PermitKey, Instant)> = None;
--- a/crates/coord/tests/queueing.rs
+++ b/crates/coord/tests/queueing.rs
@@ -24,13 +24,13 @@
 /// milliseconds.
 #[derive(Clone, Copy, Debug)]
 struct Load {
-    level: u8,
+    level: u32,
     hold_ms: f64,
     target_ms: u64,
     timeout_ms: u64,
 }
 
-const fn load(level: u8, hold_ms: f64, target_ms: u64, timeout_ms: u64) -> Load {
+const fn load(level: u32, hold_ms: f64, target_ms: u64, timeout_ms: u64) -> Load {
     Load { level, hold_ms, target_ms, timeout_ms }
 }
 
@@ -392,13 +392,13 @@
         let mut queue = PriorityQueue::new(2).with_anticipation(choices.below(2) == 1);
         let (mut now, mut next) = (start, 0);
         // Index, priority, and latest start in time if the request was expected to meet it.
-        let mut waiting: Vec<(usize, u8, Option<Instant>)> = Vec::new();
+        let mut waiting: Vec<(usize, u32, Option<Instant>)> = Vec::new();
         let mut permits = Vec::new();
         while !choices.is_done() || !permits.is_empty() {
             now += millis(choices.below(20) as u64);
             let mut refused = Vec::new();
             if choices.below(3) > 0 && !choices.is_done() {
-                let level = choices.below(3) as u8;
+                let level = choices.below(3) as u32;
                 let class = ServiceClass::new(0, level, millis(100));
                 let kind = RequestKind { level, team: choices.below(3), class };
                 let in_time = now + millis(choices.below(60) as u64);
@@ -435,7 +435,7 @@
                 assert!(!is_overtaken, "{index} overtakes {waiting:?}");
             }
             assert_eq!(queue.in_use(), permits.len());
-            assert_eq!(queue.waiting_up_to(u8::MAX), waiting.len());
+            assert_eq!(queue.waiting_up_to(u32::MAX), waiting.len());
         }
     });
 }
@@ -457,7 +457,7 @@
     let mut refused = Vec::new();
     assert!(queue.pop(resumed, &mut refused).is_none());
     assert_eq!(refused.len(), 5);
-    assert_eq!(queue.waiting_up_to(u8::MAX), 0);
+    assert_eq!(queue.waiting_up_to(u32::MAX), 0);
 }
 
 // Guards against refusing a team on arrival because another one floods the queue, and against
--- a/crates/coord/tests/team_limits.rs
+++ b/crates/coord/tests/team_limits.rs
@@ -111,7 +111,7 @@
         is_answer_lost: bool,
         now: Instant,
     ) -> Result<Duration, Duration> {
-        let (owner, level) = (self.owners[self.sides[instance]], rank as u8);
+        let (owner, level) = (self.owners[self.sides[instance]], rank as u32);
         let (incarnation, cache) = (self.incarnations[owner], &mut self.caches[instance]);
         if let Some(retry_after) = cache.refuse(team, level, incarnation, now) {
             return Err(spread_retry(retry_after, self.random.random()));
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -80,6 +80,9 @@
         if gauges.is_document_pending {
             add("the store has a document with a lower number than the one in force".to_owned());
         }
+        for defect in &status.document_defects {
+            add(format!("the document is in force in part: {defect}"));
+        }
         if status.live_instances < status.known_instances {
             let (live, known) = (status.live_instances, status.known_instances);
             add(format!("reaches {live} of {known} instances"));
--- a/crates/ctl/tests/fleet.rs
+++ b/crates/ctl/tests/fleet.rs
@@ -63,7 +63,8 @@
         "is_unreachable": true, "cold_wait_ms": null, "pace": null, "outstanding_requests": 0,
         "open_connections": 0, "max_connections": 4,
     }]);
-    let first = status("i-1", &json!({ "endpoints": owned }));
+    let defect = "\"route halls\": priority, replaced";
+    let first = status("i-1", &json!({ "endpoints": owned, "document_defects": [defect] }));
     let second = json!({
         "document_version": 42, "is_ready": false, "live_instances": 1, "endpoints": owned,
         "zones": [{ "zone": "b", "phase": "closed" }],
@@ -81,6 +82,7 @@
     assert!(findings[0].starts_with("cannot reach instance http://127.0.0.1:1: "), "{findings:?}");
     let expected = [
         "i-1: the store has a document with a lower number than the one in force",
+        "i-1: the document is in force in part: \"route halls\": priority, replaced",
         "i-1: cannot reach m-1",
         "i-2: not ready",
         "i-2: reaches 1 of 2 instances",
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -192,7 +192,8 @@
         row: &StoredRow,
         now: Instant,
     ) -> DocumentStep {
-        let version = DocumentVersion { row: row.version, number: document.version };
+        let number = document.version.unwrap_or_else(|| self.choice.substitute_number());
+        let version = DocumentVersion { row: row.version, number };
         let step = self.choice.offer(OfferedDocument { version, digest: row.digest() }, now);
         match step {
             DocumentStep::Adopt => self.set_document(document, row.clone()),
@@ -233,7 +234,8 @@
     }
 
     fn set_document(&mut self, document: FleetDocument, row: StoredRow) {
-        self.document = Rc::new(DocumentIndex::new(document));
+        let number = self.document_version().number;
+        self.document = Rc::new(DocumentIndex::new(document, number));
         self.document_row = Some(row);
         self.pending_document = None;
     }
--- a/crates/engine/src/document_guard.rs
+++ b/crates/engine/src/document_guard.rs
@@ -85,8 +85,9 @@
 
     /// Updates the metrics of the document and of the tables' ages.
     pub(crate) fn update_table_metrics(&self) {
-        let version = self.directory.borrow().document().version;
-        gauge!(meter::DOCUMENT_VERSION).set(version as f64);
+        let document = self.directory.borrow().document();
+        gauge!(meter::DOCUMENT_VERSION).set(document.version as f64);
+        gauge!(meter::DOCUMENT_DEFECTS).set(document.defects.len() as f64);
         gauge!(meter::DOCUMENT_LAG_SECONDS).set(self.document_lag().as_secs_f64());
         let is_pending = self.directory.borrow().has_pending_document();
         gauge!(meter::DOCUMENT_PENDING).set(if is_pending { 1.0 } else { 0.0 });
--- a/crates/engine/src/document_index.rs
+++ b/crates/engine/src/document_index.rs
@@ -7,7 +7,7 @@
 use coord::priority::PriorityLevel;
 use coord::quota::TeamLimit;
 
-use crate::record::{FleetDocument, RouteRecord, ServiceRecord};
+use crate::record::{DocumentDefect, FleetDocument, RouteRecord, ServiceRecord};
 
 /// Index of the document in force.
 #[derive(Debug, Default)]
@@ -23,10 +23,12 @@
     /// Regions of the teams that are restricted to some.
     team_regions: HashMap<String, Vec<String>>,
     priorities: BTreeSet<PriorityLevel>,
+    /// Fields that could not be decoded.
+    pub defects: Vec<DocumentDefect>,
 }
 
 impl DocumentIndex {
-    pub(crate) fn new(document: FleetDocument) -> Self {
+    pub(crate) fn new(document: FleetDocument, version: u64) -> Self {
         let mut teams_by_key = HashMap::new();
         let mut limits = HashMap::new();
         let mut team_regions = HashMap::new();
@@ -42,7 +44,7 @@
         let routes = document.routes.into_iter();
         let services = document.services.into_iter();
         Self {
-            version: document.version,
+            version,
             transaction_idle_timeout: document.transaction_idle_timeout,
             routes: routes.map(|route| (route.database.clone(), Rc::new(route))).collect(),
             services: services.map(|service| (service.name.clone(), service)).collect(),
@@ -50,6 +52,7 @@
             limits,
             team_regions,
             priorities,
+            defects: document.defects,
         }
     }
 
--- a/crates/engine/src/member_load.rs
+++ b/crates/engine/src/member_load.rs
@@ -5,6 +5,7 @@
 
 use coord::cold_budget::{ColdBudget, ColdLimit, ColdRequest, OwnerView};
 use coord::member_pace::{MemberPace, PaceCause, PaceOutcome, PaceSample, PaceStart, WorkKind};
+use coord::service_time::priority_class;
 use metrics::counter;
 use telemetry::event::LogEvent;
 use telemetry::{log_event, meter};
@@ -41,7 +42,7 @@
 fn duration_class(call: &ExecuteCall) -> u16 {
     let leads = u16::from(call.confirming_answer_index.is_some());
     let begins = u16::from(!call.begin_bytes.is_empty());
-    u16::from(call.priority) << 2 | leads << 1 | begins
+    u16::from(priority_class(call.priority)) << 2 | leads << 1 | begins
 }
 
 /// Returns what the answers to a call say about the load of the endpoint, if anything.
--- a/crates/engine/src/record.rs
+++ b/crates/engine/src/record.rs
@@ -1,5 +1,6 @@
 //! Decoded records of the platform: the document in force, endpoints, instances and the lease.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -99,11 +100,50 @@
     pub permitted_regions: Vec<String>,
 }
 
+/// What becomes of a field of a document that cannot be decoded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DefectEffect {
+    /// The field has its strictest value, or its default if none is stricter.
+    Replaced,
+    /// The items of the list that cannot be decoded are left out.
+    ItemsLeftOut,
+    /// The entry with the field is left out.
+    EntryLeftOut,
+}
+
+impl DefectEffect {
+    /// Returns the label of the effect for logs and the status.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Replaced => "replaced",
+            Self::ItemsLeftOut => "items left out",
+            Self::EntryLeftOut => "entry left out",
+        }
+    }
+}
+
+/// Field of a document that cannot be decoded; the rest of the document comes into force without it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DocumentDefect {
+    /// Kind and name of the entry with the field.
+    pub entry: String,
+    /// Name of the field.
+    pub field: &'static str,
+    /// What becomes of the field.
+    pub effect: DefectEffect,
+}
+
+impl fmt::Display for DocumentDefect {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:?}: {}, {}", self.entry, self.field, self.effect.label())
+    }
+}
+
 /// Document of an environment: its routes, services and teams.
 #[derive(Clone, Debug, Default)]
 pub struct FleetDocument {
-    /// Version; every change increases it.
-    pub version: u64,
+    /// Version, which every change increases; `None` if it cannot be decoded.
+    pub version: Option<u64>,
     /// Routes.
     pub routes: Vec<RouteRecord>,
     /// Services.
@@ -112,6 +152,8 @@
     pub teams: Vec<TeamRecord>,
     /// Time after which an idle open transaction is rolled back; `None` for no limit.
     pub transaction_idle_timeout: Option<Duration>,
+    /// Fields that cannot be decoded.
+    pub defects: Vec<DocumentDefect>,
 }
 
 /// Registered endpoint.
--- a/crates/engine/src/row_changes.rs
+++ b/crates/engine/src/row_changes.rs
@@ -12,6 +12,8 @@
 /// Part of the bound on documents for which a document with a lower number must not be replaced after
 /// the return of the store until it comes into force.
 const DOCUMENT_SETTLE_FRACTION: f64 = 0.3;
+/// Number of defects of a document that are logged.
+const MAX_LOGGED_DEFECTS: usize = 20;
 
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Brings a document into force that the store has had for a while since its return.
@@ -45,6 +47,17 @@
             document.team_count(),
             version.row
         );
+        for defect in document.defects.iter().take(MAX_LOGGED_DEFECTS) {
+            log_event!(
+                LogEvent::DocumentDefective,
+                "version={} entry={:?} field={} effect={:?} defects={}",
+                document.version,
+                defect.entry,
+                defect.field,
+                defect.effect.label(),
+                document.defects.len()
+            );
+        }
     }
 
     /// Applies a changed row of a watched table to the directory.
@@ -52,7 +65,8 @@
         let now = self.now();
         match change {
             RowChange::Document(document) => {
-                let version = DocumentVersion { row: row.version, number: document.version };
+                let number = document.version.unwrap_or_default();
+                let version = DocumentVersion { row: row.version, number };
                 let step = self.directory.borrow_mut().offer_document(document, row, now);
                 match step {
                     DocumentStep::Adopt => self.record_document_in_force(),
--- a/crates/engine/src/status.rs
+++ b/crates/engine/src/status.rs
@@ -9,6 +9,9 @@
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::pool::EndpointPool;
 
+/// Number of the document's defects in the status.
+const MAX_LISTED_DEFECTS: usize = 20;
+
 /// Status of an instance.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct InstanceStatus {
@@ -20,6 +23,9 @@
     pub is_ready: bool,
     /// Version of the document in force; zero before the first one.
     pub document_version: u64,
+    /// First fields of the document that cannot be decoded, with what became of them.
+    #[serde(default)]
+    pub document_defects: Vec<String>,
     /// Another instance has a newer document, which must have been in force here by now.
     pub is_document_outdated: bool,
     /// The instance falls behind its own work.
@@ -120,11 +126,14 @@
         let mut endpoints: Vec<EndpointStatus> =
             pools.values().map(|pool| endpoint_status(pool)).collect();
         endpoints.sort_by(|left, right| left.endpoint.cmp(&right.endpoint));
+        let document = directory.document();
+        let defects = document.defects.iter().take(MAX_LISTED_DEFECTS);
         InstanceStatus {
             instance: self.name().to_owned(),
             zone: self.settings.record.zone.clone(),
             is_ready: self.is_ready(),
-            document_version: directory.document().version,
+            document_version: document.version,
+            document_defects: defects.map(ToString::to_string).collect(),
             is_document_outdated: self.is_document_outdated(),
             is_congested: self.is_congested(),
             live_instances,
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -84,6 +84,8 @@
     HistoryExpired = 1120, Info, "history_expired";
     /// The document in force stays, although the store came back with another one.
     DocumentKept = 1121, Warn, "document_kept";
+    /// A field of the document that came into force cannot be decoded.
+    DocumentDefective = 1122, Error, "document_defective";
     /// A caller's connection opened.
     SessionOpened = 2001, Debug, "session_opened";
     /// A caller's connection closed.
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -87,6 +87,8 @@
 pub const EXPIRED_READS: &str = "hibiscus_expired_reads_total";
 /// One if the store has a document with a lower number than the one in force, which may come into force.
 pub const DOCUMENT_PENDING: &str = "hibiscus_document_pending";
+/// Fields of the document in force that cannot be decoded.
+pub const DOCUMENT_DEFECTS: &str = "hibiscus_document_defects";
 /// Newest history of the store that is known.
 pub const STORE_HISTORY: &str = "hibiscus_store_history";
 /// Changes of the store's history that were noticed.
