Promote no member below the commits that are known to be acknowledged

A replica that reached the primary but not the store had confirmed them.

Cause: who may have confirmed a commit was taken from the present list of members, and nothing compared the candidate with what had been acknowledged. Ruled out: a wrong count of the listed members. Remembering members for longer alone does not help instances that start later.

Change: members whose entry has vanished are remembered, told to instances that start, and probed before a promotion. Instances keep the lowest position of the newest acknowledged commit; replies to commits, other instances and the promotion lease carry it, and no member below it is promoted (HB5010).

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod answer_order;
 pub mod cold_budget;
+pub mod commit_gate;
 pub mod congestion;
 pub mod connection_reuse;
 pub mod connection_setup;
--- a/crates/coord/src/promotion.rs
+++ b/crates/coord/src/promotion.rs
@@ -11,6 +11,7 @@
 
 use state::position::LogPosition;
 
+use crate::commit_gate::{CommitGate, RequiredCommits};
 use crate::evacuation::ZonePhase;
 use crate::replica_hold::{HoldAnswer, LastingHolds};
 
@@ -87,6 +88,8 @@
     Probe,
     /// Promote the member with this index.
     Promote(usize, PromotionCause),
+    /// Do not promote the member with this index, which may lack commits.
+    Withhold(usize),
 }
 
 /// Promotion state machine of one service, run by the holder of the promotion lease.
@@ -107,6 +110,9 @@
     /// Earlier promotions without an answer are certainly refused from now on.
     is_superseded: bool,
     lasting_holds: LastingHolds,
+    gate: CommitGate,
+    /// The last decision was to withhold a promotion.
+    is_withheld: bool,
     /// Time of the last round of probes that looked for held replicas.
     inspected_at: Option<Instant>,
 }
@@ -260,6 +266,30 @@
         PromotionDecision::Promote(chosen, cause)
     }
 
+    /// Withholds the promotion of a member that may lack what the service has committed.
+    pub fn check_commits(
+        &mut self,
+        decision: PromotionDecision,
+        members: &[MemberObservation<'_>],
+        required: RequiredCommits,
+        now: Instant,
+    ) -> PromotionDecision {
+        let PromotionDecision::Promote(index, _) = decision else {
+            return decision;
+        };
+        let received = members[index].report.map(|report| report.received).unwrap_or_default();
+        match self.gate.admits(received, required, now) {
+            true => decision,
+            false => PromotionDecision::Withhold(index),
+        }
+    }
+
+    /// Records a decision; returns whether it is the first of several to withhold a promotion.
+    pub fn record_decision(&mut self, decision: PromotionDecision) -> bool {
+        let is_withheld = matches!(decision, PromotionDecision::Withhold(_));
+        !std::mem::replace(&mut self.is_withheld, is_withheld) && is_withheld
+    }
+
     /// Returns whether a candidate has received what an evacuated leader had received.
     fn has_caught_up(
         &self,
--- a/crates/coord/src/session.rs
+++ b/crates/coord/src/session.rs
@@ -121,6 +121,8 @@
     pub commits: bool,
     /// The statement writes data.
     pub writes: bool,
+    /// The statement's success means that written data is committed.
+    pub commits_data: bool,
     /// A replica may execute the statement.
     pub read_only: bool,
     /// Arrival time of the first byte of the statement, or of the `BEGIN` of its transaction.
@@ -174,6 +176,8 @@
     setup_version: u32,
     /// Setup statements that the connection of the open transaction has not executed yet.
     pending_setup: Vec<String>,
+    /// The open transaction has written data.
+    has_written: bool,
     last_commit: Option<LogPosition>,
 }
 
@@ -184,6 +188,7 @@
             setup: Vec::new(),
             setup_version: 0,
             pending_setup: Vec::new(),
+            has_written: false,
             last_commit: None,
         }
     }
@@ -292,6 +297,7 @@
         if plan.changes_data() && (plan.commits && !plan.read_only || plan.writes) {
             self.last_commit = self.last_commit.max(position);
         }
+        self.has_written |= plan.writes && !plan.is_autocommit();
         if plan.commits {
             self.end_transaction();
         } else if plan.opens_transaction {
@@ -333,12 +339,14 @@
         began_at: Instant,
     ) -> StatementAction {
         let commits = *class == StatementClass::Commit;
+        let commits_data = self.has_written;
         let plan = |opens, read_only, began_at| {
             StatementAction::Forward(ForwardPlan {
                 opens_transaction: opens,
                 pinned: !opens,
                 commits: true,
                 writes: false,
+                commits_data,
                 read_only,
                 began_at,
             })
@@ -375,6 +383,7 @@
                 pinned,
                 commits,
                 writes,
+                commits_data: writes && !opens && !pinned,
                 read_only,
                 began_at,
             })
@@ -401,6 +410,7 @@
 
     fn end_transaction(&mut self) {
         self.pending_setup.clear();
+        self.has_written = false;
         self.phase = TransactionPhase::Idle;
     }
 
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -149,6 +149,7 @@
             count: batch.count,
             confirming_answer_index: batch.confirming_answer_index,
             retryable: batch.retryable,
+            commits_data: context.plan.commits_data,
         }
     }
 
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use coord::commit_gate::lowest_position;
 use coord::connection_reuse::kept_connections;
 use coord::endpoint_health::TeamConnections;
 use coord::evacuation::{WorkKind, ZonePhase};
@@ -161,6 +162,10 @@
             queue_wait_ms: millis(queue_wait),
             wait_floor_ms: Some((call.priority, millis(floor.in_time), millis(floor.late))),
             watermark: newest.map(with_age),
+            acknowledged: call
+                .commits_data
+                .then(|| directory.acknowledged(&pool.service))
+                .flatten(),
             sample: Some(sample),
         }
     }
@@ -281,6 +286,7 @@
             return not_sent(NotSentReason::Evacuated, Duration::ZERO);
         }
         let sent_at = self.now();
+        let known_position = self.directory.borrow().newest_position(&pool.service);
         if !call.pinned && sent_at >= deadline {
             // The instance was suspended while the call waited.
             self.recycle_unsent(pool, call, connection);
@@ -318,8 +324,13 @@
         drop(permit);
         pool.last_answer_at.set(Some(self.now()));
         self.record_answers(pool, call, &answers, sent_at);
-        let state = answers.last().map_or(TransactionState::Failed, |answer| answer.state);
         let has_failed = answers.iter().any(|answer| answer.error.is_some());
+        let position = answers.iter().rev().find_map(|answer| answer.position);
+        if let Some(position) = position.filter(|_| call.commits_data && !has_failed) {
+            let lowest = lowest_position(known_position, position);
+            self.directory.borrow_mut().record_commit(&pool.endpoint, position, lowest);
+        }
+        let state = answers.last().map_or(TransactionState::Failed, |answer| answer.state);
         self.recycle_connection(pool, origin, call, connection, state, has_failed);
         ExecuteOutcome::Answered(answers)
     }
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -22,6 +22,7 @@
 use crate::instance::ZoneSettings;
 use crate::message::{KeptDocument, LeavingEndpoint, millis};
 use crate::record::{EndpointRecord, FleetDocument};
+use crate::service_commits::ServiceCommits;
 use crate::tables::StoredRow;
 
 /// Time for which an endpoint still takes work after its registration vanished. An outage of the
@@ -94,6 +95,7 @@
     /// Hash of the service's name.
     pub(crate) name_hash: u64,
     pub(crate) baseline: ServiceBaseline,
+    pub(crate) commits: ServiceCommits,
 }
 
 /// Directory of document, endpoints and leaders, as known to one instance.
@@ -106,6 +108,8 @@
     /// Document that may come into force, with its row.
     pending_document: Option<(FleetDocument, StoredRow)>,
     pub(crate) endpoints: HashMap<String, EndpointEntry>,
+    /// Last registrations of members of services with synchronous replicas, and when they vanished.
+    pub(crate) unlisted: HashMap<String, (EndpointRecord, Instant)>,
     pub(crate) services: HashMap<String, ServiceState>,
     pub(crate) drain_timeout: Duration,
     endpoints_loaded: bool,
@@ -124,6 +128,7 @@
             document_row: None,
             pending_document: None,
             endpoints: HashMap::new(),
+            unlisted: HashMap::new(),
             services: HashMap::new(),
             drain_timeout,
             endpoints_loaded: false,
@@ -156,8 +161,8 @@
         if self.evacuations.is_empty() {
             return ZonePhase::Open;
         }
-        let entry = self.endpoints.get(endpoint);
-        entry.map_or(ZonePhase::Open, |entry| self.evacuations.phase(&entry.record.zone, now))
+        let record = self.known_record(endpoint);
+        record.map_or(ZonePhase::Open, |record| self.evacuations.phase(&record.zone, now))
     }
 
     /// Sets the time after which a leaving endpoint gets no new work.
@@ -235,7 +240,16 @@
 
     fn set_document(&mut self, document: FleetDocument, row: StoredRow) {
         let number = self.document_version().number;
-        self.document = Rc::new(DocumentIndex::new(document, number));
+        let index = Rc::new(DocumentIndex::new(document, number));
+        let previous = std::mem::replace(&mut self.document, index);
+        let is_synchronous = |document: &DocumentIndex, name: &str| {
+            document.service(name).is_some_and(|service| service.synchronous_replicas > 0)
+        };
+        for (name, state) in &mut self.services {
+            if is_synchronous(&previous, name) && !is_synchronous(&self.document, name) {
+                state.commits.clear_acknowledged();
+            }
+        }
         self.document_row = Some(row);
         self.pending_document = None;
     }
@@ -319,6 +333,7 @@
             row,
             record,
         };
+        self.unlisted.remove(&entry.record.name);
         self.endpoints.insert(entry.record.name.clone(), entry);
         is_changed
     }
@@ -376,11 +391,14 @@
         let expired = self.endpoints.iter().filter(|(_, entry)| is_expired(entry));
         let names: Vec<String> = expired.map(|(name, _)| name.clone()).collect();
         for name in &names {
-            self.endpoints.remove(name);
+            if let Some(entry) = self.endpoints.remove(name) {
+                self.retire(entry.record, entry.unregistered_at.unwrap_or(now));
+            }
             for service in self.services.values_mut() {
                 service.members.retain(|member| member != name);
             }
         }
+        self.forget_unlisted(now);
         names
     }
 
@@ -419,7 +437,9 @@
         };
         entry.view.not_leader_at = None;
         let service = entry.record.service.clone();
-        self.services.entry(service.clone()).or_default().watermarks.record(watermark);
+        let state = self.services.entry(service.clone()).or_default();
+        state.watermarks.record(watermark);
+        state.commits.record_newest(watermark.position);
         self.record_leader(&service, endpoint, watermark.position.term)
     }
 
@@ -451,7 +471,9 @@
 
     /// Records a watermark received from another instance.
     pub fn record_watermark(&mut self, service: &str, watermark: Watermark) {
-        self.services.entry(service.to_owned()).or_default().watermarks.record(watermark);
+        let state = self.services.entry(service.to_owned()).or_default();
+        state.watermarks.record(watermark);
+        state.commits.record_newest(watermark.position);
     }
 
     /// Returns the watermarks of a service.
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -264,6 +264,9 @@
                 ExecuteOutcome::NotSent { .. } | ExecuteOutcome::AnswerLost => {}
             }
         });
+        if let Some(position) = reply.acknowledged {
+            directory.record_acknowledged_by(endpoint, position);
+        }
         if let ExecuteOutcome::Answered(answers) = &reply.outcome
             && let Some(position) = answers.iter().rev().find_map(|answer| answer.position)
         {
--- a/crates/engine/src/endpoint_probe.rs
+++ b/crates/engine/src/endpoint_probe.rs
@@ -63,8 +63,8 @@
         }
         let (service, address) = {
             let directory = self.directory.borrow();
-            let entry = directory.endpoint(endpoint)?;
-            (entry.record.service.clone(), entry.record.address)
+            let record = directory.known_record(endpoint)?;
+            (record.service.clone(), record.address)
         };
         let probe = async {
             let mut startup = Vec::new();
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -46,6 +46,8 @@
 const INDIRECT_PROBE_TIMEOUT: Duration = Duration::from_millis(450);
 /// Maximum number of instances asked for an indirect probe of a leader.
 const MAX_INDIRECT_PROBES: usize = 2;
+/// Maximum number of instances asked for the position of an acknowledged commit.
+const MAX_ASKED_PEERS: usize = 16;
 /// Maximum probes of a promoted member until it confirms that it is the leader; after that, the
 /// other instances discover it by their own statements.
 const MAX_PROMOTION_PROBES: usize = 12;
@@ -189,6 +191,9 @@
             }
         };
         let mut current = snapshot.lease.unwrap_or_default();
+        for (service, position) in &current.acknowledged {
+            self.directory.borrow_mut().record_acknowledged(service, *position);
+        }
         if let Some(row) = &snapshot.refused {
             self.refused_rows.borrow_mut().record("lease", row);
             // The last token is not known, but is lower than this one.
@@ -248,6 +253,7 @@
             incarnation: self.settings.record.incarnation,
             token,
             ends_ms: store_now_ms + millis(LEASE_TTL),
+            acknowledged: self.directory.borrow().lease_positions(),
         };
         match self.platform.write_lease(version, &lease).await {
             Ok(LeaseWrite::Written { version: written, .. })
@@ -318,7 +324,9 @@
         let now = self.now();
         let directory = self.directory.borrow();
         let members = directory.members(service);
-        if members.iter().all(|name| directory.zone_phase(name, now).is_evacuated()) {
+        if members.iter().all(|name| directory.zone_phase(name, now).is_evacuated())
+            && directory.unlisted_members(service).is_empty()
+        {
             // No member may be promoted.
             return false;
         }
@@ -344,13 +352,14 @@
         machine: &RefCell<PromotionMachine>,
         held: &RefCell<HeldLease>,
     ) {
-        let (leader, members, synchronous) = {
+        let (leader, mut members, unlisted, synchronous) = {
             let directory = self.directory.borrow();
             let document = directory.document();
             let synchronous =
                 document.service(service).map_or(0, |service| service.synchronous_replicas);
             let leader = directory.leader(service, self.now());
-            (leader, directory.members(service).to_vec(), synchronous)
+            let unlisted = directory.unlisted_members(service);
+            (leader, directory.members(service).to_vec(), unlisted, synchronous)
         };
         let probed_indirectly = async {
             match &leader {
@@ -360,8 +369,18 @@
                 None => false,
             }
         };
-        let (reports, probed_indirectly) =
-            tokio::join!(self.probe_members(&members), probed_indirectly);
+        let (mut reports, unlisted_reports, probed_indirectly) = tokio::join!(
+            self.probe_members(&members),
+            self.probe_members(&unlisted),
+            probed_indirectly
+        );
+        // A replica that is not registered but answers may have confirmed commits that no other has.
+        for (name, report) in unlisted.into_iter().zip(unlisted_reports) {
+            if report.is_some() {
+                members.push(name);
+                reports.push(report);
+            }
+        }
         let now = self.now();
         let leading = self.record_reports(&members, &reports);
         let leader = leading.or(leader);
@@ -369,25 +388,10 @@
             leader.as_ref().and_then(|name| members.iter().position(|other| other == name));
         let leader_answered = leader_index.is_some_and(|index| reports[index].is_some());
         machine.borrow_mut().record_probe_round(leader_answered || probed_indirectly, now);
-        let decision = {
-            let directory = self.directory.borrow();
-            let observation = |(name, report): (&String, &Option<MemberReport>)| {
-                let active = directory.endpoint(name).is_some_and(|entry| entry.is_active());
-                (name.clone(), active, directory.zone_phase(name, now), *report)
-            };
-            let observations: Vec<_> = members.iter().zip(&reports).map(observation).collect();
-            let borrowed: Vec<MemberObservation<'_>> = observations
-                .iter()
-                .map(|(name, active, zone, report)| MemberObservation {
-                    name,
-                    is_active: *active,
-                    zone: *zone,
-                    report: *report,
-                })
-                .collect();
-            machine.borrow_mut().record_candidates(leader_index, &borrowed);
-            machine.borrow().decide(leader_index, &borrowed, synchronous)
-        };
+        let observations = self.observe_members(&members, &reports, now);
+        machine.borrow_mut().record_candidates(leader_index, &observations);
+        let decision = machine.borrow().decide(leader_index, &observations, synchronous);
+        let decision = self.check_commits((service, machine), decision, &observations).await;
         if synchronous > 0 {
             let is_promoting = matches!(decision, PromotionDecision::Promote(..));
             let leading = leader_index.filter(|_| !is_promoting);
@@ -420,6 +424,51 @@
         }
     }
 
+    fn observe_members<'a>(
+        &self,
+        members: &'a [String],
+        reports: &[Option<MemberReport>],
+        now: Instant,
+    ) -> Vec<MemberObservation<'a>> {
+        let directory = self.directory.borrow();
+        let observation = |(name, report): (&'a String, &Option<MemberReport>)| MemberObservation {
+            name,
+            is_active: directory.endpoint(name).is_some_and(|entry| entry.is_active()),
+            zone: directory.zone_phase(name, now),
+            report: *report,
+        };
+        members.iter().zip(reports).map(observation).collect()
+    }
+
+    /// Withholds a promotion of a member that may lack commits which any instance knows of.
+    async fn check_commits(
+        self: &Rc<Self>,
+        (service, machine): (&str, &RefCell<PromotionMachine>),
+        decision: PromotionDecision,
+        observations: &[MemberObservation<'_>],
+    ) -> PromotionDecision {
+        if let PromotionDecision::Promote(index, _) = decision {
+            let term = observations[index].report.map_or(0, |report| report.received.term);
+            let (is_synchronous, newest_term) = {
+                let directory = self.directory.borrow();
+                (directory.is_synchronous(service), directory.newest_term(service))
+            };
+            if is_synchronous || term < newest_term {
+                self.gather_acknowledged(service).await;
+            }
+        }
+        let required = self.directory.borrow().required_commits(service);
+        let mut machine = machine.borrow_mut();
+        let decision = machine.check_commits(decision, observations, required, self.now());
+        if machine.record_decision(decision) {
+            log_event!(
+                LogEvent::PromotionWithheld,
+                "service={service} required={required:?} members={observations:?}"
+            );
+        }
+        decision
+    }
+
     /// Asks the members that this instance owns connections of whether they lead, while the leader
     /// of their service is in a closed zone.
     ///
@@ -467,11 +516,36 @@
         });
         let (term, name) = leading.max()?;
         let mut directory = self.directory.borrow_mut();
-        let service = directory.endpoint(name)?.record.service.clone();
+        let service = directory.known_record(name)?.service.clone();
         directory.record_leader(&service, name, term);
         Some(name.clone())
     }
 
+    /// Asks other instances for the position of an acknowledged commit of a service, those first that
+    /// own connections of its members.
+    async fn gather_acknowledged(self: &Rc<Self>, service: &str) {
+        let mut names: Vec<String> = Vec::new();
+        let members = self.directory.borrow().members(service).to_vec();
+        let owners = members.iter().flat_map(|name| self.connection_owners(name).to_vec());
+        let live: Vec<String> = {
+            let membership = self.peers.membership.borrow();
+            let records = membership.live_peers().filter_map(|key| membership.record(key));
+            records.map(|record| record.name.clone()).collect()
+        };
+        for name in owners.chain(live) {
+            if name != self.name() && !names.contains(&name) && names.len() < MAX_ASKED_PEERS {
+                names.push(name);
+            }
+        }
+        let links: Vec<_> = names.iter().filter_map(|name| self.open_link(name)).collect();
+        let answers =
+            links.iter().map(|link| link.find_acknowledged(service, INDIRECT_PROBE_TIMEOUT));
+        let positions = join_all(answers).await;
+        let mut directory = self.directory.borrow_mut();
+        let known = positions.into_iter().flatten();
+        known.for_each(|position| directory.record_acknowledged(service, position));
+    }
+
     async fn probe_members(&self, members: &[String]) -> Vec<Option<MemberReport>> {
         join_all(members.iter().map(|member| self.probe_member(member))).await
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -45,6 +45,7 @@
 mod replica_hold;
 pub mod replication;
 mod row_changes;
+mod service_commits;
 mod service_load;
 pub mod statement;
 pub mod status;
--- a/crates/engine/src/link_upkeep.rs
+++ b/crates/engine/src/link_upkeep.rs
@@ -311,6 +311,10 @@
                     directory.record_leaving(leaving, now);
                 }
             }
+            PeerReply::Unlisted(endpoints) => {
+                let (mut directory, now) = (self.directory.borrow_mut(), self.now());
+                endpoints.into_iter().for_each(|unlisted| directory.add_unlisted(unlisted, now));
+            }
             PeerReply::View(update) => self.receive_view(link, *update),
             PeerReply::Change { table, change } => self.receive_change(link, table, change),
             PeerReply::Offer { table, version } => self.receive_offer(link, table, version),
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -15,7 +15,7 @@
 
 use crate::frame::{FrameLane, MAX_MESSAGE_BYTES};
 use crate::interface::{RefusalCode, WatchedTable};
-use crate::record::InstanceRecord;
+use crate::record::{EndpointRecord, InstanceRecord};
 use crate::table_change::PackedChange;
 use crate::tables::StoredRow;
 
@@ -86,6 +86,8 @@
     pub confirming_answer_index: Option<u8>,
     /// The statements may be retried elsewhere if no answer arrives.
     pub retryable: bool,
+    /// Success means that written data is committed.
+    pub commits_data: bool,
 }
 
 /// Answer to one statement.
@@ -179,6 +181,8 @@
     /// Newest watermark of the service: a log position confirmed by its leader, and the age of the
     /// confirmation in milliseconds, rounded up.
     pub watermark: Option<(LogPosition, u32)>,
+    /// Lowest position of the service's newest acknowledged commit, if the call committed data.
+    pub acknowledged: Option<LogPosition>,
     /// Speed and failures of the endpoint, if the deployment's load is uneven.
     pub sample: Option<EndpointSample>,
 }
@@ -186,7 +190,14 @@
 impl ExecuteReply {
     /// Returns the reply for a call that no connection owner replied to.
     pub fn without_owner(outcome: ExecuteOutcome) -> Self {
-        Self { outcome, queue_wait_ms: 0, wait_floor_ms: None, watermark: None, sample: None }
+        Self {
+            outcome,
+            queue_wait_ms: 0,
+            wait_floor_ms: None,
+            watermark: None,
+            acknowledged: None,
+            sample: None,
+        }
     }
 }
 
@@ -230,14 +241,18 @@
     pub document_version: DocumentVersion,
     /// Known leaders: service, endpoint, term.
     pub leaders: Vec<(String, String, u64)>,
+    /// Positions of acknowledged commits of the services with synchronous replicas.
+    pub acknowledged: Vec<(String, LogPosition)>,
 }
 
 impl FleetHeads {
-    /// Returns the versions with only those leaders that differ from `previous`.
+    /// Returns the versions with only those leaders and positions that differ from `previous`.
     pub fn changes_since(&self, previous: &Self) -> Self {
         let is_new = |leader: &&(String, String, u64)| !previous.leaders.contains(leader);
         let leaders = self.leaders.iter().filter(is_new).cloned().collect();
-        Self { leaders, ..*self }
+        let is_new = |known: &&(String, LogPosition)| !previous.acknowledged.contains(known);
+        let acknowledged = self.acknowledged.iter().filter(is_new).cloned().collect();
+        Self { leaders, acknowledged, ..*self }
     }
 }
 
@@ -351,6 +366,13 @@
         /// Endpoint.
         endpoint: String,
     },
+    /// Requests the position of an acknowledged commit of a service.
+    FindAcknowledged {
+        /// Identifier of the call, repeated in the answer.
+        call_id: u32,
+        /// Service.
+        service: String,
+    },
     /// Pushes a small change of a table, to be passed on to the receiver's subscribers.
     Change {
         /// Table.
@@ -432,6 +454,13 @@
         /// The endpoint answered the probe.
         reached: bool,
     },
+    /// Answer to [`PeerRequest::FindAcknowledged`].
+    Acknowledged {
+        /// Identifier of the call.
+        call_id: u32,
+        /// Position, if any is known.
+        position: Option<LogPosition>,
+    },
     /// Answer to [`PeerRequest::Fetch`].
     Part {
         /// Identifier of the call.
@@ -448,6 +477,18 @@
     },
     /// Endpoints that are leaving, after an answer to [`PeerRequest::Ping`]; not sent without any.
     Leaving(Vec<LeavingEndpoint>),
+    /// Replicas whose registration has vanished, after the first view; not sent without any.
+    Unlisted(Vec<UnlistedEndpoint>),
+}
+
+/// Endpoint of a service with synchronous replicas whose registration has vanished, and which may
+/// still confirm commits.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UnlistedEndpoint {
+    /// Last registration.
+    pub record: EndpointRecord,
+    /// Time since the registration vanished, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// Document in force on an instance, with the row that it was read from.
@@ -521,7 +562,7 @@
             Self::Execute { .. } => "execute",
             Self::Release { .. } => "release",
             Self::Admit { .. } | Self::ReturnToken { .. } => "admit",
-            Self::Probe { .. } => "probe",
+            Self::Probe { .. } | Self::FindAcknowledged { .. } => "probe",
             Self::Change { .. } => "change",
             Self::Offer { .. } => "offer",
             Self::Fetch { .. } | Self::FetchDocument { .. } => "fetch",
@@ -546,9 +587,9 @@
             Self::Offer { .. } => "offer",
             Self::Execute { .. } => "execute_reply",
             Self::Admit { .. } => "admit_reply",
-            Self::Probe { .. } => "probe_reply",
+            Self::Probe { .. } | Self::Acknowledged { .. } => "probe_reply",
             Self::Part { .. } | Self::Document { .. } => "part",
-            Self::Leaving(_) => "leaving",
+            Self::Leaving(_) | Self::Unlisted(_) => "leaving",
         }
     }
 }
--- a/crates/engine/src/peer_link.rs
+++ b/crates/engine/src/peer_link.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use coord::membership::{InstanceKey, InstanceRecord};
+use state::position::LogPosition;
 use state::store_version::{DocumentVersion, StoreVersion};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
@@ -39,6 +40,7 @@
     pub(crate) execute: ReplySenders<ExecuteReply>,
     pub(crate) admission: ReplySenders<AdmissionDecision>,
     pub(crate) probe: ReplySenders<bool>,
+    pub(crate) acknowledged: ReplySenders<Option<LogPosition>>,
     pub(crate) document: ReplySenders<Option<Box<KeptDocument>>>,
     pub(crate) part: ReplySenders<TransferPart>,
 }
@@ -151,6 +153,7 @@
         !pending.execute.is_empty()
             || !pending.admission.is_empty()
             || !pending.probe.is_empty()
+            || !pending.acknowledged.is_empty()
             || !pending.document.is_empty()
             || !pending.part.is_empty()
     }
@@ -226,6 +229,19 @@
         self.send_call(|pending| &mut pending.probe, answer_timeout, request).await
     }
 
+    /// Asks for the position of an acknowledged commit of a service.
+    ///
+    /// Returns `None` without an answer within `answer_timeout`, or if the peer knows none.
+    pub async fn find_acknowledged(
+        &self,
+        service: &str,
+        answer_timeout: Duration,
+    ) -> Option<LogPosition> {
+        let request =
+            |call_id| PeerRequest::FindAcknowledged { call_id, service: service.to_owned() };
+        self.send_call(|pending| &mut pending.acknowledged, answer_timeout, request).await?
+    }
+
     /// Requests the document that the peer has in force.
     ///
     /// Returns `None` without an answer within `answer_timeout`, or if the peer has none.
@@ -303,9 +319,13 @@
             PeerReply::Probe { call_id, reached } => {
                 deliver(&mut pending.probe, call_id, reached);
             }
+            PeerReply::Acknowledged { call_id, position } => {
+                deliver(&mut pending.acknowledged, call_id, position);
+            }
             PeerReply::Part { call_id, part } => deliver(&mut pending.part, call_id, part),
             PeerReply::Pong { .. }
             | PeerReply::Leaving(_)
+            | PeerReply::Unlisted(_)
             | PeerReply::View(_)
             | PeerReply::Change { .. }
             | PeerReply::Offer { .. } => {}
--- a/crates/engine/src/peer_server.rs
+++ b/crates/engine/src/peer_server.rs
@@ -200,6 +200,10 @@
                     output.push(&PeerReply::Probe { call_id, reached });
                 });
             }
+            PeerRequest::FindAcknowledged { call_id, service } => {
+                let position = self.directory.borrow().acknowledged(&service);
+                output.push(&PeerReply::Acknowledged { call_id, position });
+            }
             PeerRequest::Change { table, change } => self.relay_change(table, change),
             PeerRequest::Offer { table, version } => {
                 self.receive_relayed_offer(connection, table, version);
--- a/crates/engine/src/record.rs
+++ b/crates/engine/src/record.rs
@@ -9,6 +9,7 @@
 use coord::quota::TeamLimit;
 use coord::service_time::ServiceClass;
 use serde::{Deserialize, Serialize};
+use state::position::LogPosition;
 
 /// Read consistency of a route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -157,7 +158,7 @@
 }
 
 /// Registered endpoint.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EndpointRecord {
     /// Name of the endpoint's process; a new process usually has a new name.
     pub name: String,
@@ -206,4 +207,8 @@
     pub token: u64,
     /// Time at which the lease expires by the store's clock, in milliseconds.
     pub ends_ms: u64,
+    /// Positions of acknowledged commits of the services with synchronous replicas, for a holder that
+    /// no other instance can tell them.
+    #[serde(default)]
+    pub acknowledged: Vec<(String, LogPosition)>,
 }
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -6,6 +6,7 @@
 use bytes::BytesMut;
 use coord::membership::{InstanceKey, MemberStatus, ViewScope};
 use slotmap::new_key_type;
+use state::position::LogPosition;
 use state::store_version::{DocumentVersion, StoreVersion};
 use telemetry::event::LogEvent;
 use telemetry::log_event;
@@ -24,6 +25,9 @@
 const SUBSCRIPTION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest interval between two published updates; changes in between are published together.
 const PUBLICATION_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest interval between two publications of the positions of acknowledged commits, which every
+/// commit changes.
+const POSITION_INTERVAL: Duration = Duration::from_secs(1);
 /// Size up to which changes of a table are pushed to all subscribers; larger ones are fetched.
 pub(crate) const MAX_PUSHED_BYTES: usize = 4 << 10;
 
@@ -49,6 +53,9 @@
 pub(crate) struct SubscriptionFeed {
     heads: FleetHeads,
     reported: InstanceReport,
+    /// Positions of acknowledged commits to publish, and since when.
+    acknowledged: Vec<(String, LogPosition)>,
+    acknowledged_at: Option<Instant>,
 }
 
 impl<E: EngineTypes> GatewayInstance<E> {
@@ -73,6 +80,17 @@
             table_versions: self.tables.borrow().versions(),
             document_version: self.directory.borrow().document_version(),
             leaders: self.directory.borrow().leaders(),
+            acknowledged: self.peers.feed.borrow().acknowledged.clone(),
+        }
+    }
+
+    /// Updates the positions of acknowledged commits that are published.
+    fn refresh_acknowledged(&self) {
+        let (now, mut feed) = (self.now(), self.peers.feed.borrow_mut());
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < POSITION_INTERVAL;
+        if !feed.acknowledged_at.is_some_and(is_recent) {
+            feed.acknowledged = self.directory.borrow().acknowledged_positions();
+            feed.acknowledged_at = Some(now);
         }
     }
 
@@ -159,6 +177,7 @@
             // A change that was notified in the meantime ends the wait at once.
             let wait = self.peers.changed.notified();
             let _ = timeout(Duration::from_secs(1), wait).await;
+            self.refresh_acknowledged();
             self.publish_views();
             self.send_reports();
             sleep(PUBLICATION_INTERVAL).await;
@@ -233,6 +252,10 @@
         let entries = self.peers.membership.borrow_mut().snapshot(scope);
         let update = ViewUpdate { is_full: true, entries, heads: Some(self.heads()) };
         connection.output.push(&PeerReply::View(Box::new(update)));
+        let unlisted = self.directory.borrow().unlisted_endpoints(now);
+        if !unlisted.is_empty() {
+            connection.output.push(&PeerReply::Unlisted(unlisted));
+        }
     }
 
     /// Ends the subscription of a connection, if it has one.
@@ -263,7 +286,7 @@
                 table.record_status(key, report.sequence, &report.status);
             }
         });
-        self.record_leaders(&report.heads);
+        self.record_heads(&report.heads);
     }
 
     /// Merges a view that an observer published.
@@ -281,15 +304,18 @@
         if let Some(heads) = update.heads {
             link.table_versions.set(heads.table_versions);
             link.document_version.set(heads.document_version);
-            self.record_leaders(&heads);
+            self.record_heads(&heads);
             if !self.directory.borrow().is_loaded() {
                 self.peers.table_offers.iter().for_each(|offers| offers.announced.notify_one());
             }
         }
     }
 
-    fn record_leaders(&self, heads: &FleetHeads) {
+    fn record_heads(&self, heads: &FleetHeads) {
         let mut directory = self.directory.borrow_mut();
+        for (service, position) in &heads.acknowledged {
+            directory.record_acknowledged(service, *position);
+        }
         for (service, endpoint, term) in &heads.leaders {
             if directory.record_leader(service, endpoint, *term) {
                 self.peers.changed.notify_one();
--- a/crates/engine/tests/peer_messages.rs
+++ b/crates/engine/tests/peer_messages.rs
@@ -9,6 +9,7 @@
 };
 use engine::table_change::{DeltaContent, PackedChange, RowDelta, TableChange};
 use quickcheck::quickcheck;
+use state::position::LogPosition;
 use state::store_version::{DocumentVersion, StoreVersion};
 
 fn record() -> InstanceRecord {
@@ -28,6 +29,7 @@
         table_versions: [document, endpoints],
         document_version: DocumentVersion { row: StoreVersion::new(1, 2), number: 2 },
         leaders: vec![leader],
+        acknowledged: vec![("bookings".to_owned(), LogPosition::new(3, 70))],
     }
 }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -184,6 +184,8 @@
     ReplicationChanged = 5008, Info, "replication_changed";
     /// A replica refused to be held or resumed, or reports a hold that a resume did not end.
     ReplicationRefused = 5009, Warn, "replication_refused";
+    /// No member is promoted, as those that answer may lack commits of the service.
+    PromotionWithheld = 5010, Warn, "promotion_withheld";
     /// The instance started to drain.
     DrainStarted = 6001, Info, "drain_started";
     /// The instance has drained or reached its drain deadline.
