Keep the team of a connection where its session is opened

Cause: a pinned connection went back to its pool under the team of the last call, and that team was looked up anew for each statement. Ruled out: a mix-up in the pools, which compare teams by name.

Change: a connection keeps the team of its STARTUP. An open transaction goes on under the route and team with which it was pinned, and is refused (ABORTED) once its key belongs to another team; a refused commit ends it. The owner sends no statement of another team on a pinned connection.

Conclusion: the types no longer allow the mix-up.

--- a/crates/engine/src/caller.rs
+++ b/crates/engine/src/caller.rs
@@ -66,6 +66,8 @@
     machine: SessionMachine,
     session_id: SessionId,
     pinned: Option<PinnedTransaction>,
+    /// Route and team under which the pinned transaction began.
+    pinned_route: Option<AuthorizedRoute>,
     progress: Rc<SessionProgress>,
     /// Time at which the current statement arrived.
     arrived_at: Instant,
@@ -73,6 +75,7 @@
 }
 
 /// Route that the caller may use, and the caller's team.
+#[derive(Clone)]
 struct AuthorizedRoute {
     route: Rc<RouteRecord>,
     team: Rc<str>,
@@ -142,6 +145,7 @@
         key: None,
         machine: SessionMachine::default(),
         pinned: None,
+        pinned_route: None,
     };
     if session.open().await.is_some() {
         session.serve().await;
@@ -340,6 +344,10 @@
             Err((code, explanation)) => {
                 self.release_transaction();
                 self.machine.fail_transaction();
+                if *class == StatementClass::Commit {
+                    // A commit ends its transaction, also if it is refused.
+                    let _ = self.machine.handle_statement(class, text, arrived_at);
+                }
                 self.log_refusal(id, code, explanation);
                 E::Codec::encode_error(&mut out, code, explanation);
                 E::Codec::encode_ready(&mut out, self.machine.transaction_state());
@@ -402,7 +410,13 @@
         match result {
             StatementResult::Success { content, position, transaction } => {
                 self.machine.record_success(plan, position);
+                if transaction.is_some() {
+                    self.pinned_route = Some(authorized.clone());
+                }
                 self.pinned = if plan.commits { None } else { transaction.or(self.pinned.take()) };
+                if self.pinned.is_none() {
+                    self.pinned_route = None;
+                }
                 out.extend_from_slice(&content);
             }
             StatementResult::Failure { content, code, explanation } => {
@@ -447,6 +461,17 @@
                 return Err((RefusalCode::Busy, ALONE_EXPLANATION));
             }
         }
+        let authorized = self.authorize_by_document()?;
+        match &self.pinned_route {
+            // A change of the route applies from the next transaction on.
+            Some(pinned) if pinned.team == authorized.team => Ok(pinned.clone()),
+            Some(_) => Err((RefusalCode::Aborted, "the key belongs to another team now")),
+            None => Ok(authorized),
+        }
+    }
+
+    /// Returns route and team by the document in force.
+    fn authorize_by_document(&self) -> Result<AuthorizedRoute, (RefusalCode, &'static str)> {
         let document = self.document();
         let document_version = self.instance.directory.borrow().document_version();
         let Some(route) = document.route(&self.database) else {
@@ -489,6 +514,7 @@
 
     /// Rolls back the open transaction at its endpoint, if there is one.
     fn release_transaction(&mut self) {
+        self.pinned_route = None;
         if let Some(transaction) = self.pinned.take() {
             self.instance.dispatch_release(&transaction.owner, transaction.transaction_id);
         }
--- a/crates/engine/src/connection_acquire.rs
+++ b/crates/engine/src/connection_acquire.rs
@@ -15,7 +15,7 @@
 
 use crate::connection_owner::CLEANUP_TIMEOUT;
 use crate::endpoint_connection::{
-    AnswerKind, CONNECT_TIMEOUT, EndpointConnection, EndpointError, OPEN_TIMEOUT,
+    AnswerKind, CONNECT_TIMEOUT, EndpointConnection, EndpointError, EndpointSession, OPEN_TIMEOUT,
 };
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
@@ -212,10 +212,10 @@
         pool.open_count.set(pool.open_count.get() + 1);
         let started_at = self.now();
         pool.last_attempt_at.set(Some(started_at));
-        let mut startup = Vec::new();
-        E::Codec::encode_startup(&mut startup, &pool.service, &call.team, &pool.endpoint);
+        let session =
+            EndpointSession { service: &pool.service, team: &call.team, endpoint: &pool.endpoint };
         let opened =
-            EndpointConnection::open::<E::Codec>(pool.address, &startup, open_timeout).await;
+            EndpointConnection::open::<E::Codec>(pool.address, session, &[], open_timeout).await;
         let now = self.now();
         match opened {
             Ok(connection) => {
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -245,7 +245,12 @@
         let mut connection = if call.pinned {
             let taken = self.pools.pinned.borrow_mut().remove(&(origin, call.transaction_id));
             match taken {
-                Some(pinned) => pinned.connection,
+                Some(pinned) if pinned.connection.team() == call.team => pinned.connection,
+                Some(pinned) => {
+                    // The key of the caller has moved to another team since the transaction began.
+                    self.roll_back(pinned);
+                    return not_sent(NotSentReason::PinLost, Duration::ZERO);
+                }
                 None => return not_sent(NotSentReason::PinLost, Duration::ZERO),
             }
         } else {
--- a/crates/engine/src/connection_return.rs
+++ b/crates/engine/src/connection_return.rs
@@ -84,8 +84,7 @@
         state: TransactionState,
         has_failed: bool,
     ) {
-        let mut pooled =
-            PooledConnection { pool: pool.clone(), team: call.team.clone(), connection };
+        let mut pooled = PooledConnection { pool: pool.clone(), connection };
         // A failed statement may leave the transaction open at the endpoint, but its session
         // abandons it.
         let key = (origin, call.transaction_id);
@@ -111,7 +110,7 @@
         call: &ExecuteCall,
         connection: EndpointConnection,
     ) {
-        let pooled = PooledConnection { pool: pool.clone(), team: call.team.clone(), connection };
+        let pooled = PooledConnection { pool: pool.clone(), connection };
         if call.pinned {
             self.roll_back(pooled);
         } else {
@@ -121,15 +120,15 @@
 
     /// Returns a connection to its pool.
     fn return_idle(&self, pooled: PooledConnection) {
-        let PooledConnection { pool, team, connection } = pooled;
-        let (idle_since, team_hash) = (self.now(), team_hash(&team));
-        pool.idle.borrow_mut().push(IdleConnection { team, team_hash, connection, idle_since });
+        let PooledConnection { pool, connection } = pooled;
+        let (idle_since, team_hash) = (self.now(), team_hash(connection.team()));
+        pool.idle.borrow_mut().push(IdleConnection { team_hash, connection, idle_since });
         pool.freed.borrow_mut().record(idle_since);
         pool.connection_freed.notify_one();
     }
 
     /// Rolls back on a connection and returns it to its pool, or closes it if that fails.
-    fn roll_back(self: &Rc<Self>, mut pooled: PooledConnection) {
+    pub(crate) fn roll_back(self: &Rc<Self>, mut pooled: PooledConnection) {
         if self.is_closed(&pooled.pool.endpoint) {
             // The endpoint rolls back when the connection closes; no statement may be sent to it.
             pooled.pool.close_connection(pooled.connection);
--- a/crates/engine/src/endpoint_connection.rs
+++ b/crates/engine/src/endpoint_connection.rs
@@ -57,10 +57,23 @@
     Control,
 }
 
+/// Session that is opened on a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointSession<'a> {
+    /// Service of the endpoint.
+    pub service: &'a str,
+    /// Team on whose behalf statements run.
+    pub team: &'a str,
+    /// Name of the endpoint.
+    pub endpoint: &'a str,
+}
+
 /// Open connection to an endpoint. It serves one team for its whole life.
 #[derive(Debug)]
 pub struct EndpointConnection {
     stream: TcpStream,
+    /// Team of the session, as the endpoint knows it.
+    team: Box<str>,
     input: LineBuffer,
     /// Session values and prepared statements that the connection has.
     pub setup: ConnectionSetup,
@@ -69,19 +82,21 @@
 }
 
 impl EndpointConnection {
-    /// Opens a connection and a session on it within `open_timeout`.
+    /// Opens a connection and a session on it within `open_timeout`, and sends `first_bytes`.
     pub async fn open<C: WireCodec>(
         address: SocketAddr,
-        startup: &[u8],
+        session: EndpointSession<'_>,
+        first_bytes: &[u8],
         open_timeout: Duration,
     ) -> Result<Self, EndpointError> {
-        let opening = Self::connect::<C>(address, startup);
+        let opening = Self::connect::<C>(address, session, first_bytes);
         timeout(open_timeout, opening).await.unwrap_or_else(|_| ConnectTimeoutSnafu.fail())
     }
 
     async fn connect<C: WireCodec>(
         address: SocketAddr,
-        startup: &[u8],
+        session: EndpointSession<'_>,
+        first_bytes: &[u8],
     ) -> Result<Self, EndpointError> {
         let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = match opened {
@@ -92,15 +107,24 @@
         stream.set_nodelay(true).map_err(|source| EndpointError::Io { source })?;
         let mut connection = Self {
             stream,
+            team: session.team.into(),
             input: LineBuffer::default(),
             setup: ConnectionSetup::default(),
             is_new: true,
         };
-        connection.send(startup).await?;
+        let mut startup = Vec::new();
+        C::encode_startup(&mut startup, session.service, session.team, session.endpoint);
+        startup.extend_from_slice(first_bytes);
+        connection.send(&startup).await?;
         connection.read_startup::<C>().await?;
         Ok(connection)
     }
 
+    /// Returns the team of the session.
+    pub fn team(&self) -> &str {
+        &self.team
+    }
+
     /// Returns whether the endpoint closed the connection or sent unexpected data.
     pub fn is_broken(&self) -> bool {
         let mut byte = [0; 1];
--- a/crates/engine/src/endpoint_probe.rs
+++ b/crates/engine/src/endpoint_probe.rs
@@ -9,7 +9,9 @@
 use telemetry::log_event;
 use tokio::time::{sleep, timeout};
 
-use crate::endpoint_connection::{AnswerKind, EndpointConnection, EndpointError, OPEN_TIMEOUT};
+use crate::endpoint_connection::{
+    AnswerKind, EndpointConnection, EndpointError, EndpointSession, OPEN_TIMEOUT,
+};
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
 use crate::message::{ExecuteCall, StatementAnswer};
@@ -67,11 +69,12 @@
             (record.service.clone(), record.address)
         };
         let probe = async {
-            let mut startup = Vec::new();
-            E::Codec::encode_startup(&mut startup, &service, PROBE_TEAM, endpoint);
-            encode(&mut startup);
+            let session = EndpointSession { service: &service, team: PROBE_TEAM, endpoint };
+            let mut statement = Vec::new();
+            encode(&mut statement);
             let mut connection =
-                EndpointConnection::open::<E::Codec>(address, &startup, OPEN_TIMEOUT).await?;
+                EndpointConnection::open::<E::Codec>(address, session, &statement, OPEN_TIMEOUT)
+                    .await?;
             connection.read_answer::<E::Codec>(AnswerKind::Control).await
         };
         timeout(PROBE_TIMEOUT, probe).await.ok()?.ok()
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -31,7 +31,6 @@
 /// Idle connection of a team.
 #[derive(Debug)]
 pub(crate) struct IdleConnection {
-    pub(crate) team: String,
     pub(crate) team_hash: u64,
     pub(crate) connection: EndpointConnection,
     pub(crate) idle_since: Instant,
@@ -41,7 +40,6 @@
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
     pub(crate) pool: Rc<EndpointPool>,
-    pub(crate) team: String,
     pub(crate) connection: EndpointConnection,
 }
 
@@ -161,7 +159,7 @@
 
     /// Returns whether the team has an idle connection.
     pub(crate) fn has_idle(&self, team: &str) -> bool {
-        self.idle.borrow().iter().any(|idle| idle.team == team)
+        self.idle.borrow().iter().any(|idle| idle.connection.team() == team)
     }
 
     /// Returns the expected wait for a connection, if one has to be freed first.
@@ -249,7 +247,7 @@
 pub(crate) fn acquire_idle(pool: &EndpointPool, team: &str) -> Option<IdleConnection> {
     let mut idle = pool.idle.borrow_mut();
     loop {
-        let index = idle.iter().rposition(|idle| idle.team == team)?;
+        let index = idle.iter().rposition(|idle| idle.connection.team() == team)?;
         let found = idle.remove(index);
         if !found.connection.is_broken() {
             return Some(found);
