Take a member out of the service that it leaves for another one

Cause: the registration was replaced, but the former service kept the name among its members, and the owner opened connections for the service of the registration.

Change: a member that registers for another service leaves the former one; calls name their service, and pools belong to one process, by start time, service and address. What an answer tells is dropped if the member has moved meanwhile.

Conclusion: the same fault with an address alone, and for positions told by the former process, is mended too.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -11,7 +11,7 @@
 use crate::dispatch::CallTimes;
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{ControlStatement, RefusalCode, WireCodec};
-use crate::message::{ExecuteCall, ExecuteOutcome, NotSentReason, StatementAnswer};
+use crate::message::{ExecuteCall, ExecuteOutcome, NotSentReason, StatementAnswer, service_hash};
 use crate::statement::{
     BUSY_BACKOFF, NO_LEADER_BACKOFF, PinnedTransaction, StatementContext, StatementResult, failure,
 };
@@ -74,7 +74,8 @@
                 if let Some(confirming_answer) =
                     confirming_answer_index.and_then(|index| answers.get(usize::from(index)))
                 {
-                    self.observe_leadership(endpoint, confirming_answer, sent_at);
+                    let service = &context.route.service;
+                    self.observe_leadership((service, endpoint), confirming_answer, sent_at);
                 }
                 let transaction = PinnedTransaction {
                     owner: owner_reply.owner,
@@ -132,6 +133,7 @@
         }
         ExecuteCall {
             endpoint: endpoint.to_owned(),
+            service_hash: service_hash(&context.route.service),
             team: context.team.to_owned(),
             document_version: context.document_version,
             transaction_id,
--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -132,7 +132,8 @@
         if origin != 0 && self.has_stop_reached(StopPhase::Answering) {
             return ExecuteReply::without_owner(self.refuse_as_stopping(origin, &call));
         }
-        let Some(pool) = self.pool(&call.endpoint) else {
+        let pool = self.pool(&call.endpoint);
+        let Some(pool) = pool.filter(|pool| pool.service_hash == call.service_hash) else {
             let outcome = not_sent(NotSentReason::UnknownEndpoint, Duration::ZERO);
             return ExecuteReply::without_owner(outcome);
         };
@@ -245,9 +246,14 @@
         let mut connection = if call.pinned {
             let taken = self.pools.pinned.borrow_mut().remove(&(origin, call.transaction_id));
             match taken {
-                Some(pinned) if pinned.connection.team() == call.team => pinned.connection,
+                Some(pinned)
+                    if pinned.connection.team() == call.team && Rc::ptr_eq(&pinned.pool, pool) =>
+                {
+                    pinned.connection
+                }
                 Some(pinned) => {
-                    // The key of the caller has moved to another team since the transaction began.
+                    // Since the transaction began, the key of the caller has moved to another team, or
+                    // the endpoint is another process.
                     self.roll_back(pinned);
                     return not_sent(NotSentReason::PinLost, Duration::ZERO);
                 }
@@ -333,7 +339,7 @@
         let position = answers.iter().rev().find_map(|answer| answer.position);
         if let Some(position) = position.filter(|_| call.commits_data && !has_failed) {
             let lowest = lowest_position(known_position, position);
-            self.directory.borrow_mut().record_commit(&pool.endpoint, position, lowest);
+            self.directory.borrow_mut().record_commit(&pool.service, position, lowest);
         }
         let state = answers.last().map_or(TransactionState::Failed, |answer| answer.state);
         self.recycle_connection(pool, origin, call, connection, state, has_failed);
@@ -369,6 +375,9 @@
         let now = self.now();
         self.record_health(pool, call, answers, now.saturating_duration_since(sent_at), now);
         let mut directory = self.directory.borrow_mut();
+        if !directory.is_member(&pool.endpoint, pool.service_hash) {
+            return;
+        }
         if let Some(position) = answers.iter().rev().find_map(|answer| answer.position) {
             directory.record_position(&pool.endpoint, position, now);
         }
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -20,7 +20,7 @@
 
 use crate::document_index::DocumentIndex;
 use crate::instance::ZoneSettings;
-use crate::message::{KeptDocument, LeavingEndpoint, millis};
+use crate::message::{KeptDocument, LeavingEndpoint, millis, service_hash};
 use crate::record::{EndpointRecord, FleetDocument};
 use crate::service_commits::ServiceCommits;
 use crate::tables::StoredRow;
@@ -66,6 +66,8 @@
     pub leaving_since: LeavingTime,
     /// Hash of the endpoint's name, for the rendezvous order of each team.
     pub(crate) name_hash: u64,
+    /// Hash of the endpoint's service.
+    pub(crate) service_hash: u32,
     /// Time for which the endpoint's process is cold.
     pub cold: ColdPeriod,
 }
@@ -303,7 +305,15 @@
             let known = EndpointRecord { cold_remaining, ..entry.record.clone() };
             entry.unregistered_at.is_some() || !known.is_same_state(&record)
         });
-        let is_new_process = known.is_none_or(|entry| entry.record.started_ms != record.started_ms);
+        let is_new_process = known.is_none_or(|entry| !entry.record.is_same_process(&record));
+        let former_service = known.map(|entry| entry.record.service.clone());
+        if let Some(former) = former_service.filter(|former| *former != record.service)
+            && let Some(state) = self.services.get_mut(&former)
+        {
+            state.members.retain(|member| *member != record.name);
+            state.leader = state.leader.take().filter(|(leader, _)| *leader != record.name);
+        }
+        let known = self.endpoints.get(&record.name);
         let view = match known {
             Some(entry) if !is_new_process => entry.view,
             _ => EndpointView::default(),
@@ -324,12 +334,14 @@
             service.members.push(record.name.clone());
         }
         let name_hash = rendezvous::weight(&record.name, "");
+        let service_hash = service_hash(&record.service);
         let entry = EndpointEntry {
             view,
             unregistered_at: None,
             leaving_since,
             cold,
             name_hash,
+            service_hash,
             row,
             record,
         };
@@ -407,6 +419,11 @@
         self.endpoints.get(name)
     }
 
+    /// Returns whether an endpoint is a member of the service with this hash.
+    pub fn is_member(&self, endpoint: &str, service_hash: u32) -> bool {
+        self.endpoints.get(endpoint).is_some_and(|entry| entry.service_hash == service_hash)
+    }
+
     /// Returns the names of all endpoints.
     pub fn endpoint_names(&self) -> Vec<String> {
         self.endpoints.keys().cloned().collect()
--- a/crates/engine/src/dispatch.rs
+++ b/crates/engine/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::RefusalCode;
 use crate::message::{
-    ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason, StatementAnswer, millis,
+    ExecuteCall, ExecuteOutcome, ExecuteReply, NotSentReason, StatementAnswer, millis, service_hash,
 };
 use crate::peer_link::{LinkLease, PeerLink, no_owner_reply};
 
@@ -65,6 +65,7 @@
 /// Call whose reply may carry a sample.
 #[derive(Clone, Copy, Debug)]
 struct SampledCall {
+    service_hash: u32,
     service_class: ServiceClass,
     team_hash: u64,
 }
@@ -142,8 +143,11 @@
         confirm_timeout: Duration,
     ) -> ExecuteReply {
         let endpoint = call.endpoint.clone();
-        let sampled_call =
-            SampledCall { service_class: call.service_class, team_hash: team_hash(&call.team) };
+        let sampled_call = SampledCall {
+            service_hash: call.service_hash,
+            service_class: call.service_class,
+            team_hash: team_hash(&call.team),
+        };
         let sent_at = self.now();
         if owner == self.name() {
             let reply = self.execute_locally(0, call).await;
@@ -184,8 +188,9 @@
             && let Some(as_of) = sent_at.checked_sub(Duration::from_millis(age_ms.into()))
         {
             let mut directory = self.directory.borrow_mut();
+            let is_member = directory.is_member(&endpoint, sampled_call.service_hash);
             let service = directory.endpoint(&endpoint).map(|entry| entry.record.service.clone());
-            if let Some(service) = service {
+            if let Some(service) = service.filter(|_| is_member) {
                 directory.record_watermark(&service, Watermark { as_of, position });
             }
         }
@@ -230,6 +235,9 @@
     ) {
         let now = self.now();
         let mut directory = self.directory.borrow_mut();
+        if !directory.is_member(endpoint, call.service_hash) {
+            return;
+        }
         if let Some(sample) = reply.sample {
             let elapsed = now.saturating_duration_since(sent_at);
             directory.record_sample(
@@ -265,7 +273,8 @@
             }
         });
         if let Some(position) = reply.acknowledged {
-            directory.record_acknowledged_by(endpoint, position);
+            let service = directory.endpoint(endpoint).map(|entry| entry.record.service.clone());
+            service.iter().for_each(|service| directory.record_acknowledged(service, position));
         }
         if let ExecuteOutcome::Answered(answers) = &reply.outcome
             && let Some(position) = answers.iter().rev().find_map(|answer| answer.position)
@@ -279,12 +288,16 @@
     /// `sent_at` is the time before the statement was sent.
     pub(crate) fn observe_leadership(
         &self,
-        endpoint: &str,
+        (service, endpoint): (&str, &str),
         confirming_answer: &StatementAnswer,
         sent_at: Instant,
     ) {
         let now = self.now();
         let mut directory = self.directory.borrow_mut();
+        if !directory.is_member(endpoint, service_hash(service)) {
+            // It has joined another service since the call was sent.
+            return;
+        }
         match (confirming_answer.error, confirming_answer.position) {
             (None, Some(position)) => {
                 let watermark = Watermark { as_of: sent_at, position };
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -6,6 +6,7 @@
 use coord::endpoint_health::EndpointSample;
 use coord::membership::{MemberStatus, ViewEntry};
 use coord::priority::PriorityLevel;
+use coord::rendezvous;
 use coord::service_time::ServiceClass;
 use coord::session::TransactionState;
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,8 @@
 pub struct ExecuteCall {
     /// Endpoint that runs the statements.
     pub endpoint: String,
+    /// Hash of the service that the statements are for, as of [`service_hash`].
+    pub service_hash: u32,
     /// Team on whose behalf the statements run.
     pub team: String,
     /// Document by which the sender decided that they may run.
@@ -115,7 +118,7 @@
     NoConnection,
     /// The pinned connection of the transaction was lost.
     PinLost,
-    /// The connection owner does not know the endpoint.
+    /// The connection owner does not know the endpoint, or knows it as a member of another service.
     UnknownEndpoint,
     /// No connection owner is reachable.
     NoOwner,
@@ -594,6 +597,11 @@
     }
 }
 
+/// Returns the hash by which calls name their service.
+pub fn service_hash(service: &str) -> u32 {
+    rendezvous::weight(service, "") as u32
+}
+
 /// Returns a duration in whole milliseconds, at most [`u32::MAX`].
 pub fn millis(span: Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -48,6 +48,8 @@
 pub(crate) struct EndpointPool {
     pub(crate) endpoint: String,
     pub(crate) service: String,
+    /// Hash of the service, as calls name it.
+    pub(crate) service_hash: u32,
     pub(crate) address: SocketAddr,
     pub(crate) started_ms: u64,
     pub(crate) queue: RefCell<PermitQueue>,
--- a/crates/engine/src/pool_upkeep.rs
+++ b/crates/engine/src/pool_upkeep.rs
@@ -126,15 +126,19 @@
         let directory = self.directory.borrow();
         let entry = directory.endpoint(endpoint)?;
         let mut pools = self.pools.by_endpoint.borrow_mut();
-        if let Some(pool) =
-            pools.get(endpoint).filter(|pool| pool.started_ms == entry.record.started_ms)
-        {
+        let is_current = |pool: &&Rc<EndpointPool>| {
+            pool.started_ms == entry.record.started_ms
+                && pool.service_hash == entry.service_hash
+                && pool.address == entry.record.address
+        };
+        if let Some(pool) = pools.get(endpoint).filter(is_current) {
             return Some(pool.clone());
         }
         let new_queue = || PriorityQueue::new(1).with_anticipation(true);
         let pool = Rc::new(EndpointPool {
             endpoint: endpoint.to_owned(),
             service: entry.record.service.clone(),
+            service_hash: entry.service_hash,
             address: entry.record.address,
             started_ms: entry.record.started_ms,
             queue: RefCell::new(new_queue()),
--- a/crates/engine/src/record.rs
+++ b/crates/engine/src/record.rs
@@ -189,6 +189,14 @@
         (self.started_ms, self.sequence)
     }
 
+    /// Returns whether another registration is one of the same process: a process has one service and
+    /// one address.
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        self.started_ms == other.started_ms
+            && self.service == other.service
+            && self.address == other.address
+    }
+
     /// Returns whether another report says the same.
     pub fn is_same_state(&self, other: &Self) -> bool {
         let sequence = self.sequence;
--- a/crates/engine/src/service_commits.rs
+++ b/crates/engine/src/service_commits.rs
@@ -85,21 +85,13 @@
 
     /// Records that a leader has acknowledged a commit: its position, and the lowest one that the
     /// commit can have.
-    pub fn record_commit(&mut self, endpoint: &str, position: LogPosition, lowest: LogPosition) {
-        if let Some(state) = self.service_of(endpoint) {
-            state.commits.record_newest(position);
-        }
-        self.record_acknowledged_by(endpoint, lowest);
-    }
-
-    /// Records the position of an acknowledged commit of an endpoint's service.
-    pub fn record_acknowledged_by(&mut self, endpoint: &str, position: LogPosition) {
-        if let Some(state) = self.service_of(endpoint) {
-            state.commits.acknowledged = state.commits.acknowledged.max(Some(position));
-        }
+    pub fn record_commit(&mut self, service: &str, position: LogPosition, lowest: LogPosition) {
+        let state = self.services.entry(service.to_owned()).or_default();
+        state.commits.record_newest(position);
+        self.record_acknowledged(service, lowest);
     }
 
-    /// Records the position of an acknowledged commit that another instance has told.
+    /// Records the position of an acknowledged commit.
     pub fn record_acknowledged(&mut self, service: &str, position: LogPosition) {
         let state = self.services.entry(service.to_owned()).or_default();
         state.commits.acknowledged = state.commits.acknowledged.max(Some(position));
@@ -151,9 +143,4 @@
         let is_recent = |at: Instant| now.saturating_duration_since(at) < UNLISTED_RETENTION;
         self.unlisted.retain(|_, (_, at)| is_recent(*at));
     }
-
-    fn service_of(&mut self, endpoint: &str) -> Option<&mut crate::directory::ServiceState> {
-        let service = self.endpoints.get(endpoint)?.record.service.clone();
-        Some(self.services.entry(service).or_default())
-    }
 }
