Check before a call is sent that its member has not drained

Cause: that a member still gets new work was checked when it was chosen, not after the wait for a permit.

Change: the connection owner checks zone and registration together, on arrival, after the wait for a permit and before the call is sent.

Conclusion: every wait of a call between its choice and its sending is followed by the check.

--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -125,10 +125,6 @@
             let outcome = not_sent(NotSentReason::DocumentOutdated, Duration::ZERO);
             return ExecuteReply::without_owner(outcome);
         }
-        if !self.may_send(&call) {
-            let outcome = not_sent(NotSentReason::Evacuated, Duration::ZERO);
-            return ExecuteReply::without_owner(outcome);
-        }
         if origin != 0 && self.has_stop_reached(StopPhase::Answering) {
             return ExecuteReply::without_owner(self.refuse_as_stopping(origin, &call));
         }
@@ -137,6 +133,9 @@
             let outcome = not_sent(NotSentReason::UnknownEndpoint, Duration::ZERO);
             return ExecuteReply::without_owner(outcome);
         };
+        if let Err(reason) = self.check_endpoint(&call) {
+            return ExecuteReply::without_owner(not_sent(reason, Duration::ZERO));
+        }
         let received_at = self.now();
         let mut had_connection = true;
         let transaction = call.keep_pinned.then_some((origin, call.transaction_id));
@@ -185,14 +184,24 @@
         not_sent(NotSentReason::PinLost, Duration::ZERO)
     }
 
-    /// Returns whether the zone of the endpoint may still get this call.
-    fn may_send(&self, call: &ExecuteCall) -> bool {
+    /// Checks whether the endpoint may still get a call; the error is the reason why not.
+    ///
+    /// A call may have waited since its endpoint was chosen, so it is checked again before it is sent.
+    fn check_endpoint(&self, call: &ExecuteCall) -> Result<(), NotSentReason> {
         let kind = match call {
             _ if call.pinned => WorkKind::Pinned,
             _ if call.confirming_answer_index.is_some() => WorkKind::Leader,
             _ => WorkKind::Replica,
         };
-        self.directory.borrow().admits(&call.endpoint, kind, &call.team, self.now())
+        let (directory, now) = (self.directory.borrow(), self.now());
+        if !directory.admits(&call.endpoint, kind, &call.team, now) {
+            return Err(NotSentReason::Evacuated);
+        }
+        // Open transactions end at the endpoint that they began at.
+        match call.pinned || directory.accepts_work(&call.endpoint, now) {
+            true => Ok(()),
+            false => Err(NotSentReason::Leaving),
+        }
     }
 
     /// Returns whether the zone of an endpoint gets no request at all.
@@ -239,9 +248,10 @@
         // can be in time.
         let is_late = self.now() > latest_start;
         let latest_send = if call.pinned || is_late { deadline } else { latest_start };
-        // The zone may have been closed during the wait.
-        if !call.pinned && !self.may_send(call) {
-            return not_sent(NotSentReason::Evacuated, Duration::ZERO);
+        if !call.pinned
+            && let Err(reason) = self.check_endpoint(call)
+        {
+            return not_sent(reason, Duration::ZERO);
         }
         let mut connection = if call.pinned {
             let taken = self.pools.pinned.borrow_mut().remove(&(origin, call.transaction_id));
@@ -291,10 +301,9 @@
                 return not_sent(NotSentReason::QueueDelay, retry);
             }
         }
-        // The zone may have been evacuated while the call waited.
-        if !self.may_send(call) {
+        if let Err(reason) = self.check_endpoint(call) {
             pool.close_connection(connection);
-            return not_sent(NotSentReason::Evacuated, Duration::ZERO);
+            return not_sent(reason, Duration::ZERO);
         }
         let sent_at = self.now();
         let known_position = self.directory.borrow().newest_position(&pool.service);
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -124,6 +124,8 @@
     NoOwner,
     /// The zone of the endpoint is evacuated.
     Evacuated,
+    /// The endpoint has been leaving, or unregistered, for too long to get new work.
+    Leaving,
     /// The connection owner has replaced the document by which the call was decided.
     DocumentOutdated,
     /// The endpoint refused a part of the setup that precedes the statements.
@@ -146,6 +148,7 @@
             Self::UnknownEndpoint => "unknown_endpoint",
             Self::NoOwner => "no_holder",
             Self::Evacuated => "evacuated",
+            Self::Leaving => "leaving",
             Self::DocumentOutdated => "document_outdated",
             Self::SetupRefused => "setup_refused",
             Self::SetupLost { .. } => "setup_lost",
