Answer a statement whose rows exceed a message with an error

Cause: the message between instances was dropped as too long, and the caller waited for its time limit.

HB3035 names the team and the length.

Conclusion: callers get a clear error. An answer can also no longer fill the memory of an instance.

--- a/crates/engine/src/endpoint_connection.rs
+++ b/crates/engine/src/endpoint_connection.rs
@@ -8,10 +8,13 @@
 use coord::session::TransactionState;
 use snafu::Snafu;
 use state::position::LogPosition;
+use telemetry::event::LogEvent;
+use telemetry::log_event;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::frame::MAX_ANSWER_BYTES;
 use crate::interface::{AnswerLine, RefusalCode, WireCodec};
 use crate::line_buffer::LineBuffer;
 use crate::message::StatementAnswer;
@@ -165,6 +168,7 @@
         let mut content = Vec::new();
         let mut error = None;
         let mut completed = false;
+        let mut answer_bytes = 0;
         loop {
             let Some(length) = self.input.line_length() else {
                 self.fill().await?;
@@ -179,13 +183,29 @@
                     if !completed && error.is_none() {
                         return MalformedAnswerSnafu.fail();
                     }
+                    if answer_bytes > MAX_ANSWER_BYTES {
+                        log_event!(
+                            LogEvent::AnswerTooLong,
+                            "team={} bytes={answer_bytes}",
+                            self.team
+                        );
+                        let code = RefusalCode::AnswerTooLong;
+                        let explanation = format!("the answer exceeds {MAX_ANSWER_BYTES} bytes");
+                        C::encode_error(&mut content, code, &explanation);
+                        error = Some(code);
+                    }
                     return Ok(StatementAnswer { content, error, state, position });
                 }
                 AnswerLine::Acknowledgement | AnswerLine::Malformed => {
                     return MalformedAnswerSnafu.fail();
                 }
             }
-            self.input.copy_line(length, &mut content);
+            answer_bytes += length;
+            if answer_bytes > MAX_ANSWER_BYTES {
+                content = Vec::new();
+            } else {
+                self.input.copy_line(length, &mut content);
+            }
             self.input.consume_line(length);
         }
     }
--- a/crates/engine/src/frame.rs
+++ b/crates/engine/src/frame.rs
@@ -8,8 +8,10 @@
 
 use crate::message::MessageError;
 
-/// Maximum size of a message; the largest answer fits.
+/// Maximum size of a message.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 4 << 20;
+/// Maximum size of the answer to a statement, with room for the rest of its message.
+pub(crate) const MAX_ANSWER_BYTES: usize = MAX_MESSAGE_BYTES - (64 << 10);
 /// Maximum size of a part, in bytes.
 pub(crate) const MAX_PART_BYTES: usize = 8_192;
 /// Size of the prefix of a part, in bytes.
--- a/crates/engine/src/interface.rs
+++ b/crates/engine/src/interface.rs
@@ -276,6 +276,8 @@
     Timeout,
     /// The statement ran and failed.
     Failed,
+    /// The statement ran, and its answer is too long to be passed on.
+    AnswerTooLong,
     /// The statement did not run: no prepared statement has that name.
     UnknownName,
     /// The statement is malformed or not allowed in the state of the session.
@@ -301,6 +303,7 @@
             Self::Unknown => "unknown",
             Self::Timeout => "timeout",
             Self::Failed => "failed",
+            Self::AnswerTooLong => "answer_too_long",
             Self::UnknownName => "unknown_name",
             Self::Malformed => "malformed",
             Self::UnknownDatabase => "unknown_database",
--- a/crates/standin/src/gateway_platform/group.rs
+++ b/crates/standin/src/gateway_platform/group.rs
@@ -49,6 +49,8 @@
     pub refuses_setups: bool,
     /// Runs such statements and sends no answer to them, while it answers the later ones.
     pub loses_setup_responses: bool,
+    /// Number of rows with which each read is answered; zero for one.
+    pub rows_per_read: usize,
     /// A rollback takes back what its transaction changed of the session values and prepared statements.
     pub rollback_reverts_setups: bool,
     /// Team whose statements are slow, with the duration of each statement.
--- a/crates/standin/src/gateway_platform/member.rs
+++ b/crates/standin/src/gateway_platform/member.rs
@@ -312,7 +312,7 @@
             if in_transaction { &mut self.writes } else { &mut writes }.push((item, data));
         } else {
             let row = state.read(self.member, words[words.len() - 1]).unwrap_or_default();
-            content = format!("ROW {row}\r\n");
+            content = format!("ROW {row}\r\n").repeat(faults.rows_per_read.max(1));
         }
         let digest = format!("{}.{id}", state.members[self.member].id);
         let digest = if faults.omits_digests { "-" } else { &digest };
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -158,6 +158,8 @@
     AnswerMalformed = 3033, Warn, "answer_malformed";
     /// A member refused session values or prepared statements; what should follow them was not sent.
     SetupRefused = 3034, Warn, "setup_refused";
+    /// The answer of a member is too long to be passed on; the caller gets an error.
+    AnswerTooLong = 3035, Warn, "answer_too_long";
     /// A platform service stopped responding.
     PlatformLost = 4001, Warn, "platform_lost";
     /// A platform service responds again.
