Demote a leader before its planned replacement if replicas confirm commits

Cause: a hold ends with its replica's process, and the old leader acknowledges until the candidate leads.

Change: once the holds are complete, a leader that answers is demoted, and the candidate is compared with the other members once more before the promotion is requested. A leader that refuses goes on as before.

--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -409,6 +409,12 @@
                 if !self.hold_replicas(subject, &hold, &members[index], &members).await {
                     return;
                 }
+                let leading = |index: &usize| reports[*index].is_some_and(|report| report.leads);
+                if let Some(leader) = leader_index.filter(leading)
+                    && !self.demote_leader((service, &members), leader, index, hold.term).await
+                {
+                    return;
+                }
                 let held = |index: &usize| (members[*index].as_str(), hold.term);
                 held_replicas = hold.replicas.iter().map(held).collect();
             }
--- a/crates/engine/src/replica_hold.rs
+++ b/crates/engine/src/replica_hold.rs
@@ -61,6 +61,34 @@
         state == HoldState::Complete
     }
 
+    /// Demotes a leader that is to be replaced, so that it acknowledges no commit until the candidate
+    /// leads: a held replica that restarts would confirm commits that the candidate lacks.
+    ///
+    /// Returns whether no member has received more than the candidate. A leader that does not answer,
+    /// or refuses, goes on as the leader.
+    pub(crate) async fn demote_leader(
+        &self,
+        (service, members): (&str, &[String]),
+        leader: usize,
+        candidate: usize,
+        term: u64,
+    ) -> bool {
+        let statement = ReplicationStatement::Demote { term };
+        let answer = self.set_replication(&members[leader], statement).await;
+        log_event!(
+            LogEvent::ReplicationChanged,
+            "service={service} demoted={} term={term} answer={answer:?}",
+            members[leader]
+        );
+        if answer.report().is_none_or(|report| report.leads) {
+            return true;
+        }
+        let reports = join_all(members.iter().map(|member| self.probe_member(member))).await;
+        let received = |index: usize| reports[index].map(|report| report.received);
+        let others = (0..members.len()).filter(|index| *index != leader);
+        received(candidate).is_some() && others.map(received).max() <= Some(received(candidate))
+    }
+
     /// Resumes replicas, given with the terms for which they are held.
     pub(crate) async fn resume_replicas(
         &self,
--- a/crates/engine/src/replication.rs
+++ b/crates/engine/src/replication.rs
@@ -11,6 +11,11 @@
     },
     /// Ends a hold.
     Resume,
+    /// Makes a leader of a lower term a replica.
+    Demote {
+        /// Term above that of the leader.
+        term: u64,
+    },
 }
 
 /// Encoding of the statements about replication in the protocol of the members.
--- a/crates/standin/src/gateway_platform/group.rs
+++ b/crates/standin/src/gateway_platform/group.rs
@@ -107,6 +107,8 @@
     pub term: u64,
     /// Index of the leader in `members`.
     pub leader: usize,
+    /// The leader was demoted, and no member leads until the next promotion.
+    pub is_demoted: bool,
     /// Members.
     pub members: Vec<MemberState>,
     /// Maximum number of connections to each member.
@@ -140,6 +142,7 @@
             service: service.to_owned(),
             term: 1,
             leader: 0,
+            is_demoted: false,
             members: ids.iter().map(member).collect(),
             max_connections: 20,
             synchronous_replicas: 0,
@@ -157,11 +160,11 @@
         let Some(index) = self.members.iter().position(|member| member.id == id) else {
             return false;
         };
-        if index == self.leader {
+        if self.leads(index) {
             return true;
         }
         let kept_entries = self.members[index].applied;
-        self.leader = index;
+        (self.leader, self.is_demoted) = (index, false);
         for (_, end) in &mut self.earlier_terms {
             *end = kept_entries.min(*end);
         }
@@ -221,6 +224,16 @@
         }
     }
 
+    /// Returns whether a member leads.
+    pub fn leads(&self, member: usize) -> bool {
+        member == self.leader && !self.is_demoted
+    }
+
+    /// Makes the leader a replica, if the term is above its own.
+    pub fn demote(&mut self, member: usize, term: u64) {
+        self.is_demoted |= member == self.leader && term > self.term;
+    }
+
     /// Stops a replica from receiving, if the term is above all that it knows.
     pub fn hold(&mut self, member: usize, term: u64) {
         let state = &mut self.members[member];
--- a/crates/standin/src/gateway_platform/member.rs
+++ b/crates/standin/src/gateway_platform/member.rs
@@ -189,6 +189,13 @@
                 self.group.lock().hold(self.member, term);
                 Some(Ok(self.status()))
             }
+            "DEMOTE" => {
+                let Some(term) = words.get(1).and_then(|term| term.parse().ok()) else {
+                    return Some(Err("MALFORMED"));
+                };
+                self.group.lock().demote(self.member, term);
+                Some(Ok(self.status()))
+            }
             "RESUME" => {
                 self.group.lock().resume(self.member);
                 Some(Ok(self.status()))
@@ -332,7 +339,7 @@
     fn status(&self) -> String {
         let state = self.group.lock();
         let (term, index) = state.position(self.member);
-        let role = if state.leader == self.member { "primary" } else { "replica" };
+        let role = if state.leads(self.member) { "primary" } else { "replica" };
         let member = &state.members[self.member];
         let stated_at_rest = if member.faults.states_hold_at_rest { term } else { 0 };
         let held_term = member.held_term.max(stated_at_rest);
@@ -345,7 +352,7 @@
         loop {
             {
                 let state = self.group.lock();
-                if state.term != term {
+                if state.term != term || state.is_demoted {
                     return false;
                 }
                 if state.is_confirmed(end) {
@@ -357,7 +364,7 @@
     }
 
     fn is_leader(&self) -> bool {
-        self.group.lock().leader == self.member
+        self.group.lock().leads(self.member)
     }
 }
 
