Settle requests with several commits on the PostgreSQL path as unknown

Cause: a request has one label, that of its first commit, and may commit several times. The stand-in committed each statement of a pipeline by itself, began a second transaction inside a text, and waited for good for the lock of its own session.

Change: the proxy counts the commits of a text or pipeline; with more than one, a lost response is an unknown outcome. Writes before a flush are confirmed at their sync, and the error of a replaced primary inside a pipeline is retried. The stand-in commits a text or pipeline as one transaction and notices clients that go away. The deadline that ended a wait is named in the log.

--- a/crates/net/src/member.rs
+++ b/crates/net/src/member.rs
@@ -44,6 +44,9 @@
         /// Timeout of the operation.
         limit: Duration,
     },
+    /// The member did not respond before the deadline of the request.
+    #[snafu(display("no response before the deadline of the request"))]
+    DeadlinePassed,
     /// The connection failed after it was opened.
     #[snafu(display("{source}"), context(false))]
     Socket {
--- a/crates/proxy/src/session.rs
+++ b/crates/proxy/src/session.rs
@@ -73,6 +73,8 @@
     member_index: usize,
     /// The sync is still missing, so the connection stays pinned outside transactions too.
     awaiting_sync: bool,
+    /// Statements before the missing sync have written, and commit with it.
+    has_written: bool,
 }
 
 /// Session of a caller.
--- a/crates/proxy/src/session/batch.rs
+++ b/crates/proxy/src/session/batch.rs
@@ -8,7 +8,7 @@
 use wire::backend;
 use wire::frame::RawFrame;
 use wire::frontend::{self, BindFields, FieldError, ObjectFields, ObjectKind, ParseFields};
-use wire::statement::{StatementCache, StatementClass};
+use wire::statement::{StatementCache, StatementClass, StatementKind, may_commit_repeatedly};
 
 /// Statement prepared by a session.
 #[derive(Debug)]
@@ -201,6 +201,37 @@
         self.messages.iter().filter(is_execute).count()
     }
 
+    /// Returns whether the batch may commit more than once, given that it has statements of this kind
+    /// together.
+    pub(super) fn may_commit_repeatedly(&self, kind: StatementKind) -> bool {
+        if kind != StatementKind::Mixed {
+            return false;
+        }
+        let mut portals: HashMap<String, StatementKind> = HashMap::new();
+        let mut executed = Vec::new();
+        for message in &self.messages {
+            match message {
+                BatchMessage::Bind { statement, frame, .. } => {
+                    if let Ok(fields) = frontend::read_bind(frame) {
+                        portals.insert(fields.portal.to_owned(), statement.class.kind);
+                    }
+                }
+                // A portal of an earlier batch may run anything.
+                BatchMessage::Execute(frame) => {
+                    let portal = frontend::read_execute(frame).ok();
+                    let kind = portal.and_then(|name| portals.get(name)).copied();
+                    executed.push(kind.unwrap_or(StatementKind::Mixed));
+                }
+                BatchMessage::Parse { .. }
+                | BatchMessage::DescribeStatement { .. }
+                | BatchMessage::CloseStatement
+                | BatchMessage::DescribePortal(_)
+                | BatchMessage::ClosePortal(_) => {}
+            }
+        }
+        may_commit_repeatedly(executed.iter().copied())
+    }
+
     /// Returns the combined class of the batch's statements; a batch without any is a read.
     pub(super) fn class(&self) -> Arc<StatementClass> {
         let mut distinct: Vec<&Arc<StatementClass>> = Vec::new();
--- a/crates/proxy/src/session/exchange.rs
+++ b/crates/proxy/src/session/exchange.rs
@@ -36,6 +36,8 @@
     pub(super) confirm_commit: bool,
     /// Position that the member must have applied.
     pub(super) required_position: Option<LogPosition>,
+    /// The request may commit more than once.
+    pub(super) commits_repeatedly: bool,
     /// The request runs on a replica.
     pub(super) on_replica: bool,
     /// The request runs inside a transaction.
@@ -200,7 +202,7 @@
                 Err(RelayError::NotPrimary)
             }
             Ok(Err(error)) => Err(error.into()),
-            Err(_) => Err(MemberError::Timeout { limit: PROGRESS_TIMEOUT }.into()),
+            Err(_) => Err(MemberError::DeadlinePassed.into()),
         }
     }
 
@@ -228,7 +230,8 @@
                     return Ok(());
                 }
                 backend::ERROR_RESPONSE
-                    if is_first
+                    if (is_first
+                        || !self.plan.commits_repeatedly && !self.output.is_partly_sent())
                         && !self.plan.in_transaction
                         && backend::read_error_field(frame.body(), b'C') == Some(NOT_PRIMARY) =>
                 {
@@ -263,6 +266,7 @@
         };
         match filled {
             Ok(filled) => Ok(filled?),
+            Err(_) if is_first => Err(MemberError::DeadlinePassed.into()),
             Err(_) => Err(MemberError::Timeout { limit: PROGRESS_TIMEOUT }.into()),
         }
     }
--- a/crates/proxy/src/session/request.rs
+++ b/crates/proxy/src/session/request.rs
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Returns whether the request may commit more than once, so that the outcome of its first commit
+    /// does not tell that of the others.
+    pub(super) fn may_commit_repeatedly(&self) -> bool {
+        match &self.body {
+            RequestBody::Simple(_) => self.class.may_commit_repeatedly,
+            RequestBody::Batch(batch) => batch.may_commit_repeatedly(self.class.kind),
+        }
+    }
+
     /// Returns whether the request may commit, given whether a transaction is open.
     pub(super) fn may_commit(&self, in_transaction: bool) -> bool {
         match self.class.kind {
--- a/crates/proxy/src/session/serve.rs
+++ b/crates/proxy/src/session/serve.rs
@@ -154,11 +154,14 @@
         let Some(mut pinned) = self.pinned.take() else {
             return Ok(Ok(()));
         };
-        let may_commit = request.may_commit(self.transaction_state != TransactionState::Idle)
-            && self.transaction_state != TransactionState::Failed;
+        let commits_at_sync = pinned.has_written && request.ends_with_sync;
+        let may_commit = self.transaction_state != TransactionState::Failed
+            && (commits_at_sync
+                || request.may_commit(self.transaction_state != TransactionState::Idle));
         let plan = ExchangePlan {
             label: may_commit.then(|| self.instance.next_transaction_label()),
             confirm_commit: may_commit,
+            commits_repeatedly: request.may_commit_repeatedly(),
             in_transaction: true,
             ..ExchangePlan::default()
         };
@@ -168,15 +171,18 @@
         let ExchangeResult { outcome, partly_sent, response_complete } = result;
         match outcome {
             ExchangeOutcome::Complete => {
+                let has_written = pinned.has_written;
                 self.pin_or_release(pinned.connection, pinned.member_index, request);
+                if let Some(pinned) = &mut self.pinned {
+                    pinned.has_written |= has_written && pinned.awaiting_sync;
+                }
                 Ok(Ok(()))
             }
             ExchangeOutcome::CallerDisconnected => Err(SessionEnd::Closed),
             ExchangeOutcome::ConnectionLost(_) if may_commit && !partly_sent => {
                 drop(pinned);
                 self.transaction_state = TransactionState::Idle;
-                let label = plan.label.unwrap_or_default();
-                Ok(self.resolve_in_doubt_commit(&label, response_complete, request, policy).await)
+                Ok(self.resolve_in_doubt_commit(&plan, response_complete, request, policy).await)
             }
             ExchangeOutcome::NotPrimary
             | ExchangeOutcome::Stale
@@ -196,12 +202,18 @@
     /// Resolves a commit that is in doubt because its response or confirmation was lost.
     async fn resolve_in_doubt_commit(
         &mut self,
-        label: &str,
+        plan: &ExchangePlan,
         response_complete: bool,
         request: &CallerRequest,
         policy: &RequestPolicy,
     ) -> Result<(), RequestRefusal> {
-        match self.resolve_outcome(label, policy.deadline).await {
+        let label = plan.label.clone().unwrap_or_default();
+        match self.resolve_outcome(&label, policy.deadline).await {
+            ResolvedOutcome::Committed(position) if plan.commits_repeatedly => {
+                self.observe_position(position);
+                self.output.clear();
+                Err(partly_committed())
+            }
             ResolvedOutcome::Committed(position) => {
                 self.observe_position(position);
                 if !response_complete {
@@ -315,6 +327,7 @@
                 && !is_write,
             label: may_commit.then(|| self.instance.next_transaction_label()),
             confirm_commit: may_commit && request.ends_with_sync,
+            commits_repeatedly: request.may_commit_repeatedly(),
             required_position: target.required_position,
             on_replica: target.term.is_none(),
             in_transaction: false,
@@ -365,6 +378,11 @@
         }
         let label = plan.label.clone().unwrap_or_default();
         match self.resolve_outcome(&label, policy.deadline).await {
+            ResolvedOutcome::Committed(position) if plan.commits_repeatedly => {
+                self.observe_position(position);
+                self.output.clear();
+                AttemptOutcome::Refused(partly_committed())
+            }
             ResolvedOutcome::Committed(position) if response_complete => {
                 self.observe_position(position);
                 AttemptOutcome::Complete
@@ -506,7 +524,9 @@
             connection.release();
             return;
         }
-        let pinned = PinnedConnection { connection, member_index, awaiting_sync };
+        let has_written = awaiting_sync
+            && matches!(request.class.kind, StatementKind::Write | StatementKind::Mixed);
+        let pinned = PinnedConnection { connection, member_index, awaiting_sync, has_written };
         self.pinned = Some(Box::new(pinned));
     }
 
@@ -526,6 +546,11 @@
     RequestRefusal::new(RefusalReason::OutcomeUnknown, detail)
 }
 
+/// Returns the refusal of a request of which the first of several commits is in the log.
+fn partly_committed() -> RequestRefusal {
+    outcome_unknown("the response was lost, and a part of the request may be committed")
+}
+
 /// Returns the end of a session whose caller was sent part of a response and cannot get the rest.
 fn interrupted_response() -> SessionEnd {
     SessionEnd::Refused(outcome_unknown("the response was interrupted after part of it was sent"))
--- a/crates/standin/src/session.rs
+++ b/crates/standin/src/session.rs
@@ -109,6 +109,8 @@
     pub(crate) session_id: u64,
     pub(crate) round_trip_delay: Duration,
     pub(crate) transaction_state: TransactionState,
+    /// A transaction is open that is no block: it commits at the end of the text or pipeline.
+    pub(crate) in_implicit_transaction: bool,
     /// Write lock of the member, held while a write transaction is open.
     pub(crate) write_guard: Option<tokio::sync::OwnedMutexGuard<()>>,
     /// Writes of the open transaction, in execution order.
@@ -222,6 +224,7 @@
         session_id,
         round_trip_delay,
         transaction_state: TransactionState::Idle,
+        in_implicit_transaction: false,
         write_guard: None,
         logged_statements: Vec::new(),
         label: None,
@@ -326,12 +329,12 @@
     async fn read_input(&mut self) -> Result<(), SessionEnd> {
         let mut changes = self.member.changed.subscribe();
         loop {
-            if self.transaction_state != TransactionState::Idle && self.is_outdated() {
+            if self.has_open_transaction() && self.is_outdated() {
                 backend::put_error(&mut self.output, NOT_PRIMARY, "the primary was replaced");
                 self.flush().await?;
                 return Err(SessionEnd::Dropped);
             }
-            let in_transaction = self.transaction_state != TransactionState::Idle;
+            let in_transaction = self.has_open_transaction();
             tokio::select! {
                 read = self.socket.read_buf(&mut self.input) => {
                     if read? == 0 {
@@ -367,6 +370,7 @@
             other => {
                 if let Err(error) = self.extended_message(other).await? {
                     self.fail_statement(&error);
+                    self.roll_back_implicit();
                     self.skip_until_sync = true;
                 }
                 Ok(())
@@ -381,7 +385,7 @@
         if !self.is_outdated() {
             return Ok(());
         }
-        if self.transaction_state != TransactionState::Idle {
+        if self.has_open_transaction() {
             return Err(ErrorResponse::new(NOT_PRIMARY, "the primary was replaced"));
         }
         let state = self.member.replication.lock();
@@ -390,6 +394,10 @@
         Ok(())
     }
 
+    fn has_open_transaction(&self) -> bool {
+        self.transaction_state != TransactionState::Idle || self.in_implicit_transaction
+    }
+
     fn is_outdated(&self) -> bool {
         self.member.replication.lock().generation != self.generation
     }
--- a/crates/standin/src/session/extended.rs
+++ b/crates/standin/src/session/extended.rs
@@ -65,9 +65,16 @@
         }
     }
 
-    /// Ends a pipeline of extended messages; portals are closed at the end of the transaction.
+    /// Ends a pipeline of extended messages and commits what it wrote outside of blocks; portals are closed at the end of the transaction.
     pub(crate) async fn sync(&mut self) -> Result<(), SessionEnd> {
         self.skip_until_sync = false;
+        // All statements up to here outside of blocks are one transaction.
+        if let Err(error) = self.commit_implicit().await {
+            self.fail_statement(&error);
+        }
+        if self.take_response_loss() {
+            return Err(SessionEnd::Dropped);
+        }
         if self.transaction_state == TransactionState::Idle {
             self.portals.clear();
         }
--- a/crates/standin/src/session/simple.rs
+++ b/crates/standin/src/session/simple.rs
@@ -13,7 +13,7 @@
 use wire::group::{GroupCommand, NOT_PRIMARY};
 use wire::leading_words::skip_blanks;
 
-use super::transaction::ConfirmError;
+use super::transaction::{ConfirmError, cancelled, client_gone};
 use super::{ErrorResponse, MemberSession, SessionEnd};
 use crate::member::LoggedStatement;
 use crate::sqlite::{ResultColumn, StatementResult, fixed_type_size};
@@ -67,11 +67,10 @@
         if statements.is_empty() {
             backend::put_empty_query_response(&mut self.output);
         }
-        let is_implicit = statements.len() > 1 && self.transaction_state == TransactionState::Idle;
-        let outcome = self.run_statements(&statements, is_implicit).await?;
+        let outcome = self.run_statements(&statements).await?;
         if let Err(error) = outcome {
             self.fail_statement(&error);
-            if is_implicit || self.transaction_state == TransactionState::Idle {
+            if self.transaction_state == TransactionState::Idle {
                 self.roll_back();
             }
         }
@@ -81,51 +80,32 @@
 
     /// Runs the statements in order and stops at the first error.
     ///
-    /// With `is_implicit`, statements outside a transaction block run in one implicit transaction,
-    /// as PostgreSQL runs several statements of one message.
+    /// What they write outside of transaction blocks commits with the last one, or with a `COMMIT`
+    /// between them, as PostgreSQL runs several statements of one message.
     async fn run_statements(
         &mut self,
         statements: &[String],
-        is_implicit: bool,
     ) -> Result<Result<(), ErrorResponse>, SessionEnd> {
-        let mut in_implicit_transaction = false;
-        for sql in statements {
-            let control = ControlStatement::classify(sql);
-            if is_implicit && !in_implicit_transaction && control == ControlStatement::None {
-                if let Err(error) = self.begin(true).await {
-                    return Ok(Err(error));
-                }
-                in_implicit_transaction = true;
-            }
-            let outcome = if in_implicit_transaction && control == ControlStatement::None {
-                self.execute_statement(sql, &[], &[]).await
-            } else {
-                in_implicit_transaction =
-                    in_implicit_transaction && control == ControlStatement::SessionParameter;
-                self.run_statement(sql, &[], &[]).await
-            };
-            let (tag, result) = match outcome {
+        for (index, sql) in statements.iter().enumerate() {
+            let (tag, result) = match self.run_statement(sql, &[], &[]).await {
                 Ok(done) => done,
                 Err(error) => return Ok(Err(error)),
             };
-            if self.take_response_loss() {
-                return Err(SessionEnd::Dropped);
-            }
-            self.put_result(&result, &[]).await?;
-            backend::put_command_complete(&mut self.output, &tag);
-        }
-        if in_implicit_transaction {
-            if let Err(error) = self.commit().await {
+            if index + 1 == statements.len()
+                && let Err(error) = self.commit_implicit().await
+            {
                 return Ok(Err(error));
             }
             if self.take_response_loss() {
                 return Err(SessionEnd::Dropped);
             }
+            self.put_result(&result, &[]).await?;
+            backend::put_command_complete(&mut self.output, &tag);
         }
         Ok(Ok(()))
     }
 
-    /// Runs one statement, in its own transaction if none is open.
+    /// Runs one statement. A write outside of a block opens an implicit transaction.
     pub(crate) async fn run_statement(
         &mut self,
         sql: &str,
@@ -145,7 +125,10 @@
         match control {
             ControlStatement::Begin | ControlStatement::BeginReadOnly => {
                 if self.transaction_state == TransactionState::Idle {
-                    self.begin(control == ControlStatement::Begin).await?;
+                    // The block includes what the text or pipeline has written before it.
+                    if !std::mem::take(&mut self.in_implicit_transaction) {
+                        self.begin(control == ControlStatement::Begin).await?;
+                    }
                     self.transaction_state = TransactionState::Open;
                 }
                 done("BEGIN")
@@ -159,13 +142,16 @@
                 self.commit().await?;
                 done("COMMIT")
             }
-            ControlStatement::Commit => done("COMMIT"),
+            ControlStatement::Commit => {
+                self.commit_implicit().await?;
+                done("COMMIT")
+            }
             ControlStatement::Rollback => {
                 self.roll_back();
                 done("ROLLBACK")
             }
             ControlStatement::SessionParameter => Ok(session_parameter_response(sql)),
-            ControlStatement::DiscardAll if self.transaction_state == TransactionState::Idle => {
+            ControlStatement::DiscardAll if !self.has_open_transaction() => {
                 let state = self.member.replication.lock();
                 (self.connection, self.generation) = (state.connect()?, state.generation);
                 self.prepared_statements.clear();
@@ -176,31 +162,22 @@
                 "25001",
                 "DISCARD ALL cannot run inside a transaction block",
             )),
-            ControlStatement::None if self.transaction_state == TransactionState::Open => {
+            ControlStatement::None => {
+                self.begin_implicit(sql).await?;
                 self.execute_statement(sql, parameters, formats).await
             }
-            ControlStatement::None => self.run_autocommit(sql, parameters, formats).await,
         }
     }
 
-    async fn run_autocommit(
-        &mut self,
-        sql: &str,
-        parameters: &[Value],
-        formats: &[i16],
-    ) -> Result<(String, StatementResult), ErrorResponse> {
+    /// Opens an implicit transaction for a write if no transaction is open.
+    async fn begin_implicit(&mut self, sql: &str) -> Result<(), ErrorResponse> {
         self.refresh_connection()?;
-        if is_sleep(sql) || self.connection.is_readonly(sql)? {
-            return self.execute_statement(sql, parameters, formats).await;
+        if self.has_open_transaction() || is_sleep(sql) || self.connection.is_readonly(sql)? {
+            return Ok(());
         }
         self.begin(true).await?;
-        let outcome = self.execute_statement(sql, parameters, formats).await;
-        if outcome.is_err() {
-            self.roll_back();
-            return outcome;
-        }
-        self.commit().await?;
-        outcome
+        self.in_implicit_transaction = true;
+        Ok(())
     }
 
     async fn execute_statement(
@@ -214,10 +191,10 @@
         let mut service_time = Duration::from_millis(fault.slow_ms)
             + Duration::from_micros(self.settings.statement_us);
         let member = self.member.clone();
-        let cancelled = || ErrorResponse::new("57014", "canceling statement due to user request");
         let _permit = tokio::select! {
             permit = member.statement_slots.acquire() => permit.expect("semaphore never closes"),
             () = self.cancel.notified() => return Err(cancelled()),
+            () = client_gone(&self.socket) => return Err(cancelled()),
         };
         member.executed_statements.fetch_add(1, Ordering::Relaxed);
         let sleep_time = sleep_argument(sql);
@@ -226,6 +203,7 @@
             tokio::select! {
                 () = sleep(service_time) => {}
                 () = self.cancel.notified() => return Err(cancelled()),
+                () = client_gone(&self.socket) => return Err(cancelled()),
             }
         }
         if sleep_time.is_some() {
@@ -313,9 +291,7 @@
                 Err(ConfirmError::NotPrimary) => {
                     Err(ErrorResponse::new(NOT_PRIMARY, "the primary was replaced"))
                 }
-                Err(ConfirmError::Cancelled) => {
-                    Err(ErrorResponse::new("57014", "canceling statement due to user request"))
-                }
+                Err(ConfirmError::Cancelled) => Err(cancelled()),
             },
         }
     }
--- a/crates/standin/src/session/transaction.rs
+++ b/crates/standin/src/session/transaction.rs
@@ -1,5 +1,6 @@
 //! Transactions of a session: begin, commit to the log, roll back, confirm.
 
+use tokio::net::TcpStream;
 use tokio::time::Duration;
 use wire::backend::TransactionState;
 use wire::group::NOT_PRIMARY;
@@ -13,6 +14,26 @@
 /// Attempts to lock the database before the transaction fails, for about 2 s in total.
 const MAX_BUSY_ATTEMPTS: u32 = 2_000;
 
+/// Interval at which a connection with unread input is checked for its end.
+const CLIENT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Waits until the client has closed its connection.
+///
+/// A closed connection is noticed once the input before its end has been read.
+pub(super) async fn client_gone(socket: &TcpStream) {
+    loop {
+        let mut byte = [0];
+        match socket.peek(&mut byte).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => tokio::time::sleep(CLIENT_CHECK_INTERVAL).await,
+        }
+    }
+}
+
+pub(super) fn cancelled() -> ErrorResponse {
+    ErrorResponse::new("57014", "canceling statement due to user request")
+}
+
 /// Reason why a confirmation failed.
 pub(crate) enum ConfirmError {
     /// The member lost the primary role before a majority had replicated the position.
@@ -31,7 +52,11 @@
         if !self.member.replication.lock().is_primary() {
             return Err(ErrorResponse::new(NOT_PRIMARY, "this member is not the primary"));
         }
-        let write_guard = self.member.write_lock.clone().lock_owned().await;
+        let write_guard = tokio::select! {
+            guard = self.member.write_lock.clone().lock_owned() => guard,
+            () = self.cancel.notified() => return Err(cancelled()),
+            () = client_gone(&self.socket) => return Err(cancelled()),
+        };
         self.refresh_connection()?;
         for _ in 0..MAX_BUSY_ATTEMPTS {
             match self.connection.control_transaction("BEGIN IMMEDIATE") {
@@ -53,12 +78,11 @@
             return Err(ErrorResponse::new(NOT_PRIMARY, "the primary was replaced"));
         }
         let statements = std::mem::take(&mut self.logged_statements);
-        let label = self.label.take();
         if statements.is_empty() {
             self.write_guard = None;
             return Ok(self.connection.control_transaction("COMMIT")?);
         }
-        let entry = LogEntry { term: 0, label, statements };
+        let entry = LogEntry { term: 0, label: self.label.take(), statements };
         for _ in 0..MAX_BUSY_ATTEMPTS {
             let connection = &self.connection;
             match self.member.update(|state| state.commit(connection, entry.clone())) {
@@ -81,13 +105,28 @@
         Err(SqliteError::Busy.into())
     }
 
+    /// Commits what the statements of a text or pipeline have written outside of blocks.
+    pub(crate) async fn commit_implicit(&mut self) -> Result<(), ErrorResponse> {
+        match std::mem::take(&mut self.in_implicit_transaction) {
+            true => self.commit().await,
+            false => Ok(()),
+        }
+    }
+
+    /// Rolls back what the statements of a text or pipeline have written outside of blocks.
+    pub(crate) fn roll_back_implicit(&mut self) {
+        if self.in_implicit_transaction {
+            self.roll_back();
+        }
+    }
+
     /// Rolls back the open transaction, if any.
     pub(crate) fn roll_back(&mut self) {
         let _ = self.connection.control_transaction("ROLLBACK");
         self.write_guard = None;
         self.logged_statements.clear();
-        self.label = None;
         self.transaction_state = TransactionState::Idle;
+        self.in_implicit_transaction = false;
     }
 
     /// Waits until a majority has replicated this session's last commit in this primary's term.
@@ -118,6 +157,7 @@
                     }
                 }
                 () = self.cancel.notified() => return Err(ConfirmError::Cancelled),
+                () = client_gone(&self.socket) => return Err(ConfirmError::Cancelled),
             }
         }
     }
--- a/crates/standin/src/sqlite.rs
+++ b/crates/standin/src/sqlite.rs
@@ -1,6 +1,7 @@
 //! SQLite database of a member, in a temporary directory that is deleted with the member.
 
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use bytes::{BufMut as _, BytesMut};
 use rusqlite::types::Value;
@@ -14,6 +15,9 @@
 /// Prepared statements cached per connection.
 const MAX_CACHED_STATEMENTS: usize = 64;
 
+/// Time for which a statement of a session waits for a lock.
+const SESSION_BUSY_TIMEOUT: Duration = Duration::from_millis(5);
+
 /// File name of the database in its directory.
 const DATABASE_FILE_NAME: &str = "member.db";
 
@@ -120,6 +124,8 @@
     /// Opens another connection to the database.
     pub fn connect(&self) -> Result<SqliteConnection, SqliteError> {
         let connection = open_connection(&self.path)?;
+        // The wait would block the thread, so sessions try again by themselves.
+        connection.busy_timeout(SESSION_BUSY_TIMEOUT)?;
         connection.execute_batch("PRAGMA synchronous=OFF;")?;
         Ok(SqliteConnection { connection })
     }
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -100,6 +100,8 @@
     pub kind: StatementKind,
     /// Number of statements in the text.
     pub statement_count: usize,
+    /// The text may commit more than once.
+    pub may_commit_repeatedly: bool,
     /// Tables that the text names, in lower case and without common table expressions.
     pub tables: Vec<String>,
     /// The statements, if the kind is `Session`.
@@ -126,6 +128,7 @@
         Self {
             kind,
             statement_count: count,
+            may_commit_repeatedly: false,
             tables: Vec::new(),
             session: Vec::new(),
             changes_session: false,
@@ -155,7 +158,10 @@
                 return Self::unsupported("temporary objects");
             }
             // A later statement of the text may end a transaction.
-            _ if text.trim_end().trim_end_matches(';').contains(';') => StatementKind::Mixed,
+            _ if text.trim_end().trim_end_matches(';').contains(';') => {
+                let class = Self::with_kind(StatementKind::Mixed, 1);
+                return Self { changes_session: true, may_commit_repeatedly: true, ..class };
+            }
             ["begin" | "start", ..] => StatementKind::Begin,
             ["commit" | "end", ..] => StatementKind::Commit,
             ["rollback" | "abort", ..] => StatementKind::Rollback,
@@ -179,7 +185,10 @@
             let session = classes.into_iter().flat_map(|class| class.session).collect();
             return Self { session, ..Self::with_kind(StatementKind::Session, statements.len()) };
         }
-        Self::merge(&classes.iter().collect::<Vec<_>>())
+        let kinds = classes.iter().map(|class| class.kind);
+        let may_commit_repeatedly = may_commit_repeatedly(kinds);
+        let merged = Self::merge(&classes.iter().collect::<Vec<_>>());
+        Self { may_commit_repeatedly, ..merged }
     }
 
     /// Returns the combined class of statements that run in sequence.
@@ -312,6 +321,33 @@
     }
 }
 
+/// Returns whether statements that run in sequence may commit more than once, in a block or outside.
+///
+/// Outside of blocks all writes up to the end are one transaction.
+pub fn may_commit_repeatedly(kinds: impl Iterator<Item = StatementKind> + Clone) -> bool {
+    [false, true].into_iter().any(|begins_in_block| {
+        let (mut in_block, mut has_written) = (begins_in_block, begins_in_block);
+        let mut commit_count = 0;
+        for kind in kinds.clone() {
+            match kind {
+                StatementKind::Begin | StatementKind::BeginReadOnly => in_block = true,
+                StatementKind::Commit | StatementKind::Rollback => {
+                    commit_count += usize::from(has_written && kind == StatementKind::Commit);
+                    (in_block, has_written) = (false, false);
+                }
+                StatementKind::Write => has_written = true,
+                StatementKind::Mixed => return true,
+                StatementKind::Read
+                | StatementKind::Savepoint
+                | StatementKind::Session
+                | StatementKind::Empty
+                | StatementKind::Unsupported => {}
+            }
+        }
+        commit_count + usize::from(has_written && !in_block) > 1
+    })
+}
+
 /// Returns whether a query does nothing but release the advisory locks of its session.
 fn releases_locks(query: &Query) -> bool {
     let SetExpr::Select(select) = &*query.body else {
