Show the loss of acknowledged commits by a late promotion

Sought: orders of events in which a service with synchronous replicas loses an acknowledged commit.

Done: case 11, a script with stand-ins of its own. An order to promote stays unanswered and is carried out 6 s later; the primary is back meanwhile, and the replica that was held for the order has restarted. The holder of the promotion lease then supersedes nothing.

--- /dev/null
+++ b/review/stand-3/cases.rs
@@ -0,0 +1,372 @@
+//! Runs of the cases.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::client::Session;
+use crate::gateway::{Gateway, GatewaySettings, Network, wait_until_ready};
+use crate::group::Group;
+use crate::store::{Platform, PromotionFate};
+use crate::{Random, Recorder, member, sleep_ms};
+
+const SERVICE: &str = "ledger";
+const DATABASE: &str = "bookings";
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// What a run found: descriptions of breaks of the rule, or the reason why it could not run.
+pub type RunResult = Result<Vec<String>, String>;
+
+pub fn run(case: &str, has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
+    match case {
+        "late-promotion" => late_promotion(has_trouble, program, recorder),
+        "first-start" => first_start(has_trouble, program, recorder),
+        _ => Err(format!("unknown case {case}")),
+    }
+}
+
+/// Environment of a run: platform, one service and instances of the system.
+struct Environment {
+    platform: Arc<Platform>,
+    group: Arc<Group>,
+    gateways: Vec<Gateway>,
+    folder: PathBuf,
+    store: SocketAddr,
+    cloud: SocketAddr,
+}
+
+impl Drop for Environment {
+    fn drop(&mut self) {
+        self.gateways.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Tenant with its limit.
+struct Tenant {
+    name: &'static str,
+    rate: u64,
+    burst: u64,
+}
+
+struct Deployment<'a> {
+    instances: u8,
+    members: [(&'a str, u64); 3],
+    synchronous_replicas: usize,
+    work: Duration,
+    kind: &'a str,
+    timeout_ms: u64,
+    target_ms: u64,
+    tenants: &'a [Tenant],
+}
+
+impl Deployment<'_> {
+    fn manifest(&self, version: u64) -> String {
+        let tenant = |tenant: &Tenant| {
+            format!(
+                "{{\"name\":\"{name}\",\"api_keys\":[\"key-{name}\"],\"priority\":1,\
+                 \"rate_per_s\":{},\"burst\":{}}}",
+                tenant.rate,
+                tenant.burst,
+                name = tenant.name
+            )
+        };
+        let tenants: Vec<String> = self.tenants.iter().map(tenant).collect();
+        format!(
+            "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"{DATABASE}\",\
+             \"prefix\":\"/\",\"kind\":\"{}\",\"timeout_ms\":{},\"target_latency_ms\":{},\
+             \"priority\":1,\"service\":\"{SERVICE}\",\"max_attempts\":2,\
+             \"max_staleness_ms\":1500,\"public\":false}}],\"services\":[{{\"name\":\"{SERVICE}\",\
+             \"health_path\":\"/health\",\"max_connections\":{},\"protocol\":\"h1\",\"tls\":false,\
+             \"sync_replicas\":{}}}],\"limits\":{{\"transaction_idle_ms\":3000}},\"tenants\":[{}]}}",
+            self.kind,
+            self.timeout_ms,
+            self.target_ms,
+            member::MAX_CONNECTIONS,
+            self.synchronous_replicas,
+            tenants.join(",")
+        )
+    }
+
+    fn start(&self, program: &Path, recorder: &Recorder) -> Result<Environment, String> {
+        let text = |error: std::io::Error| error.to_string();
+        let network = Network::new();
+        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(text)?;
+        let (store, cloud) = (network.address(200, 8466), network.address(201, 8466));
+        let member = |index: usize| {
+            let (id, delay) = self.members[index];
+            (id, network.address(100 + index as u8, 8080), ZONES[index], delay)
+        };
+        let members = [member(0), member(1), member(2)];
+        let group = Group::new(SERVICE, &members, self.synchronous_replicas, self.work, recorder);
+        let platform = Platform::new(vec![group.clone()], recorder);
+        platform.serve(store, cloud).map_err(text)?;
+        platform.put("op", "config", Some(&self.manifest(7)));
+        member::serve(&group, &platform).map_err(text)?;
+        let mut environment =
+            Environment { platform, group, gateways: Vec::new(), folder, store, cloud };
+        for host in 1..=self.instances {
+            let zone = ZONES[usize::from(host - 1) % ZONES.len()];
+            let (store, cloud) = (environment.store, environment.cloud);
+            let settings =
+                GatewaySettings { network, host, zone, first_start: true, store, cloud };
+            let gateway = Gateway::start(program, &environment.folder, &settings).map_err(text)?;
+            recorder.line(&format!(
+                "{} started at {}, process {}",
+                gateway.name,
+                gateway.address,
+                gateway.process()
+            ));
+            environment.gateways.push(gateway);
+        }
+        wait_until_ready(&environment.gateways)?;
+        recorder.line("all instances are ready");
+        Ok(environment)
+    }
+}
+
+impl Environment {
+    /// Copies the events of the instances that say what they decided.
+    fn record_logs(&self, recorder: &Recorder, words: &[&str]) {
+        for gateway in &self.gateways {
+            for line in gateway.log().lines() {
+                if words.iter().any(|word| line.contains(word)) {
+                    recorder.line(&format!("log of {}: {line}", gateway.name));
+                }
+            }
+        }
+    }
+
+    fn check_processes(&mut self) -> Result<(), String> {
+        for gateway in &mut self.gateways {
+            if gateway.has_ended() {
+                return Err(format!("{} ended by itself", gateway.name));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Case 11: an order to promote that is carried out late, after the member that it replaces is back
+/// and the replica that was held for it has started again.
+fn late_promotion(has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
+    let deployment = Deployment {
+        instances: 3,
+        members: [("i-a", 0), ("i-b", 1), ("i-c", 20)],
+        synchronous_replicas: 1,
+        work: Duration::from_millis(4),
+        kind: "primary",
+        timeout_ms: 1_500,
+        target_ms: 300,
+        tenants: &[Tenant { name: "north", rate: 2_000, burst: 2_000 }],
+    };
+    let mut environment = deployment.start(program, recorder)?;
+    sleep_ms(3_000);
+    let acknowledged = Arc::new(Mutex::new(Vec::<(Instant, String)>::new()));
+    let (is_over, number) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(1)));
+    let addresses: Vec<SocketAddr> =
+        environment.gateways.iter().map(|gateway| gateway.address).collect();
+    let mut consumers = Vec::new();
+    for consumer in 0..6 {
+        let address = addresses[consumer % addresses.len()];
+        let (acknowledged, is_over) = (acknowledged.clone(), is_over.clone());
+        let (number, recorder) = (number.clone(), recorder.clone());
+        consumers.push(std::thread::spawn(move || {
+            while !is_over.load(Ordering::Relaxed) {
+                let Ok(mut session) = Session::open(address, DATABASE, "key-north") else {
+                    sleep_ms(100);
+                    continue;
+                };
+                while !is_over.load(Ordering::Relaxed) {
+                    let id = format!("w{}", number.fetch_add(1, Ordering::Relaxed));
+                    let answer = session.query(&id, &format!("WRITE item-{id} data-{id}"));
+                    match answer {
+                        Ok(answer) => match &answer.outcome {
+                            Ok(digest) => {
+                                recorder.line(&format!("consumer {consumer}: {id} COMPLETE {digest}"));
+                                acknowledged.lock().unwrap().push((Instant::now(), id));
+                            }
+                            Err(error) => {
+                                recorder.line(&format!("consumer {consumer}: {id} ERROR {error}"));
+                                sleep_ms(50);
+                            }
+                        },
+                        Err(cause) => {
+                            recorder.line(&format!("consumer {consumer}: {id} no answer: {cause}"));
+                            break;
+                        }
+                    }
+                    sleep_ms(10);
+                }
+            }
+        }));
+    }
+    sleep_ms(2_000);
+    if has_trouble {
+        *environment.platform.fates.lock().unwrap() =
+            vec![PromotionFate::Late(Duration::from_secs(6))];
+        // Two members go down and up by turns.
+        environment.group.crash(0);
+        sleep_ms(700);
+        environment.group.restart(0);
+        environment.group.crash(1);
+        sleep_ms(700);
+        environment.group.restart(1);
+        sleep_ms(8_600);
+    } else {
+        sleep_ms(10_000);
+    }
+    is_over.store(true, Ordering::Relaxed);
+    for consumer in consumers {
+        let _ = consumer.join();
+    }
+    environment.check_processes()?;
+    // What consumers see afterwards.
+    sleep_ms(1_500);
+    let mut gone = Vec::new();
+    let acknowledged = acknowledged.lock().unwrap().clone();
+    let mut session = Session::open(addresses[0], DATABASE, "key-north")?;
+    for (at, id) in acknowledged.iter().rev().take(600) {
+        let answer = session.query(&format!("r{id}"), &format!("READ item-{id}"))?;
+        if answer.outcome.is_ok() && answer.rows.is_empty() {
+            recorder.line(&format!("READ item-{id}: no row, acknowledged {:.3} s ago", at.elapsed().as_secs_f64()));
+            gone.push(id.clone());
+        }
+    }
+    environment.record_logs(recorder, &["HB50", "promotion", "replication"]);
+    let lost: Vec<String> = {
+        let state = environment.group.lock();
+        let was_answered = |id: &String| acknowledged.iter().any(|(_, known)| known == id);
+        let lost = state.lost.iter().filter(|(_, _, id)| was_answered(id));
+        lost.map(|(term, number, id)| format!("{term}.{number} of {id}")).collect()
+    };
+    recorder.line(&format!(
+        "{} writes acknowledged to consumers; {} of them not in the log of a promoted member; {} \
+         not found by a read",
+        acknowledged.len(),
+        lost.len(),
+        gone.len()
+    ));
+    if acknowledged.len() < 100 {
+        return Err("too few writes were acknowledged".to_owned());
+    }
+    let describe = |id: &String| format!("acknowledged commit {id} is not in the promoted log");
+    Ok(lost.iter().map(describe).collect())
+}
+
+/// Case of the limit: the quota owner of a team is killed soon after the first start.
+fn first_start(has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
+    const RATE: u64 = 20;
+    const BURST: u64 = 200;
+    const WINDOW: Duration = Duration::from_secs(5);
+    let tenants: Vec<Tenant> = ["north", "south", "east", "west"]
+        .into_iter()
+        .map(|name| Tenant { name, rate: RATE, burst: BURST })
+        .collect();
+    let deployment = Deployment {
+        instances: 3,
+        members: [("i-a", 0), ("i-b", 5), ("i-c", 5)],
+        synchronous_replicas: 0,
+        work: Duration::from_millis(2),
+        kind: "bounded_staleness",
+        timeout_ms: 1_500,
+        target_ms: 400,
+        tenants: &tenants,
+    };
+    let mut environment = deployment.start(program, recorder)?;
+    sleep_ms(3_000);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let addresses: Vec<SocketAddr> =
+        environment.gateways.iter().map(|gateway| gateway.address).collect();
+    let sent = Arc::new(Mutex::new(Vec::<(String, Instant)>::new()));
+    let mut consumers = Vec::new();
+    for consumer in 0..24_usize {
+        let tenant = tenants[consumer % tenants.len()].name;
+        let (addresses, is_over, sent) = (addresses.clone(), is_over.clone(), sent.clone());
+        consumers.push(std::thread::spawn(move || {
+            let mut random = Random::new(consumer as u64 + 1);
+            let mut number = 0;
+            while !is_over.load(Ordering::Relaxed) {
+                let address = addresses[random.below(addresses.len() as u64) as usize];
+                let Ok(mut session) = Session::open(address, DATABASE, &format!("key-{tenant}"))
+                else {
+                    sleep_ms(20);
+                    continue;
+                };
+                for _ in 0..40 {
+                    if is_over.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    number += 1;
+                    let id = format!("{tenant}-{consumer}-{number}");
+                    sent.lock().unwrap().push((id.clone(), Instant::now()));
+                    match session.query(&id, "READ item-1") {
+                        Ok(answer) if answer.outcome.is_ok() => sleep_ms(5),
+                        Ok(_) => sleep_ms(20 + random.below(20)),
+                        Err(_) => break,
+                    }
+                }
+            }
+        }));
+    }
+    let victim = 1;
+    sleep_ms(2_500);
+    if has_trouble {
+        recorder.line(&format!("{} is killed", environment.gateways[victim].name));
+        environment.gateways[victim].kill();
+        sleep_ms(2_000);
+        environment.gateways[victim].restart().map_err(|error| error.to_string())?;
+        sleep_ms(4_500);
+    } else {
+        sleep_ms(6_500);
+    }
+    is_over.store(true, Ordering::Relaxed);
+    for consumer in consumers {
+        let _ = consumer.join();
+    }
+    environment.check_processes()?;
+    let sent: std::collections::HashMap<String, Instant> =
+        sent.lock().unwrap().drain(..).collect();
+    let allowed = (RATE as f64 * WINDOW.as_secs_f64() + BURST as f64) * 1.1 + 20.0;
+    let mut broken = Vec::new();
+    let state = environment.group.lock();
+    let start = recorder.seconds();
+    let now = Instant::now();
+    for tenant in &tenants {
+        // Times of sending and of running; a request counts in windows that hold both.
+        let mut runs: Vec<(Instant, Instant)> = state
+            .runs
+            .iter()
+            .filter(|run| run.tenant == tenant.name)
+            .filter_map(|run| Some((*sent.get(&run.request_id)?, run.at)))
+            .collect();
+        runs.sort_by_key(|(_, at)| *at);
+        let count_from = |from: Instant| {
+            let inside = |(sent_at, at): &&(Instant, Instant)| {
+                *sent_at >= from && at.duration_since(from) <= WINDOW
+            };
+            runs.iter().filter(|(_, at)| *at >= from).filter(inside).count()
+        };
+        let most = runs.iter().map(|(sent_at, _)| (count_from(*sent_at), *sent_at)).max();
+        let Some((count, from)) = most else {
+            return Err(format!("nothing of tenant {} ran", tenant.name));
+        };
+        let at = start - now.duration_since(from).as_secs_f64();
+        recorder.line(&format!(
+            "tenant {}: {} requests run, at most {count} in a window of 5 s, from {at:.3} s; \
+             allowed {allowed}",
+            tenant.name,
+            runs.len()
+        ));
+        if count as f64 > allowed {
+            broken.push(format!(
+                "{count} requests of tenant {} ran in 5 s, {allowed} are allowed",
+                tenant.name
+            ));
+        }
+    }
+    Ok(broken)
+}
