Show that a tenant exceeds its limit when its quota owner is killed

Sought: two processes that act as the holder of one tenant's limit.

In the first 20 s of a first start each new quota owner starts with a full bucket, also the successor of a killed one.

--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -260,14 +260,14 @@
 /// Case of the limit: the quota owner of a team is killed soon after the first start.
 fn first_start(has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
     const RATE: u64 = 20;
-    const BURST: u64 = 200;
+    const BURST: u64 = 300;
     const WINDOW: Duration = Duration::from_secs(5);
     let tenants: Vec<Tenant> = ["north", "south", "east", "west"]
         .into_iter()
         .map(|name| Tenant { name, rate: RATE, burst: BURST })
         .collect();
     let deployment = Deployment {
-        instances: 3,
+        instances: 9,
         members: [("i-a", 0), ("i-b", 5), ("i-c", 5)],
         synchronous_replicas: 0,
         work: Duration::from_millis(2),
@@ -277,7 +277,8 @@
         tenants: &tenants,
     };
     let mut environment = deployment.start(program, recorder)?;
-    sleep_ms(3_000);
+    // Traffic starts 10 s after the machines do.
+    sleep_ms(10_000);
     let is_over = Arc::new(AtomicBool::new(false));
     let addresses: Vec<SocketAddr> =
         environment.gateways.iter().map(|gateway| gateway.address).collect();
@@ -286,6 +287,7 @@
     for consumer in 0..24_usize {
         let tenant = tenants[consumer % tenants.len()].name;
         let (addresses, is_over, sent) = (addresses.clone(), is_over.clone(), sent.clone());
+        let recorder = recorder.clone();
         consumers.push(std::thread::spawn(move || {
             let mut random = Random::new(consumer as u64 + 1);
             let mut number = 0;
@@ -305,21 +307,28 @@
                     sent.lock().unwrap().push((id.clone(), Instant::now()));
                     match session.query(&id, "READ item-1") {
                         Ok(answer) if answer.outcome.is_ok() => sleep_ms(5),
-                        Ok(_) => sleep_ms(20 + random.below(20)),
-                        Err(_) => break,
+                        Ok(answer) => {
+                            let refusal = answer.outcome.unwrap_err();
+                            recorder.line(&format!("{id} READ item-1: ERROR {refusal}"));
+                            sleep_ms(50 + random.below(20));
+                        }
+                        Err(cause) => {
+                            recorder.line(&format!("{id} READ item-1: no answer: {cause}"));
+                            break;
+                        }
                     }
                 }
             }
         }));
     }
-    let victim = 1;
+    let victim = 4;
     sleep_ms(2_500);
     if has_trouble {
         recorder.line(&format!("{} is killed", environment.gateways[victim].name));
         environment.gateways[victim].kill();
-        sleep_ms(2_000);
+        sleep_ms(3_500);
         environment.gateways[victim].restart().map_err(|error| error.to_string())?;
-        sleep_ms(4_500);
+        sleep_ms(3_000);
     } else {
         sleep_ms(6_500);
     }
@@ -343,6 +352,17 @@
             .filter(|run| run.tenant == tenant.name)
             .filter_map(|run| Some((*sent.get(&run.request_id)?, run.at)))
             .collect();
+        for run in state.runs.iter().filter(|run| run.tenant == tenant.name) {
+            if let Some(sent_at) = sent.get(&run.request_id) {
+                let seconds = |at: &Instant| start - now.duration_since(*at).as_secs_f64();
+                recorder.line(&format!(
+                    "{} sent {:.4}, run {:.4}",
+                    run.request_id,
+                    seconds(sent_at),
+                    seconds(&run.at)
+                ));
+            }
+        }
         runs.sort_by_key(|(_, at)| *at);
         let count_from = |from: Instant| {
             let inside = |(sent_at, at): &&(Instant, Instant)| {
