Show the loss of acknowledged commits by an order with a used token

Sought: orders to promote whose fence lets an earlier one pass.

While the store refuses writes, the holder of the promotion lease supersedes an unanswered order with another one of the same token, and resumes the held replica.

--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -21,7 +21,8 @@
 
 pub fn run(case: &str, has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
     match case {
-        "late-promotion" => late_promotion(has_trouble, program, recorder),
+        "late-promotion" => late_promotion(LateOrder::HoldLost, has_trouble, program, recorder),
+        "used-token" => late_promotion(LateOrder::StoreBusy, has_trouble, program, recorder),
         "first-start" => first_start(has_trouble, program, recorder),
         _ => Err(format!("unknown case {case}")),
     }
@@ -150,9 +151,23 @@
     }
 }
 
-/// Case 11: an order to promote that is carried out late, after the member that it replaces is back
-/// and the replica that was held for it has started again.
-fn late_promotion(has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
+/// What happens beside an order to promote that is carried out late, after the member that it
+/// replaces is back.
+#[derive(Clone, Copy, PartialEq)]
+enum LateOrder {
+    /// The replica that was held for it starts again.
+    HoldLost,
+    /// The store refuses all calls for a while.
+    StoreBusy,
+}
+
+/// Writes go on while an order to promote is carried out late.
+fn late_promotion(
+    order: LateOrder,
+    has_trouble: bool,
+    program: &Path,
+    recorder: &Recorder,
+) -> RunResult {
     let deployment = Deployment {
         instances: 3,
         members: [("i-a", 0), ("i-b", 1), ("i-c", 20)],
@@ -208,14 +223,25 @@
     if has_trouble {
         *environment.platform.fates.lock().unwrap() =
             vec![PromotionFate::Late(Duration::from_secs(6))];
-        // Two members go down and up by turns.
         environment.group.crash(0);
         sleep_ms(700);
         environment.group.restart(0);
-        environment.group.crash(1);
-        sleep_ms(700);
-        environment.group.restart(1);
-        sleep_ms(8_600);
+        match order {
+            LateOrder::HoldLost => {
+                environment.group.crash(1);
+                sleep_ms(700);
+                environment.group.restart(1);
+                sleep_ms(8_600);
+            }
+            LateOrder::StoreBusy => {
+                environment.platform.is_busy.store(true, Ordering::Relaxed);
+                recorder.line("the store answers 503");
+                sleep_ms(4_500);
+                environment.platform.is_busy.store(false, Ordering::Relaxed);
+                recorder.line("the store answers again");
+                sleep_ms(4_800);
+            }
+        }
     } else {
         sleep_ms(10_000);
     }
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -56,8 +57,8 @@
     recorder: Recorder,
     /// Fate of the next orders; prompt if there is none.
     pub fates: Mutex<Vec<PromotionFate>>,
-    /// Times and members of the orders that arrived.
-    pub orders: Mutex<Vec<(Instant, String)>>,
+    /// The store answers all calls with 503.
+    pub is_busy: AtomicBool,
 }
 
 struct Request {
@@ -127,7 +128,7 @@
             groups,
             recorder: recorder.clone(),
             fates: Mutex::default(),
-            orders: Mutex::default(),
+            is_busy: AtomicBool::new(false),
         })
     }
 
@@ -162,7 +163,9 @@
         loop {
             let request = read_request(&mut reader)?;
             let closes = request.headers.get("connection").is_some_and(|value| value == "close");
+            let is_refused = self.is_busy.load(Ordering::Relaxed) && request.path != "/promotion";
             let (status, body) = match (request.method.as_str(), request.path.as_str()) {
+                _ if is_refused => (503, "{}".to_owned()),
                 ("GET", "/v1/rows-get") => self.get_rows(&request),
                 ("GET", "/v1/rows-feed") => self.feed(&request),
                 ("POST", "/v1/rows-tx") => self.transact(&request),
@@ -287,7 +290,6 @@
         let holder = header("hibiscusworks-lease-holder");
         let token: u64 = header("hibiscusworks-fencing-token").parse().ok()?;
         let order = format!("promote {id} of {service}, holder {holder}, token {token}");
-        self.orders.lock().unwrap().push((Instant::now(), id.clone()));
         let fate = {
             let mut fates = self.fates.lock().unwrap();
             if fates.is_empty() { PromotionFate::Prompt } else { fates.remove(0) }
