Show that a row of another part replaces the manifest

Sought: rows of the store that the system takes for others.

The feed of a table holds the rows of all parts, and the client does not look at the part, so that a draft in a part of its own is put into force as the manifest.

--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -23,6 +23,7 @@
     match case {
         "late-promotion" => late_promotion(LateOrder::HoldLost, has_trouble, program, recorder),
         "used-token" => late_promotion(LateOrder::StoreBusy, has_trouble, program, recorder),
+        "other-part" => other_part(has_trouble, program, recorder),
         "first-start" => first_start(has_trouble, program, recorder),
         _ => Err(format!("unknown case {case}")),
     }
@@ -416,3 +417,62 @@
     }
     Ok(broken)
 }
+
+/// The operator keeps a draft of the next manifest in the table `op`, in a part of its own.
+fn other_part(has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
+    let tenants =
+        [Tenant { name: "north", rate: 200, burst: 200 }, Tenant { name: "south", rate: 200, burst: 200 }];
+    let mut deployment = Deployment {
+        instances: 3,
+        members: [("i-a", 0), ("i-b", 5), ("i-c", 5)],
+        synchronous_replicas: 0,
+        work: Duration::from_millis(4),
+        kind: "primary",
+        timeout_ms: 1_500,
+        target_ms: 300,
+        tenants: &tenants[..1],
+    };
+    let mut environment = deployment.start(program, recorder)?;
+    sleep_ms(3_000);
+    let addresses: Vec<SocketAddr> =
+        environment.gateways.iter().map(|gateway| gateway.address).collect();
+    let ask = |key: &str, id: &str| -> Result<String, String> {
+        let mut outcomes = Vec::new();
+        for (index, address) in addresses.iter().enumerate() {
+            let outcome = match Session::open(*address, DATABASE, key) {
+                Ok(mut session) => {
+                    let answer = session.query(&format!("{id}-{index}"), "READ item-1")?;
+                    answer.outcome.map_or_else(|e| format!("ERROR {e}"), |d| format!("COMPLETE {d}"))
+                }
+                Err(refusal) => refusal,
+            };
+            recorder.line(&format!("consumer with {key} at frontend-{}: {outcome}", index + 1));
+            outcomes.push(outcome);
+        }
+        Ok(outcomes.join("; "))
+    };
+    ask("key-north", "n1")?;
+    ask("key-south", "s1")?;
+    if has_trouble {
+        // The draft adds a tenant. It is no manifest: `op/config` stays as it is.
+        deployment.tenants = &tenants;
+        let draft = deployment.manifest(8);
+        environment.platform.put_in_part("op", "draft", "config", Some(&draft));
+        recorder.line("a row of table op, part draft, key config is written");
+    }
+    for round in 2..6 {
+        sleep_ms(1_500);
+        ask("key-north", &format!("n{round}"))?;
+        ask("key-south", &format!("s{round}"))?;
+    }
+    environment.check_processes()?;
+    environment.record_logs(recorder, &["document"]);
+    let state = environment.group.lock();
+    let run = state.runs.iter().filter(|run| run.tenant == "south");
+    let mut broken = Vec::new();
+    for run in run {
+        recorder.line(&format!("member ran {} of tenant {}", run.request_id, run.tenant));
+        broken.push(format!("{} ran, whose key no manifest ever held", run.request_id));
+    }
+    Ok(broken)
+}
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -149,9 +149,14 @@
 
     /// Writes a row as the operator or a member does.
     pub fn put(&self, table: &str, key: &str, value: Option<&str>) {
+        self.put_in_part(table, "", key, value);
+    }
+
+    /// Writes a row of any part.
+    pub fn put_in_part(&self, table: &str, part: &str, key: &str, value: Option<&str>) {
         let mut content = self.content.lock().unwrap();
         content.version += 1;
-        let row = (table.to_owned(), String::new(), key.to_owned());
+        let row = (table.to_owned(), part.to_owned(), key.to_owned());
         content.write(row, value.map(base64));
         self.changed.notify_all();
     }
