Show the loss of commits that only a forgotten replica confirmed

Done: case 14, a script. A replica is cut off from the machines and the store for 16 s, and the primary crashes.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# 1: more requests of a tenant ran in a window of 5 s than its limit allows, 0: the rule held, 2: not
-# run. TROUBLE=0: without the disruption.
+# 1: an acknowledged commit is missing in the log of a promoted member, 0: the rule held, 2: not run.
+# TROUBLE=0: without the disruptions.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3/stand first-start review/14 target/deploy/hibiscus-gateway
+exec target/review-3/stand cut-replica review/14 target/deploy/hibiscus-gateway
--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -21,8 +21,15 @@
 
 pub fn run(case: &str, has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
     match case {
-        "late-promotion" => late_promotion(LateOrder::HoldLost, has_trouble, program, recorder),
-        "used-token" => late_promotion(LateOrder::StoreBusy, has_trouble, program, recorder),
+        "late-promotion" => {
+            synchronous_writes(PromotionTrouble::HoldLost, has_trouble, program, recorder)
+        }
+        "cut-replica" => {
+            synchronous_writes(PromotionTrouble::ReplicaCut, has_trouble, program, recorder)
+        }
+        "used-token" => {
+            synchronous_writes(PromotionTrouble::StoreBusy, has_trouble, program, recorder)
+        }
         "other-part" => other_part(has_trouble, program, recorder),
         "first-start" => first_start(has_trouble, program, recorder),
         _ => Err(format!("unknown case {case}")),
@@ -58,6 +65,8 @@
     members: [(&'a str, u64); 3],
     synchronous_replicas: usize,
     work: Duration,
+    slots: usize,
+    delivers_sent: bool,
     kind: &'a str,
     timeout_ms: u64,
     target_ms: u64,
@@ -103,7 +112,13 @@
             (id, network.address(100 + index as u8, 8080), ZONES[index], delay)
         };
         let members = [member(0), member(1), member(2)];
-        let group = Group::new(SERVICE, &members, self.synchronous_replicas, self.work, recorder);
+        let group = Group::new(
+            SERVICE,
+            &members,
+            self.synchronous_replicas,
+            (self.work, self.slots, self.delivers_sent),
+            recorder,
+        );
         let platform = Platform::new(vec![group.clone()], recorder);
         platform.serve(store, cloud).map_err(text)?;
         platform.put("op", "config", Some(&self.manifest(7)));
@@ -113,8 +128,7 @@
         for host in 1..=self.instances {
             let zone = ZONES[usize::from(host - 1) % ZONES.len()];
             let (store, cloud) = (environment.store, environment.cloud);
-            let settings =
-                GatewaySettings { network, host, zone, first_start: true, store, cloud };
+            let settings = GatewaySettings { network, host, zone, first_start: true, store, cloud };
             let gateway = Gateway::start(program, &environment.folder, &settings).map_err(text)?;
             recorder.line(&format!(
                 "{} started at {}, process {}",
@@ -152,28 +166,34 @@
     }
 }
 
-/// What happens beside an order to promote that is carried out late, after the member that it
-/// replaces is back.
+/// What happens while writes of a service with a synchronous replica go on. In the first two an order to
+/// promote is carried out late, after the member that it replaces is back.
 #[derive(Clone, Copy, PartialEq)]
-enum LateOrder {
+enum PromotionTrouble {
     /// The replica that was held for it starts again.
     HoldLost,
     /// The store refuses all calls for a while.
     StoreBusy,
+    /// No order is late: a replica is cut off from the machines of the system and from the store, not
+    /// from the primary, until its entry has been away for ten seconds and the primary crashes.
+    ReplicaCut,
 }
 
-/// Writes go on while an order to promote is carried out late.
-fn late_promotion(
-    order: LateOrder,
+/// Writes go on through a promotion; no acknowledged one may be missing afterwards.
+fn synchronous_writes(
+    order: PromotionTrouble,
     has_trouble: bool,
     program: &Path,
     recorder: &Recorder,
 ) -> RunResult {
+    let is_replica_cut = order == PromotionTrouble::ReplicaCut;
     let deployment = Deployment {
         instances: 3,
-        members: [("i-a", 0), ("i-b", 1), ("i-c", 20)],
+        members: [("i-a", 0), ("i-b", 1), ("i-c", if is_replica_cut { 6 } else { 20 })],
         synchronous_replicas: 1,
-        work: Duration::from_millis(4),
+        work: Duration::from_millis(if is_replica_cut { 10 } else { 4 }),
+        slots: if is_replica_cut { 6 } else { 4 },
+        delivers_sent: !is_replica_cut,
         kind: "primary",
         timeout_ms: 1_500,
         target_ms: 300,
@@ -186,11 +206,12 @@
     let addresses: Vec<SocketAddr> =
         environment.gateways.iter().map(|gateway| gateway.address).collect();
     let mut consumers = Vec::new();
-    for consumer in 0..6 {
+    for consumer in 0..(if is_replica_cut { 24 } else { 6 }) {
         let address = addresses[consumer % addresses.len()];
         let (acknowledged, is_over) = (acknowledged.clone(), is_over.clone());
         let (number, recorder) = (number.clone(), recorder.clone());
         consumers.push(std::thread::spawn(move || {
+            let mut random = Random::new(consumer as u64 + 1);
             while !is_over.load(Ordering::Relaxed) {
                 let Ok(mut session) = Session::open(address, DATABASE, "key-north") else {
                     sleep_ms(100);
@@ -202,7 +223,8 @@
                     match answer {
                         Ok(answer) => match &answer.outcome {
                             Ok(digest) => {
-                                recorder.line(&format!("consumer {consumer}: {id} COMPLETE {digest}"));
+                                recorder
+                                    .line(&format!("consumer {consumer}: {id} COMPLETE {digest}"));
                                 acknowledged.lock().unwrap().push((Instant::now(), id));
                             }
                             Err(error) => {
@@ -215,26 +237,36 @@
                             break;
                         }
                     }
-                    sleep_ms(10);
+                    sleep_ms(if is_replica_cut { random.below(9) } else { 10 });
                 }
             }
         }));
     }
     sleep_ms(2_000);
-    if has_trouble {
+    if has_trouble && is_replica_cut {
+        environment.group.set_cut(1, true);
+        sleep_ms(14_200);
+        environment.group.crash(0);
+        sleep_ms(1_800);
+        environment.group.set_cut(1, false);
+        sleep_ms(5_200);
+        environment.group.restart(0);
+        sleep_ms(1_000);
+    } else if has_trouble {
         *environment.platform.fates.lock().unwrap() =
             vec![PromotionFate::Late(Duration::from_secs(6))];
         environment.group.crash(0);
         sleep_ms(700);
         environment.group.restart(0);
         match order {
-            LateOrder::HoldLost => {
+            PromotionTrouble::HoldLost => {
                 environment.group.crash(1);
                 sleep_ms(700);
                 environment.group.restart(1);
                 sleep_ms(8_600);
             }
-            LateOrder::StoreBusy => {
+            PromotionTrouble::ReplicaCut => {}
+            PromotionTrouble::StoreBusy => {
                 environment.platform.is_busy.store(true, Ordering::Relaxed);
                 recorder.line("the store answers 503");
                 sleep_ms(4_500);
@@ -244,7 +276,7 @@
             }
         }
     } else {
-        sleep_ms(10_000);
+        sleep_ms(if is_replica_cut { 22_200 } else { 10_000 });
     }
     is_over.store(true, Ordering::Relaxed);
     for consumer in consumers {
@@ -256,10 +288,13 @@
     let mut gone = Vec::new();
     let acknowledged = acknowledged.lock().unwrap().clone();
     let mut session = Session::open(addresses[0], DATABASE, "key-north")?;
-    for (at, id) in acknowledged.iter().rev().take(600) {
+    for (at, id) in acknowledged.iter().rev().take(300) {
         let answer = session.query(&format!("r{id}"), &format!("READ item-{id}"))?;
         if answer.outcome.is_ok() && answer.rows.is_empty() {
-            recorder.line(&format!("READ item-{id}: no row, acknowledged {:.3} s ago", at.elapsed().as_secs_f64()));
+            recorder.line(&format!(
+                "READ item-{id}: no row, acknowledged {:.3} s ago",
+                at.elapsed().as_secs_f64()
+            ));
             gone.push(id.clone());
         }
     }
@@ -298,6 +333,8 @@
         members: [("i-a", 0), ("i-b", 5), ("i-c", 5)],
         synchronous_replicas: 0,
         work: Duration::from_millis(2),
+        slots: 4,
+        delivers_sent: true,
         kind: "bounded_staleness",
         timeout_ms: 1_500,
         target_ms: 400,
@@ -364,8 +401,7 @@
         let _ = consumer.join();
     }
     environment.check_processes()?;
-    let sent: std::collections::HashMap<String, Instant> =
-        sent.lock().unwrap().drain(..).collect();
+    let sent: std::collections::HashMap<String, Instant> = sent.lock().unwrap().drain(..).collect();
     let allowed = (RATE as f64 * WINDOW.as_secs_f64() + BURST as f64) * 1.1 + 20.0;
     let mut broken = Vec::new();
     let state = environment.group.lock();
@@ -420,13 +456,17 @@
 
 /// The operator keeps a draft of the next manifest in the table `op`, in a part of its own.
 fn other_part(has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
-    let tenants =
-        [Tenant { name: "north", rate: 200, burst: 200 }, Tenant { name: "south", rate: 200, burst: 200 }];
+    let tenants = [
+        Tenant { name: "north", rate: 200, burst: 200 },
+        Tenant { name: "south", rate: 200, burst: 200 },
+    ];
     let mut deployment = Deployment {
         instances: 3,
         members: [("i-a", 0), ("i-b", 5), ("i-c", 5)],
         synchronous_replicas: 0,
         work: Duration::from_millis(4),
+        slots: 4,
+        delivers_sent: true,
         kind: "primary",
         timeout_ms: 1_500,
         target_ms: 300,
@@ -442,7 +482,9 @@
             let outcome = match Session::open(*address, DATABASE, key) {
                 Ok(mut session) => {
                     let answer = session.query(&format!("{id}-{index}"), "READ item-1")?;
-                    answer.outcome.map_or_else(|e| format!("ERROR {e}"), |d| format!("COMPLETE {d}"))
+                    answer
+                        .outcome
+                        .map_or_else(|e| format!("ERROR {e}"), |d| format!("COMPLETE {d}"))
                 }
                 Err(refusal) => refusal,
             };
--- a/review/stand-3/group.rs
+++ b/review/stand-3/group.rs
@@ -1,6 +1,6 @@
 //! Replicated service: logs of its members, replication and promotions.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -23,6 +23,8 @@
     /// Time that a commit takes to reach this member.
     delay: Duration,
     pub is_up: bool,
+    /// The member is cut off from the machines of the system and from the store, not from the others.
+    pub is_cut: bool,
     /// Number of starts.
     pub starts: u64,
     pub born: u64,
@@ -77,6 +79,11 @@
     pub service: String,
     pub synchronous_replicas: usize,
     pub work: Duration,
+    random: Mutex<crate::Random>,
+    /// Statements that a member runs at once.
+    pub slots: usize,
+    /// What a leader has sent before it goes down arrives.
+    delivers_sent: bool,
     state: Mutex<GroupState>,
     changed: Condvar,
     recorder: Recorder,
@@ -95,7 +102,7 @@
         service: &str,
         members: &[(&str, SocketAddr, &str, u64)],
         synchronous_replicas: usize,
-        work: Duration,
+        (work, slots, delivers_sent): (Duration, usize, bool),
         recorder: &Recorder,
     ) -> Arc<Self> {
         let node = |(id, address, zone, delay): &(&str, SocketAddr, &str, u64)| Node {
@@ -104,6 +111,7 @@
             zone: (*zone).to_owned(),
             delay: Duration::from_millis(*delay),
             is_up: true,
+            is_cut: false,
             starts: 1,
             born: unix_ms(),
             sequence: 0,
@@ -125,6 +133,9 @@
             service: service.to_owned(),
             synchronous_replicas,
             work,
+            random: Mutex::new(crate::Random::new(7)),
+            slots,
+            delivers_sent,
             state: Mutex::new(state),
             changed: Condvar::new(),
             recorder: recorder.clone(),
@@ -143,13 +154,16 @@
         self.state.lock().unwrap()
     }
 
-    /// Delivers the commits whose time has come. Those that a leader sent before it went down are on
-    /// their way and arrive too.
+    /// Delivers the commits whose time has come. Those that a leader has sent before it goes down arrive
+    /// too, unless its connections break with it.
     fn replicate(&self) {
         let now = Instant::now();
         let mut state = self.lock();
         let leader = state.leader;
-        let sent = state.nodes[leader].log.clone();
+        if !state.nodes[leader].is_up && !self.delivers_sent {
+            return;
+        }
+        let sent = std::mem::take(&mut state.nodes[leader].log);
         let mut has_changed = false;
         for (index, node) in state.nodes.iter_mut().enumerate() {
             if index == leader || !node.is_up || node.held_term > 0 {
@@ -163,6 +177,7 @@
                 has_changed = true;
             }
         }
+        state.nodes[leader].log = sent;
         drop(state);
         if has_changed {
             self.changed.notify_all();
@@ -214,6 +229,12 @@
         }
     }
 
+    /// Works for the usual time of a statement, give or take a fifth.
+    pub fn run_statement(&self) {
+        let percent = 80 + self.random.lock().unwrap().below(41) as u32;
+        std::thread::sleep(self.work * percent / 100);
+    }
+
     pub fn is_running(&self, id: &str) -> bool {
         self.lock().nodes.iter().any(|node| node.id == id && node.is_up)
     }
@@ -234,7 +255,7 @@
         }
         state.term += 1;
         let length = state.nodes[member].log.len();
-        let kept: Vec<(u64, u64)> =
+        let kept: HashSet<(u64, u64)> =
             state.nodes[member].log.iter().map(|entry| (entry.term, entry.number)).collect();
         let lost: Vec<_> = state
             .acknowledged
@@ -286,6 +307,21 @@
         self.recorder.line(&format!("{}: {} is up again", self.service, node.id));
     }
 
+    /// Cuts a member off from the machines of the system and from the store, or ends that.
+    pub fn set_cut(&self, index: usize, is_cut: bool) {
+        let mut state = self.lock();
+        let node = &mut state.nodes[index];
+        node.is_cut = is_cut;
+        self.recorder.line(&format!("{}: {} cut off: {is_cut}", self.service, node.id));
+    }
+
+    /// Waits while a member is cut off: nothing passes meanwhile, and nothing breaks.
+    pub fn wait_while_cut(&self, index: usize) {
+        while self.lock().nodes[index].is_cut {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     pub fn add_connection(&self, index: usize, stream: &TcpStream) -> Option<u64> {
         let mut state = self.lock();
         let number = state.next_connection;
--- a/review/stand-3/member.rs
+++ b/review/stand-3/member.rs
@@ -79,25 +79,26 @@
 /// Writes the registration of a member: at every interval, and when its role changes.
 fn report(group: &Arc<Group>, member: usize, platform: &Platform) {
     let (mut last_role, mut since_ms, mut last_starts) = (None, 0, 0);
+    let mut is_listed = false;
     loop {
         let row = {
             let mut state = group.lock();
             let leads = state.leads(member);
             let node = &mut state.nodes[member];
-            let is_due = since_ms >= HEARTBEAT_MS
-                || last_role != Some(leads)
-                || last_starts != node.starts;
-            (node.is_up && is_due).then(|| {
+            let is_due =
+                since_ms >= HEARTBEAT_MS || last_role != Some(leads) || last_starts != node.starts;
+            (node.is_up && !node.is_cut && is_due).then(|| {
                 (last_role, since_ms, last_starts) = (Some(leads), 0, node.starts);
                 node.sequence += 1;
                 let role = if leads { "primary" } else { "replica" };
                 let row = format!(
-                    "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":4,\
+                    "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":{},\
                      \"state\":\"ready\",\"cold_remaining_ms\":0,\"database_role\":\"{role}\",\
                      \"born\":{},\"sequence\":{}}}",
                     quote(&group.service),
                     node.address,
                     quote(&node.zone),
+                    group.slots,
                     node.born,
                     node.sequence
                 );
@@ -106,6 +107,12 @@
         };
         if let Some((id, row)) = row {
             platform.put("servers", &id, Some(&row));
+            is_listed = true;
+        } else if is_listed && since_ms >= 3 * HEARTBEAT_MS {
+            // The store removes an entry after three intervals of silence.
+            let id = group.lock().nodes[member].id.clone();
+            platform.put("servers", &id, None);
+            is_listed = false;
         }
         sleep_ms(20);
         since_ms += 20;
@@ -116,6 +123,7 @@
     let mut writer = stream.try_clone().ok()?;
     let mut reader = BufReader::new(stream);
     let line = read_line(&mut reader)?;
+    group.wait_while_cut(member);
     let fields: Vec<&str> = line.split(' ').collect();
     let (id, starts, open) = {
         let state = group.lock();
@@ -149,7 +157,9 @@
             return None;
         }
         let (request_id, text) = rest.split_once(' ')?;
+        group.wait_while_cut(member);
         let answer = connection.answer(request_id, text)?;
+        group.wait_while_cut(member);
         writer.write_all((answer + &connection.ready()).as_bytes()).ok()?;
     }
 }
@@ -307,7 +317,7 @@
 
     fn work(&self, request_id: &str) {
         self.group.record_run(&self.tenant, request_id);
-        std::thread::sleep(self.group.work);
+        self.group.run_statement();
     }
 
     fn read(&mut self, request_id: &str, item: &str) -> Option<String> {
--- a/review/stand-3/store.rs
+++ b/review/stand-3/store.rs
@@ -269,10 +269,9 @@
         let expected = body.list("expected");
         if expected.iter().any(|row| version(&content, row) != row.number("row_version")) {
             let keys: Vec<_> = expected.iter().map(key).collect();
-            let is_expected =
-                |(key, row): &(&(String, String, String), &Row)| {
-                    keys.contains(key) && !row.is_tombstone
-                };
+            let is_expected = |(key, row): &(&(String, String, String), &Row)| {
+                keys.contains(key) && !row.is_tombstone
+            };
             let rows: Vec<_> = content.rows.iter().filter(is_expected).collect();
             return (412, self.rows_body(&rows, content.version));
         }
