--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -31,6 +31,7 @@
             synchronous_writes(PromotionTrouble::StoreBusy, has_trouble, program, recorder)
         }
         "other-part" => other_part(has_trouble, program, recorder),
+        "hidden-commits" => hidden_commits(has_trouble, program, recorder),
         "first-start" => first_start(has_trouble, program, recorder),
         _ => Err(format!("unknown case {case}")),
     }
@@ -62,7 +63,7 @@
 
 struct Deployment<'a> {
     instances: u8,
-    members: [(&'a str, u64); 3],
+    members: &'a [(&'a str, u64)],
     synchronous_replicas: usize,
     work: Duration,
     slots: usize,
@@ -111,7 +112,7 @@
             let (id, delay) = self.members[index];
             (id, network.address(100 + index as u8, 8080), ZONES[index], delay)
         };
-        let members = [member(0), member(1), member(2)];
+        let members: Vec<_> = (0..self.members.len()).map(member).collect();
         let group = Group::new(
             SERVICE,
             &members,
@@ -189,7 +190,7 @@
     let is_replica_cut = order == PromotionTrouble::ReplicaCut;
     let deployment = Deployment {
         instances: 3,
-        members: [("i-a", 0), ("i-b", 1), ("i-c", if is_replica_cut { 6 } else { 20 })],
+        members: &[("i-a", 0), ("i-b", 1), ("i-c", if is_replica_cut { 6 } else { 20 })],
         synchronous_replicas: 1,
         work: Duration::from_millis(if is_replica_cut { 10 } else { 4 }),
         slots: if is_replica_cut { 6 } else { 4 },
@@ -330,7 +331,7 @@
         .collect();
     let deployment = Deployment {
         instances: 9,
-        members: [("i-a", 0), ("i-b", 5), ("i-c", 5)],
+        members: &[("i-a", 0), ("i-b", 5), ("i-c", 5)],
         synchronous_replicas: 0,
         work: Duration::from_millis(2),
         slots: 4,
@@ -462,7 +463,7 @@
     ];
     let mut deployment = Deployment {
         instances: 3,
-        members: [("i-a", 0), ("i-b", 5), ("i-c", 5)],
+        members: &[("i-a", 0), ("i-b", 5), ("i-c", 5)],
         synchronous_replicas: 0,
         work: Duration::from_millis(4),
         slots: 4,
@@ -518,3 +519,119 @@
     }
     Ok(broken)
 }
+
+/// Commits that are hidden while another member leads, and come back with their primary.
+fn hidden_commits(has_trouble: bool, program: &Path, recorder: &Recorder) -> RunResult {
+    let deployment = Deployment {
+        instances: 3,
+        members: &[("i-a", 0), ("i-b", 8)],
+        synchronous_replicas: 0,
+        work: Duration::from_millis(4),
+        slots: 4,
+        delivers_sent: false,
+        kind: "primary",
+        timeout_ms: 1_500,
+        target_ms: 300,
+        tenants: &[Tenant { name: "north", rate: 2_000, burst: 2_000 }],
+    };
+    let mut environment = deployment.start(program, recorder)?;
+    sleep_ms(3_000);
+    let addresses: Vec<SocketAddr> =
+        environment.gateways.iter().map(|gateway| gateway.address).collect();
+    let acknowledged = Arc::new(Mutex::new(Vec::<(Instant, String)>::new()));
+    let is_writing = Arc::new(AtomicBool::new(true));
+    let mut writers = Vec::new();
+    for consumer in 0..4_usize {
+        let address = addresses[consumer % addresses.len()];
+        let (acknowledged, is_writing) = (acknowledged.clone(), is_writing.clone());
+        let recorder = recorder.clone();
+        writers.push(std::thread::spawn(move || {
+            let Ok(mut session) = Session::open(address, DATABASE, "key-north") else {
+                return;
+            };
+            let mut number = 0;
+            while is_writing.load(Ordering::Relaxed) {
+                number += 1;
+                let id = format!("w{consumer}-{number}");
+                match session.query(&id, &format!("WRITE item-{id} data-{id}")) {
+                    Ok(answer) => {
+                        recorder.line(&format!("consumer {consumer}: {id} {:?}", answer.outcome));
+                        if answer.outcome.is_ok() {
+                            acknowledged.lock().unwrap().push((Instant::now(), id));
+                        }
+                    }
+                    Err(cause) => {
+                        recorder.line(&format!("consumer {consumer}: {id} no answer: {cause}"));
+                        return;
+                    }
+                }
+                sleep_ms(5);
+            }
+        }));
+    }
+    sleep_ms(2_000);
+    // The writers have done their work; from now on consumers only read.
+    if has_trouble {
+        environment.group.crash(0);
+    }
+    is_writing.store(false, Ordering::Relaxed);
+    for writer in writers {
+        let _ = writer.join();
+    }
+    let last: Vec<String> = {
+        let acknowledged = acknowledged.lock().unwrap();
+        acknowledged.iter().rev().take(12).map(|(_, id)| id.clone()).collect()
+    };
+    let mut broken = Vec::new();
+    // Reads that found no row, by item.
+    let mut missed: Vec<(String, String, f64)> = Vec::new();
+    let started_at = Instant::now();
+    let (mut has_crashed, mut is_back) = (false, false);
+    let mut round = 0;
+    while started_at.elapsed() < Duration::from_millis(14_000) {
+        if has_trouble && !has_crashed && started_at.elapsed() > Duration::from_millis(5_000) {
+            let leader = environment.group.lock().leader;
+            environment.group.crash(leader);
+            has_crashed = true;
+        }
+        if has_trouble && !is_back && started_at.elapsed() > Duration::from_millis(7_000) {
+            environment.group.restart(0);
+            is_back = true;
+        }
+        round += 1;
+        let address = addresses[round % addresses.len()];
+        let Ok(mut session) = Session::open(address, DATABASE, "key-north") else {
+            sleep_ms(50);
+            continue;
+        };
+        for id in &last {
+            let read = format!("r{round}-{id}");
+            let sent_at = recorder.seconds();
+            let Ok(answer) = session.query(&read, &format!("READ item-{id}")) else {
+                break;
+            };
+            let Ok(digest) = answer.outcome else {
+                recorder.line(&format!("{read}: ERROR {}", answer.outcome.unwrap_err()));
+                sleep_ms(50);
+                break;
+            };
+            let has_row = !answer.rows.is_empty();
+            recorder.line(&format!("{read}: COMPLETE {digest}, row: {has_row}"));
+            if !has_row {
+                missed.push((id.clone(), read, sent_at));
+            } else {
+                for (_, read, sent_at) in missed.extract_if(.., |(missing, _, _)| missing == id) {
+                    broken.push(format!(
+                        "{read}, sent at {sent_at:.3} s, lacks the acknowledged commit {id}, which was \
+                         not rolled back"
+                    ));
+                }
+            }
+        }
+        sleep_ms(50);
+    }
+    environment.check_processes()?;
+    recorder.line(&format!("{} reads without a row whose commit did not come back", missed.len()));
+    environment.record_logs(recorder, &["promotion"]);
+    Ok(broken)
+}
--- a/review/stand-3/group.rs
+++ b/review/stand-3/group.rs
@@ -163,12 +163,29 @@
         if !state.nodes[leader].is_up && !self.delivers_sent {
             return;
         }
+        let is_leader_up = state.nodes[leader].is_up;
         let sent = std::mem::take(&mut state.nodes[leader].log);
         let mut has_changed = false;
         for (index, node) in state.nodes.iter_mut().enumerate() {
             if index == leader || !node.is_up || node.held_term > 0 {
                 continue;
             }
+            if is_leader_up {
+                let is_ahead = |log: &[Entry]| {
+                    let last = log.last().map(|entry| (entry.term, entry.number));
+                    last.is_some()
+                        && last
+                            != log
+                                .len()
+                                .checked_sub(1)
+                                .and_then(|index| sent.get(index))
+                                .map(|entry| (entry.term, entry.number))
+                };
+                while is_ahead(&node.log) {
+                    node.log.pop();
+                    has_changed = true;
+                }
+            }
             while let Some(entry) = sent.get(node.log.len()) {
                 if entry.committed_at + node.delay > now {
                     break;
@@ -279,7 +296,8 @@
         }
         state.lost.extend(lost);
         (state.leader, state.is_demoted) = (member, false);
-        for node in &mut state.nodes {
+        // A member that is down comes back with its log, and is rolled back when it meets the leader.
+        for node in state.nodes.iter_mut().filter(|node| node.is_up) {
             node.log.truncate(length);
             node.held_term = 0;
         }
