Supersede open orders to promote without the store and for earlier holders

Cause: what this process remembered stood for what the platform would do. Ruled out: the fence, which refuses lower tokens at the time of the late order, and the hold, which did stop the replica until it restarted.

Change: the last order of each service is a record of its own (coord::promotion_order). It is told to the other instances and written with the lease before it is sent, and stays open until an order with a higher token is accepted. While it is open the present leader is ordered, held replicas or not, by whoever holds the lease, and replicas that lost their hold are held again first. The lease reserves 1,000 tokens ahead (coord::token_range), so that superseding needs no store; no service gets two orders with one token. An unanswered order is followed up at once instead of after the retry interval. Writes of the lease take turns.

--- a/crates/coord/src/promotion.rs
+++ b/crates/coord/src/promotion.rs
@@ -33,6 +33,8 @@
 pub const MAX_CANDIDATE_GAP: u64 = 8;
 /// Interval between rounds of probes that look for replicas which are still held.
 const INSPECTION_INTERVAL: Duration = Duration::from_secs(1);
+/// The same while an order may still be carried out, perhaps seconds after it was sent.
+const OPEN_ORDER_INTERVAL: Duration = Duration::from_millis(250);
 /// Consecutive rounds of probes without progress after which a candidate has received all that a
 /// closed leader had to send.
 const MIN_SETTLED_ROUNDS: u32 = 1;
@@ -124,16 +126,22 @@
         suspected && !self.is_promoting(now)
     }
 
-    fn is_promoting(&self, now: Instant) -> bool {
+    /// Returns whether a promotion was requested recently.
+    pub fn is_promoting(&self, now: Instant) -> bool {
         self.attempted_at
             .is_some_and(|at| now.saturating_duration_since(at) < PROMOTION_RETRY_INTERVAL)
     }
 
     /// Returns whether members must be probed for replicas that a promotion left held, by this
     /// holder of the lease or an earlier one.
-    pub fn needs_inspection(&self, now: Instant) -> bool {
-        let is_due = |at: Instant| now.saturating_duration_since(at) >= INSPECTION_INTERVAL;
-        !self.is_inspected && !self.is_promoting(now) && self.inspected_at.is_none_or(is_due)
+    ///
+    /// `has_open_order` tells whether an order may still be carried out, which is not to wait for the
+    /// end of the present promotion.
+    pub fn needs_inspection(&self, has_open_order: bool, now: Instant) -> bool {
+        let interval = if has_open_order { OPEN_ORDER_INTERVAL } else { INSPECTION_INTERVAL };
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= interval;
+        (has_open_order || !self.is_inspected && !self.is_promoting(now))
+            && self.inspected_at.is_none_or(is_due)
     }
 
     /// Requires an inspection: replicas may be held.
--- a/crates/engine/src/failover.rs
+++ b/crates/engine/src/failover.rs
@@ -13,15 +13,13 @@
 };
 use coord::rendezvous;
 use coord::replica_hold::ReplicaHold;
-use metrics::counter;
 use telemetry::event::LogEvent;
-use telemetry::{log_event, meter};
+use telemetry::log_event;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::interface::{PlatformApi, PromotionAnswer};
-use crate::promotion_lease::{HeldLease, millis};
+use crate::promotion_lease::LeaseKeeper;
 
 /// Interval between checks of the lease and of the leaders.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -42,7 +40,7 @@
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Maintains the promotion lease, and replaces failed leaders while this instance holds it.
     pub async fn coordinate_failover(self: Rc<Self>) {
-        let held = Rc::new(RefCell::new(HeldLease::default()));
+        let keeper = Rc::new(LeaseKeeper::default());
         let mut vacant_since = None;
         let mut machines: HashMap<String, Rc<RefCell<PromotionMachine>>> = HashMap::new();
         let mut is_holder = false;
@@ -50,13 +48,13 @@
             let is_idle = self.promotion_token().is_none() && self.coordinator_rank() != Some(0);
             sleep(if is_idle { IDLE_CHECK_INTERVAL } else { CHECK_INTERVAL }).await;
             if self.is_leaving() {
-                self.release_lease(&held).await;
+                self.release_lease(&keeper).await;
                 return;
             }
             if !self.directory.borrow().is_loaded() {
                 continue;
             }
-            self.maintain_lease(&held, &mut vacant_since).await;
+            self.maintain_lease(&keeper, &mut vacant_since).await;
             if self.promotion_token().is_none() {
                 is_holder = false;
                 continue;
@@ -76,9 +74,9 @@
                 {
                     continue;
                 }
-                let (instance, held) = (self.clone(), held.clone());
+                let (instance, keeper) = (self.clone(), keeper.clone());
                 tokio::task::spawn_local(async move {
-                    instance.evaluate_failover(&service, &machine, &held).await;
+                    instance.evaluate_failover(&service, &machine, &keeper).await;
                     sleep(PROBE_ROUND_DELAY).await;
                 });
             }
@@ -117,7 +115,7 @@
         self: &Rc<Self>,
         service: &str,
         machine: &RefCell<PromotionMachine>,
-        held: &RefCell<HeldLease>,
+        keeper: &Rc<LeaseKeeper>,
     ) {
         let (leader, mut members, unlisted, synchronous) = {
             let directory = self.directory.borrow();
@@ -157,12 +155,15 @@
         machine.borrow_mut().record_probe_round(leader_answered || probed_indirectly, now);
         let observations = self.observe_members(&members, &reports, now);
         machine.borrow_mut().record_candidates(leader_index, &observations);
-        let decision = machine.borrow().decide(leader_index, &observations, synchronous);
+        let decision = match machine.borrow().is_promoting(now) {
+            true => PromotionDecision::Wait,
+            false => machine.borrow().decide(leader_index, &observations, synchronous),
+        };
         let decision = self.check_commits((service, machine), decision, &observations).await;
         if synchronous > 0 {
             let is_promoting = matches!(decision, PromotionDecision::Promote(..));
             let leading = leader_index.filter(|_| !is_promoting);
-            self.inspect_replicas((service, machine, held), leading, &members, &reports).await;
+            self.inspect_replicas((service, machine, keeper), leading, &members, &reports).await;
         }
         if let PromotionDecision::Promote(index, cause) = decision {
             let mut held_replicas = Vec::new();
@@ -191,7 +192,11 @@
                 "service={service} endpoint={name} cause={cause:?} was={was} reports={reports:?}"
             );
             machine.borrow_mut().record_promotion(now);
-            if self.request_promotion(service, name, held).await && self.await_leader(name).await {
+            if !self.request_promotion(service, name, keeper).await {
+                if let Some(leader) = leader.as_deref().filter(|_| synchronous > 0) {
+                    self.supersede_if_leading((service, machine, keeper), leader).await;
+                }
+            } else if self.await_leader(name).await {
                 self.resume_replicas((service, machine), &held_replicas).await;
             }
         }
@@ -299,58 +304,6 @@
         }
         false
     }
-
-    /// Requests a promotion and returns whether it was accepted.
-    ///
-    /// Uses a new fencing token if a request with the current one was rejected or not answered.
-    pub(crate) async fn request_promotion(
-        &self,
-        service: &str,
-        endpoint: &str,
-        held: &RefCell<HeldLease>,
-    ) -> bool {
-        if held.borrow().token_used {
-            let (version, ends_ms, valid_until) = {
-                let held = held.borrow();
-                (held.version, held.lease.ends_ms, held.valid_until)
-            };
-            let remaining = valid_until
-                .map_or(Duration::ZERO, |until| until.saturating_duration_since(self.now()));
-            let store_now_ms = ends_ms.saturating_sub(millis(remaining));
-            let token = {
-                let claim = &mut held.borrow_mut().claim;
-                claim.record_token(self.peers.membership.borrow().newest_promotion_token());
-                claim.next_token(version.history, store_now_ms)
-            };
-            self.write_lease(held, version, store_now_ms, token).await;
-        }
-        let Some(token) = self.promotion_token() else {
-            return false;
-        };
-        let promoted = self.platform.promote(service, endpoint, self.name(), token).await;
-        let outcome = match &promoted {
-            Ok(PromotionAnswer::Accepted) => "accepted".to_owned(),
-            Ok(PromotionAnswer::Rejected) => {
-                held.borrow_mut().token_used = true;
-                "rejected".to_owned()
-            }
-            Err(error) => {
-                held.borrow_mut().token_used = true;
-                error.to_string()
-            }
-        };
-        let label = match &promoted {
-            Ok(PromotionAnswer::Accepted) => "accepted",
-            Ok(PromotionAnswer::Rejected) => "rejected",
-            Err(_) => "unanswered",
-        };
-        counter!(meter::PROMOTIONS, "outcome" => label).increment(1);
-        log_event!(
-            LogEvent::PromotionEnded,
-            "service={service} endpoint={endpoint} token={token} outcome=\"{outcome}\""
-        );
-        matches!(promoted, Ok(PromotionAnswer::Accepted))
-    }
 }
 
 /// Awaits answers concurrently, so that an unreachable member does not delay the others.
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -13,6 +13,7 @@
 use coord::document_state::DocumentState;
 use coord::evacuation::ZonePhase;
 use coord::membership::InstanceKey;
+use coord::promotion_order::PromotionOrders;
 use coord::quota::{LimitWindow, TeamQuotas};
 use coord::refusal_cache::RefusalCache;
 use coord::rendezvous;
@@ -164,6 +165,8 @@
     /// Notified when this instance is registered.
     pub(crate) registered: Notify,
     promotion_token: Cell<Option<u64>>,
+    /// Last orders to promote, of this instance and of others.
+    pub(crate) promotion_orders: RefCell<PromotionOrders>,
     next_transaction_id: Cell<u32>,
     next_session_number: Cell<u64>,
     /// Place of this instance among those that read the store at spread times, from zero to one.
@@ -218,6 +221,7 @@
             leave_signal: Notify::new(),
             store_reachable: Cell::new(false),
             promotion_token: Cell::new(None),
+            promotion_orders: RefCell::default(),
             next_transaction_id: Cell::new(1),
             next_session_number: Cell::new(1),
             read_spread: rng.random(),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -42,6 +42,7 @@
 mod pool_upkeep;
 pub mod progress;
 mod promotion_lease;
+mod promotion_request;
 pub mod record;
 mod refused_rows;
 mod replica_hold;
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -6,6 +6,7 @@
 use coord::endpoint_health::EndpointSample;
 use coord::membership::{MemberStatus, ViewEntry};
 use coord::priority::PriorityLevel;
+use coord::promotion_order::PromotionOrder;
 use coord::rendezvous;
 use coord::service_time::ServiceClass;
 use coord::session::TransactionState;
@@ -249,16 +250,20 @@
     pub leaders: Vec<(String, String, u64)>,
     /// Positions of acknowledged commits of the services with synchronous replicas.
     pub acknowledged: Vec<(String, LogPosition)>,
+    /// Last orders to promote members of services with synchronous replicas.
+    pub orders: Vec<PromotionOrder>,
 }
 
 impl FleetHeads {
-    /// Returns the versions with only those leaders and positions that differ from `previous`.
+    /// Returns the versions with only those leaders, positions and orders that differ from `previous`.
     pub fn changes_since(&self, previous: &Self) -> Self {
         let is_new = |leader: &&(String, String, u64)| !previous.leaders.contains(leader);
         let leaders = self.leaders.iter().filter(is_new).cloned().collect();
         let is_new = |known: &&(String, LogPosition)| !previous.acknowledged.contains(known);
         let acknowledged = self.acknowledged.iter().filter(is_new).cloned().collect();
-        Self { leaders, acknowledged, ..*self }
+        let is_new = |order: &&PromotionOrder| !previous.orders.contains(order);
+        let orders = self.orders.iter().filter(is_new).cloned().collect();
+        Self { leaders, acknowledged, orders, ..*self }
     }
 }
 
--- a/crates/engine/src/promotion_lease.rs
+++ b/crates/engine/src/promotion_lease.rs
@@ -5,9 +5,12 @@
 
 use coord::lease_claim::{ClaimDecision, LeaseClaim, LeaseRow, lowest_token};
 use coord::membership::MemberStatus;
+use coord::promotion_order::PromotionOrder;
+use coord::token_range::{TokenRange, range_end};
 use state::store_version::StoreVersion;
 use telemetry::event::LogEvent;
 use telemetry::log_event;
+use tokio::sync::Mutex;
 
 use crate::instance::{EngineTypes, GatewayInstance};
 use crate::interface::{LeaseWrite, PlatformApi};
@@ -24,6 +27,8 @@
 /// Further time for each instance before this one in the order of election. The first one may not
 /// reach the store, and would otherwise leave the lease vacant.
 const SUCCESSOR_DELAY: Duration = Duration::from_secs(1);
+/// Most orders that one lease holds, so that its row stays within the limit of the store.
+const MAX_LEASE_ORDERS: usize = 100;
 /// Rendezvous hash key that elects the instance which acquires the lease.
 const COORDINATOR_ELECTION_KEY: &str = "promotion";
 
@@ -35,24 +40,33 @@
     pub(crate) version: StoreVersion,
     /// Local time until which the lease counts as valid, from the time its write was sent.
     pub(crate) valid_until: Option<Instant>,
-    /// The token was used by a promotion that may still take effect, and must be incremented before
-    /// the next one.
-    pub(crate) token_used: bool,
+    /// Tokens that the lease reserves.
+    pub(crate) tokens: TokenRange,
+    /// An order was rejected, which may mean that another instance has used a higher token.
+    pub(crate) was_rejected: bool,
     /// Time of the last read or write that has not succeeded; in the future if the next attempt is
     /// postponed until the lease of another instance expires.
     attempted_at: Option<Instant>,
 }
 
+/// Promotion lease of this instance, shared by the tasks that write it.
+#[derive(Debug, Default)]
+pub(crate) struct LeaseKeeper {
+    pub(crate) held: RefCell<HeldLease>,
+    /// Held while the lease is written, as each write expects the version of the last one.
+    writer: Mutex<()>,
+}
+
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Acquires the lease when no instance holds it, and renews it before it expires.
     pub(crate) async fn maintain_lease(
         &self,
-        held: &RefCell<HeldLease>,
+        keeper: &LeaseKeeper,
         vacant_since: &mut Option<Instant>,
     ) {
         let now = self.now();
         let (valid_until, attempted_at) = {
-            let held = held.borrow();
+            let held = keeper.held.borrow();
             (held.valid_until, held.attempted_at)
         };
         let backing_off =
@@ -60,23 +74,23 @@
         if backing_off {
             return;
         }
-        let own_token = held.borrow().lease.token;
+        let own_token = keeper.held.borrow().lease.token;
         let is_held =
             |status: &MemberStatus| status.promotion_token.is_some_and(|token| token > own_token);
         let held_by_peer = self.peers.membership.borrow().any_live_peer(is_held);
         if held_by_peer {
-            held.borrow_mut().claim.record_holder();
+            keeper.held.borrow_mut().claim.record_holder();
         }
         if self.promotion_token().is_some() {
             let expires_at = valid_until.unwrap_or(now);
             if held_by_peer {
                 // The store came back older, and gave the version of the row out again.
-                self.drop_lease(held, "another instance holds a newer lease");
-            } else if self.has_lost_history(held) {
+                self.drop_lease(keeper, "another instance holds a newer lease");
+            } else if self.has_lost_history(keeper) {
                 // Another row may have the version of this lease now.
-                self.drop_lease(held, "the store came back older");
+                self.drop_lease(keeper, "the store came back older");
             } else if now + RENEWAL_MARGIN >= expires_at {
-                self.renew_lease(held).await;
+                self.renew_lease(keeper).await;
             }
             return;
         }
@@ -87,13 +101,13 @@
         };
         let since = *vacant_since.get_or_insert(now);
         if now.saturating_duration_since(since) >= VACANCY_GRACE_PERIOD + SUCCESSOR_DELAY * rank {
-            self.acquire_lease(held).await;
+            self.acquire_lease(keeper).await;
         }
     }
 
     /// Returns whether the store has come back older since the lease was written.
-    fn has_lost_history(&self, held: &RefCell<HeldLease>) -> bool {
-        let history = held.borrow().version.history;
+    fn has_lost_history(&self, keeper: &LeaseKeeper) -> bool {
+        let history = keeper.held.borrow().version.history;
         self.store_history.get().is_some_and(|newest| newest > history)
     }
 
@@ -111,8 +125,9 @@
         u32::try_from(index).ok()
     }
 
-    async fn acquire_lease(&self, held: &RefCell<HeldLease>) {
-        held.borrow_mut().attempted_at = Some(self.now());
+    async fn acquire_lease(&self, keeper: &LeaseKeeper) {
+        let _writer = keeper.writer.lock().await;
+        keeper.held.borrow_mut().attempted_at = Some(self.now());
         let snapshot = match self.platform.read_lease().await {
             Ok(snapshot) => snapshot,
             Err(error) => {
@@ -124,6 +139,9 @@
         for (service, position) in &current.acknowledged {
             self.directory.borrow_mut().record_acknowledged(service, *position);
         }
+        for order in &current.orders {
+            self.promotion_orders.borrow_mut().merge(order.clone());
+        }
         if let Some(row) = &snapshot.refused {
             self.refused_rows.borrow_mut().record("lease", row);
             // The last token is not known, but is lower than this one.
@@ -138,110 +156,148 @@
             now_ms: snapshot.now_ms,
         };
         let decision = {
-            let claim = &mut held.borrow_mut().claim;
+            let claim = &mut keeper.held.borrow_mut().claim;
             claim.record_token(self.peers.membership.borrow().newest_promotion_token());
             claim.decide(row, LEASE_TTL, self.now())
         };
         match decision {
             ClaimDecision::Acquire(token) => {
-                self.write_lease(held, snapshot.version, snapshot.now_ms, token).await;
+                self.write_lease(keeper, snapshot.version, snapshot.now_ms, token).await;
             }
             ClaimDecision::Postpone(remaining) => {
-                held.borrow_mut().attempted_at =
+                keeper.held.borrow_mut().attempted_at =
                     Some(self.now() + remaining.saturating_sub(LEASE_RETRY_BACKOFF));
             }
         }
     }
 
-    async fn renew_lease(&self, held: &RefCell<HeldLease>) {
-        let (version, token, ends_ms, valid_until) = {
-            let held = held.borrow();
-            (held.version, held.lease.token, held.lease.ends_ms, held.valid_until)
+    /// Extends the lease, and reserves further tokens.
+    pub(crate) async fn renew_lease(&self, keeper: &LeaseKeeper) {
+        let _writer = keeper.writer.lock().await;
+        let first_token = keeper.held.borrow().tokens.current();
+        self.extend_lease(keeper, first_token).await;
+    }
+
+    /// Extends the lease with tokens above all that are known, after an order was rejected.
+    pub(crate) async fn renew_tokens(&self, keeper: &LeaseKeeper) {
+        let _writer = keeper.writer.lock().await;
+        let first_token = {
+            let mut held = keeper.held.borrow_mut();
+            let (history, store_now_ms) = (held.version.history, self.store_time(&held));
+            held.claim.record_token(self.peers.membership.borrow().newest_promotion_token());
+            held.claim.next_token(history, store_now_ms)
         };
-        let now = self.now();
-        // Lower bound of the store's current time: its clock was at `ends_ms` minus the TTL or
-        // later when the last write was sent.
-        let remaining =
-            valid_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        let overdue =
-            valid_until.map_or(Duration::ZERO, |until| now.saturating_duration_since(until));
-        let store_now_ms = (ends_ms + millis(overdue)).saturating_sub(millis(remaining));
-        self.write_lease(held, version, store_now_ms, token).await;
+        self.extend_lease(keeper, first_token).await;
     }
 
-    pub(crate) async fn write_lease(
+    async fn extend_lease(&self, keeper: &LeaseKeeper, first_token: u64) {
+        if self.promotion_token().is_none() {
+            return;
+        }
+        let (version, store_now_ms) = {
+            let held = keeper.held.borrow();
+            (held.version, self.store_time(&held))
+        };
+        self.write_lease(keeper, version, store_now_ms, first_token).await;
+    }
+
+    /// Returns a lower bound of the store's current time, in milliseconds: its clock was at the end of
+    /// the lease minus the TTL or later when the last write was sent.
+    fn store_time(&self, held: &HeldLease) -> u64 {
+        let (now, until) = (self.now(), held.valid_until);
+        let remaining = until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+        let overdue = until.map_or(Duration::ZERO, |until| now.saturating_duration_since(until));
+        (held.lease.ends_ms + millis(overdue)).saturating_sub(millis(remaining))
+    }
+
+    async fn write_lease(
         &self,
-        held: &RefCell<HeldLease>,
+        keeper: &LeaseKeeper,
         version: StoreVersion,
         store_now_ms: u64,
-        token: u64,
+        first_token: u64,
     ) {
         let sent_at = self.now();
-        held.borrow_mut().attempted_at = Some(sent_at);
+        keeper.held.borrow_mut().attempted_at = Some(sent_at);
+        let token = range_end(first_token);
         let lease = PromotionLease {
             holder: self.name().to_owned(),
             incarnation: self.settings.record.incarnation,
             token,
             ends_ms: store_now_ms + millis(LEASE_TTL),
             acknowledged: self.directory.borrow().lease_positions(),
+            orders: self.lease_orders(),
         };
         match self.platform.write_lease(version, &lease).await {
             Ok(LeaseWrite::Written { version: written, .. })
                 if written.history != version.history =>
             {
-                held.borrow_mut().claim.record_token(token);
-                held.borrow_mut().claim.record_replacement(self.now());
-                self.drop_lease(held, "the write replaced a row of a later history");
+                keeper.held.borrow_mut().claim.record_token(token);
+                keeper.held.borrow_mut().claim.record_replacement(self.now());
+                self.drop_lease(keeper, "the write replaced a row of a later history");
             }
             Ok(LeaseWrite::Written { version, .. }) => {
-                let mut held = held.borrow_mut();
-                held.token_used &= held.lease.token == token;
+                let mut held = keeper.held.borrow_mut();
                 held.claim.record_token(token);
+                if self.promotion_token().is_none() || held.tokens.current() < first_token {
+                    held.tokens = TokenRange::new(first_token);
+                    held.was_rejected = false;
+                }
+                held.tokens.extend(token);
                 held.lease = lease;
                 held.version = version;
                 held.valid_until = Some(sent_at + LEASE_TTL);
                 held.attempted_at = None;
                 self.set_promotion_token(Some(token));
             }
-            Ok(LeaseWrite::Conflict) => self.drop_lease(held, "another instance wrote the lease"),
+            Ok(LeaseWrite::Conflict) => self.drop_lease(keeper, "another instance wrote the lease"),
             Err(error) => {
                 // The write may have taken effect; the next attempt detects it by the version.
                 log_event!(LogEvent::PromotionLeaseFailed, "step=write cause=\"{error}\"");
-                self.check_expiry(held);
+                self.check_expiry(keeper);
             }
         }
     }
 
     /// Drops the lease if it expired and an instance that reaches the store may have acquired it.
-    fn check_expiry(&self, held: &RefCell<HeldLease>) {
-        let expired = held.borrow().valid_until.is_none_or(|until| self.now() > until);
+    fn check_expiry(&self, keeper: &LeaseKeeper) {
+        let expired = keeper.held.borrow().valid_until.is_none_or(|until| self.now() > until);
         let may_be_replaced =
             self.peers.membership.borrow().any_live_peer(|status| status.store_reachable);
         if expired && may_be_replaced {
-            self.drop_lease(held, "the lease expired");
+            self.drop_lease(keeper, "the lease expired");
         }
     }
 
-    fn drop_lease(&self, held: &RefCell<HeldLease>, cause: &str) {
+    fn drop_lease(&self, keeper: &LeaseKeeper, cause: &str) {
         if self.promotion_token().is_some() {
             log_event!(LogEvent::PromotionLeaseFailed, "step=keep cause=\"{cause}\"");
         }
-        held.borrow_mut().valid_until = None;
+        keeper.held.borrow_mut().valid_until = None;
         self.set_promotion_token(None);
     }
 
+    /// Returns the orders that may still be carried out, as many as fit into the lease.
+    fn lease_orders(&self) -> Vec<PromotionOrder> {
+        let orders = self.promotion_orders.borrow();
+        let open = orders.all().filter(|order| !order.is_settled);
+        open.take(MAX_LEASE_ORDERS).cloned().collect()
+    }
+
     /// Expires the lease early, so that another instance can acquire it at once.
-    pub(crate) async fn release_lease(&self, held: &RefCell<HeldLease>) {
+    pub(crate) async fn release_lease(&self, keeper: &LeaseKeeper) {
+        let _writer = keeper.writer.lock().await;
         if self.promotion_token().is_none() {
             return;
         }
         self.set_promotion_token(None);
-        if self.has_lost_history(held) {
+        if self.has_lost_history(keeper) {
             return;
         }
         let (version, lease) = {
-            let held = held.borrow();
-            (held.version, PromotionLease { ends_ms: 0, ..held.lease.clone() })
+            let held = keeper.held.borrow();
+            let orders = self.lease_orders();
+            (held.version, PromotionLease { ends_ms: 0, orders, ..held.lease.clone() })
         };
         if let Err(error) = self.platform.write_lease(version, &lease).await {
             log_event!(LogEvent::PromotionLeaseFailed, "step=release cause=\"{error}\"");
--- a/crates/engine/src/record.rs
+++ b/crates/engine/src/record.rs
@@ -6,6 +6,7 @@
 
 pub use coord::membership::InstanceRecord;
 use coord::priority::PriorityLevel;
+use coord::promotion_order::PromotionOrder;
 use coord::quota::TeamLimit;
 use coord::service_time::ServiceClass;
 use serde::{Deserialize, Serialize};
@@ -211,7 +212,7 @@
     pub holder: String,
     /// Incarnation of the holder.
     pub incarnation: u64,
-    /// Fencing token, incremented whenever the holder changes.
+    /// Last fencing token that the holder may use; the next holder starts above it.
     pub token: u64,
     /// Time at which the lease expires by the store's clock, in milliseconds.
     pub ends_ms: u64,
@@ -219,4 +220,7 @@
     /// no other instance can tell them.
     #[serde(default)]
     pub acknowledged: Vec<(String, LogPosition)>,
+    /// Orders to promote that may still be carried out, for the next holder.
+    #[serde(default)]
+    pub orders: Vec<PromotionOrder>,
 }
--- a/crates/engine/src/replica_hold.rs
+++ b/crates/engine/src/replica_hold.rs
@@ -1,6 +1,7 @@
 //! Holds replicas during a promotion, and resumes replicas that a promotion left held.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use coord::promotion::{MemberReport, PromotionMachine};
@@ -11,7 +12,7 @@
 
 use crate::failover::join_all;
 use crate::instance::{EngineTypes, GatewayInstance};
-use crate::promotion_lease::HeldLease;
+use crate::promotion_lease::LeaseKeeper;
 use crate::replication::ReplicationStatement;
 
 /// Maximum probes of a candidate until it has received as much as the held replicas.
@@ -125,21 +126,21 @@
         let directory = self.directory.borrow();
         let document = directory.document();
         document.service(service).is_some_and(|service| service.synchronous_replicas > 0)
-            && machine.borrow().needs_inspection(self.now())
+            && machine.borrow().needs_inspection(self.has_open_order(service), self.now())
     }
 
     /// Records which replicas are held, and resumes them if the leader stays.
     ///
     /// `leader` is the index of a leader that is not to be replaced.
     pub(crate) async fn inspect_replicas(
-        &self,
-        (service, machine, lease): (&str, &RefCell<PromotionMachine>, &RefCell<HeldLease>),
+        self: &Rc<Self>,
+        (service, machine, keeper): (&str, &RefCell<PromotionMachine>, &Rc<LeaseKeeper>),
         leader: Option<usize>,
         members: &[String],
         reports: &[Option<MemberReport>],
     ) {
         let observed = || members.iter().zip(reports);
-        let held: Vec<(&str, u64)> = {
+        let mut held: Vec<(&str, u64)> = {
             let machine = machine.borrow();
             let held = observed().filter_map(|(name, report)| Some((name.as_str(), (*report)?)));
             let held = held.filter(|(name, report)| machine.is_resumable(name, report));
@@ -154,17 +155,60 @@
             // Without a leader nothing is received, and a member is to be promoted.
             return;
         };
-        if held.is_empty() {
-            return;
-        }
         // An earlier promotion without an answer may still be carried out, for a candidate that
-        // would lack commits. One of the present leader changes nothing, but supersedes it.
-        if machine.borrow().must_supersede() {
-            if !self.request_promotion(service, &members[leader], lease).await {
+        // would lack commits. One of the present leader changes nothing, but supersedes it. That the
+        // replicas held for it receive again says nothing about the order: they may have restarted.
+        let has_open_order = self.has_open_order(service);
+        if has_open_order || !held.is_empty() && machine.borrow().must_supersede() {
+            held.extend(self.restore_hold(service, leader, members, reports).await);
+            if !self.request_promotion(service, &members[leader], keeper).await {
                 return;
             }
             machine.borrow_mut().record_superseded();
         }
         self.resume_replicas((service, machine), &held).await;
     }
+
+    /// Holds replicas again that no longer are, until an open order is superseded, and returns them.
+    ///
+    /// A held replica that has restarted confirms commits that the member named by the order lacks.
+    async fn restore_hold<'a>(
+        &self,
+        service: &str,
+        leader: usize,
+        members: &'a [String],
+        reports: &[Option<MemberReport>],
+    ) -> Vec<(&'a str, u64)> {
+        let (candidate, synchronous) = {
+            let (orders, directory) = (self.promotion_orders.borrow(), self.directory.borrow());
+            let named = orders.open(service).map(|order| order.endpoint.clone());
+            let candidate = members.iter().position(|name| Some(name) == named.as_ref());
+            let document = directory.document();
+            let service = document.service(service);
+            (candidate, service.map_or(0, |service| service.synchronous_replicas))
+        };
+        // A candidate that does not receive could not confirm commits alone.
+        let receives = |index: &usize| reports[*index].is_some_and(|report| report.held_term == 0);
+        let Some(candidate) = candidate.filter(|index| *index != leader && receives(index)) else {
+            return Vec::new();
+        };
+        let Some(hold) = ReplicaHold::new(Some(leader), candidate, reports, synchronous) else {
+            return Vec::new();
+        };
+        let free: Vec<&str> = {
+            let free = hold.replicas.iter().filter(|index| receives(index));
+            free.map(|index| members[*index].as_str()).collect()
+        };
+        if free.is_empty() {
+            return Vec::new();
+        }
+        let statement = ReplicationStatement::Hold { term: hold.term };
+        let answers = join_all(free.iter().map(|name| self.set_replication(name, statement))).await;
+        log_event!(
+            LogEvent::ReplicationChanged,
+            "service={service} held_again={free:?} term={} answers={answers:?}",
+            hold.term
+        );
+        free.into_iter().map(|name| (name, hold.term)).collect()
+    }
 }
--- a/crates/engine/src/subscription.rs
+++ b/crates/engine/src/subscription.rs
@@ -81,6 +81,7 @@
             document_version: self.directory.borrow().document_version(),
             leaders: self.directory.borrow().leaders(),
             acknowledged: self.peers.feed.borrow().acknowledged.clone(),
+            orders: self.promotion_orders.borrow().all().cloned().collect(),
         }
     }
 
@@ -316,6 +317,11 @@
         for (service, position) in &heads.acknowledged {
             directory.record_acknowledged(service, *position);
         }
+        for order in &heads.orders {
+            if self.promotion_orders.borrow_mut().merge(order.clone()) {
+                self.peers.changed.notify_one();
+            }
+        }
         for (service, endpoint, term) in &heads.leaders {
             if directory.record_leader(service, endpoint, *term) {
                 self.peers.changed.notify_one();
--- a/crates/engine/tests/peer_messages.rs
+++ b/crates/engine/tests/peer_messages.rs
@@ -2,6 +2,7 @@
 
 use bytes::BytesMut;
 use coord::membership::{InstanceRecord, MemberStatus, ViewEntry};
+use coord::promotion_order::PromotionOrder;
 use engine::frame::{FrameDecoder, FrameEncoder, FrameLane};
 use engine::interface::WatchedTable;
 use engine::message::{
@@ -30,6 +31,12 @@
         document_version: DocumentVersion { row: StoreVersion::new(1, 2), number: 2 },
         leaders: vec![leader],
         acknowledged: vec![("bookings".to_owned(), LogPosition::new(3, 70))],
+        orders: vec![PromotionOrder {
+            service: "bookings".to_owned(),
+            endpoint: "m-2".to_owned(),
+            token: 9,
+            is_settled: false,
+        }],
     }
 }
 
--- a/crates/standin/src/gateway_platform/row_store.rs
+++ b/crates/standin/src/gateway_platform/row_store.rs
@@ -1,6 +1,6 @@
 //! The platform's row store and promotion service, with injectable faults.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -23,6 +23,8 @@
 
 /// Time between the acceptance of a promotion and the change of the leader.
 const PROMOTION_DURATION: Duration = Duration::from_millis(60);
+/// Time for which an order that gets no answer is left open.
+const NO_ANSWER_DURATION: Duration = Duration::from_secs(30);
 /// Header that numbers the histories of the store.
 const ERA_HEADER: &str = "Store-Era";
 
@@ -60,6 +62,10 @@
     /// Rows that answers about a table contain as they are, by table.
     raw_rows: Vec<(String, Value)>,
     promotions: Vec<PromotionRequest>,
+    /// Delays of the next orders to promote, which get no answer.
+    late_promotions: VecDeque<Duration>,
+    /// Orders to promote that arrived, whatever became of them.
+    orders: Vec<PromotionRequest>,
     /// Number of reads and polls for changes that arrived, by table.
     read_counts: HashMap<String, u64>,
 }
@@ -221,11 +227,44 @@
         self.state.lock().promotions.clone()
     }
 
+    /// Leaves the next orders to promote without an answer, and carries each out after its delay if its
+    /// fencing token is still valid then.
+    pub fn delay_promotions(&self, delays: &[Duration]) {
+        self.state.lock().late_promotions = delays.iter().copied().collect();
+    }
+
+    /// Returns the orders to promote in order of arrival.
+    pub fn orders(&self) -> Vec<PromotionRequest> {
+        self.state.lock().orders.clone()
+    }
+
     /// Returns the number of reads and polls for changes of a table that have arrived.
     pub fn read_count(&self, table: &str) -> u64 {
         self.state.lock().read_counts.get(table).copied().unwrap_or_default()
     }
 
+    /// Carries out an order to promote unless its fencing token is outdated.
+    fn carry_out(&self, order: PromotionRequest) -> StatusCode {
+        let PromotionRequest { service, endpoint, token, .. } = order.clone();
+        {
+            let mut state = self.state.lock();
+            let is_newer =
+                |known: &PromotionRequest| known.service == service && known.token > token;
+            if state.promotions.iter().any(is_newer) {
+                return StatusCode::CONFLICT;
+            }
+            state.promotions.push(order);
+        }
+        let Some(group) = self.groups.lock().get(&service).cloned() else {
+            return StatusCode::NOT_FOUND;
+        };
+        tokio::spawn(async move {
+            tokio::time::sleep(PROMOTION_DURATION).await;
+            group.lock().promote(&endpoint);
+        });
+        StatusCode::OK
+    }
+
     /// Returns the time by the store's clock, in milliseconds.
     pub fn now_ms(&self) -> u64 {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -348,31 +387,29 @@
         .get("Hibiscusworks-Fencing-Token")
         .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
     let holder = headers.get("Hibiscusworks-Lease-Holder").and_then(|value| value.to_str().ok());
-    let holder = holder.unwrap_or_default().to_owned();
     let (Some(token), Some(service), Some(id)) =
         (token, body["service"].as_str(), body["id"].as_str())
     else {
         return StatusCode::BAD_REQUEST.into_response();
     };
-    {
+    let order = PromotionRequest {
+        service: service.to_owned(),
+        endpoint: id.to_owned(),
+        holder: holder.unwrap_or_default().to_owned(),
+        token,
+    };
+    let delay = {
         let mut state = store.state.lock();
-        if state
-            .promotions
-            .iter()
-            .any(|request| request.service == service && request.token > token)
-        {
-            return StatusCode::CONFLICT.into_response();
-        }
-        let (service, endpoint) = (service.to_owned(), id.to_owned());
-        state.promotions.push(PromotionRequest { service, endpoint, holder, token });
-    }
-    let Some(group) = store.groups.lock().get(service).cloned() else {
-        return StatusCode::NOT_FOUND.into_response();
+        state.orders.push(order.clone());
+        state.late_promotions.pop_front()
+    };
+    let Some(delay) = delay else {
+        return store.carry_out(order).into_response();
     };
-    let id = id.to_owned();
     tokio::spawn(async move {
-        tokio::time::sleep(PROMOTION_DURATION).await;
-        group.lock().promote(&id);
+        tokio::time::sleep(delay).await;
+        store.carry_out(order);
     });
-    StatusCode::OK.into_response()
+    tokio::time::sleep(NO_ANSWER_DURATION).await;
+    StatusCode::GATEWAY_TIMEOUT.into_response()
 }
