Refill unused buckets from the last change of owners, not from the first request

Cause: in a first start each new bucket was full, on the assumption that nobody had admitted the team before. The age of the process says nothing about that: the successor of a lost or ended owner, and an instance that joins, created their buckets in the same 20 s.

Change: a bucket that is created with the first request counts as one that has existed, with the tokens of a new owner, since the instances that decide last changed or their part of the limit did (MembershipTable::fleet_signature, TeamQuotas::record_owner_change). An owner that has been idle has a full bucket, after any start; a successor gets what the limit allows since it took over. `first_start` no longer has a meaning for the engine.

Tests that asked for full buckets with `starts_full` now record that nothing has changed for a minute; what they check is the same.

--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -11,6 +11,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -330,6 +331,20 @@
         first.map_or(self.own, |(key, _)| key)
     }
 
+    /// Returns a number that differs if another instance may decide about some subject for the whole
+    /// fleet.
+    pub fn fleet_signature(&self) -> u64 {
+        let avoids_congested = self.avoids_congested();
+        let decides = |member: &&MemberState| member.is_live && !member.status.leaving;
+        let signature = |member: &MemberState| {
+            let is_last = avoids_congested && member.status.is_congested;
+            let mut hasher = DefaultHasher::new();
+            (&member.record.name, member.record.incarnation, is_last).hash(&mut hasher);
+            hasher.finish()
+        };
+        self.members.values().filter(decides).map(signature).fold(0, u64::wrapping_add)
+    }
+
     /// Returns whether congested instances are chosen last; not if there are too many.
     pub fn avoids_congested(&self) -> bool {
         let is_congested = |member: &&MemberState| member.is_live && member.status.is_congested;
--- a/crates/coord/src/quota.rs
+++ b/crates/coord/src/quota.rs
@@ -129,8 +129,6 @@
     pub priority_rank: usize,
     /// Longest wait for the token.
     pub max_wait: Duration,
-    /// A new bucket is full, for use when nothing can have been admitted before.
-    pub starts_full: bool,
     /// The instance has just started and still finds the others, so a bucket gets the rest of its
     /// initial tokens as the reachable fraction grows.
     ///
@@ -187,6 +185,8 @@
     /// Instances that asked this one as a substitute, and when they last did.
     askers: HashMap<u64, Instant>,
     recorded_at: Option<Instant>,
+    /// Time since which each team has had the same quota owner, with the same part of the limit.
+    unchanged_since: Option<Instant>,
     /// Time since which this instance reaches less than half of the registered ones.
     minority_since: Option<Instant>,
     /// Number of the newest bucket.
@@ -203,6 +203,7 @@
             instance_fraction: 0.0,
             askers: HashMap::new(),
             recorded_at: None,
+            unchanged_since: None,
             minority_since: None,
             last_number: 0,
         }
@@ -216,13 +217,25 @@
         if self.recorded_at.is_some_and(|at| now.saturating_duration_since(at) > OWNERSHIP_TIMEOUT)
         {
             self.buckets.clear();
+            self.unchanged_since = Some(now);
         }
         self.recorded_at = Some(now);
         self.askers.retain(|_, at| now.saturating_duration_since(*at) < ASKER_TTL);
         let is_minority = 2 * reached < registered;
         self.minority_since = self.minority_since.or(Some(now)).filter(|_| is_minority);
         self.instance_fraction = 1.0 / registered.max(1) as f64;
-        self.reachable_fraction = reached.min(registered) as f64 * self.instance_fraction;
+        let fraction = reached.min(registered) as f64 * self.instance_fraction;
+        if std::mem::replace(&mut self.reachable_fraction, fraction) != fraction {
+            self.unchanged_since = Some(now);
+        }
+    }
+
+    /// Records that a team may have another quota owner than before.
+    ///
+    /// A team's bucket is created with the first request. Its tokens count from this time on, as the
+    /// owner before may have admitted a whole burst, also just after the first start of all instances.
+    pub fn record_owner_change(&mut self, now: Instant) {
+        self.unchanged_since = Some(now);
     }
 
     /// Records that an instance asks this one because it does not reach the quota owner.
@@ -369,8 +382,7 @@
         let is_recent = |since| now.saturating_duration_since(since) < HANDOVER_DELAY;
         match request.share {
             LimitShare::Reachable => {
-                let is_first = request.starts_full || request.is_starting;
-                !is_first && self.minority_since.is_some_and(is_recent)
+                !request.is_starting && self.minority_since.is_some_and(is_recent)
             }
             LimitShare::Substitute | LimitShare::OneInstance => true,
         }
@@ -400,8 +412,13 @@
         };
         let buckets = self.buckets.entry(request.share).or_default();
         if !buckets.contains_key(team) {
-            let mut tokens = TokenBucket::empty(rate, burst, now);
-            tokens.add_tokens(if request.starts_full { burst } else { initial_tokens }, now);
+            // Where nobody else has admitted the team since, the bucket has refilled unseen.
+            let refills_since = match request.share {
+                LimitShare::Reachable => self.unchanged_since.unwrap_or(now),
+                LimitShare::Substitute | LimitShare::OneInstance => now,
+            };
+            let mut tokens = TokenBucket::empty(rate, burst, refills_since);
+            tokens.add_tokens(initial_tokens, refills_since);
             self.last_number += 1;
             let number = self.last_number;
             let bucket =
--- a/crates/coord/tests/load_patterns.rs
+++ b/crates/coord/tests/load_patterns.rs
@@ -40,9 +40,17 @@
 }
 
 /// Returns a request for a token of the quota owner.
-fn token_request(priority_rank: usize, max_wait: Duration, starts_full: bool) -> TokenRequest {
+fn token_request(priority_rank: usize, max_wait: Duration) -> TokenRequest {
     let share = LimitShare::Reachable;
-    TokenRequest { priority_rank, max_wait, starts_full, is_starting: false, share }
+    TokenRequest { priority_rank, max_wait, is_starting: false, share }
+}
+
+/// Returns the quotas of an instance that has been alone for so long that all buckets are full.
+fn full_quotas(now: Instant) -> TeamQuotas {
+    let mut quotas = TeamQuotas::new(WINDOW);
+    quotas.record_reachable(1, 1, now);
+    quotas.record_owner_change(now - Duration::from_secs(60));
+    quotas
 }
 
 /// Returns the kind of a request of the only service class.
@@ -158,7 +166,7 @@
             rate: 5.0 + choices.below(60) as f64,
             burst: 1.0 + choices.below(60) as f64,
         };
-        let mut quotas = TeamQuotas::new(WINDOW);
+        let mut quotas = full_quotas(start);
         let mut starts: Vec<Duration> = Vec::new();
         let mut now = Duration::ZERO;
         quotas.record_reachable(1, 1, start);
@@ -170,7 +178,7 @@
                 if let Ok(delay) = quotas.take(
                     "team",
                     limit,
-                    token_request(higher_priorities, TOKEN_TIMEOUT, true),
+                    token_request(higher_priorities, TOKEN_TIMEOUT),
                     start + now,
                 ) {
                     starts.push(now + delay);
@@ -196,7 +204,7 @@
             let now = start + millis(10 * tick);
             quotas.record_reachable(reachable, registered, now);
             for _ in 0..5 {
-                admitted += usize::from(quotas.take("team", limit, token_request(0, Duration::ZERO, false), now).is_ok());
+                admitted += usize::from(quotas.take("team", limit, token_request(0, Duration::ZERO), now).is_ok());
             }
         }
     }
@@ -209,7 +217,7 @@
 load_case!(instances_without_a_quota_owner_admit_their_own_share, start => {
     let limit = TeamLimit { rate: 100.0, burst: 100.0 };
     let request =
-        TokenRequest { share: LimitShare::OneInstance, ..token_request(0, Duration::ZERO, false) };
+        TokenRequest { share: LimitShare::OneInstance, ..token_request(0, Duration::ZERO) };
     let mut admitted = 0;
     for _ in 0..100 {
         let mut quotas = TeamQuotas::new(WINDOW);
@@ -233,7 +241,7 @@
             let now = start + millis(10 * tick);
             quotas.record_reachable(if tick == 0 { 9 } else { reached }, 9, now);
             for _ in 0..5 {
-                let request = token_request(0, Duration::ZERO, false);
+                let request = token_request(0, Duration::ZERO);
                 let is_admitted = quotas.take("team", limit, request, now).is_ok();
                 admitted[tick as usize / 100] += usize::from(is_admitted);
             }
@@ -249,13 +257,13 @@
 load_case!(new_quota_owners_stay_within_the_overage, start => {
     let limit = TeamLimit { rate: 40.0, burst: 40.0 };
     let mut admitted = 0;
-    for (from, to, full_start) in [(0, 2_000, true), (2_000, 3_500, false), (3_500, 5_000, false)] {
-        let mut quotas = TeamQuotas::new(WINDOW);
+    for (from, to, is_full) in [(0, 2_000, true), (2_000, 3_500, false), (3_500, 5_000, false)] {
+        let mut quotas = if is_full { full_quotas(start) } else { TeamQuotas::new(WINDOW) };
         for tick in from / 10..to / 10 {
             let now = start + millis(10 * tick);
             quotas.record_reachable(1, 1, now);
             for _ in 0..5 {
-                admitted += usize::from(quotas.take("team", limit, token_request(0, Duration::ZERO, full_start), now).is_ok());
+                admitted += usize::from(quotas.take("team", limit, token_request(0, Duration::ZERO), now).is_ok());
             }
         }
     }
@@ -268,30 +276,30 @@
 // meanwhile and has admitted operations, while the old bucket would have refilled.
 load_case!(suspended_quota_owner_admits_no_full_burst, start => {
     let limit = TeamLimit { rate: 1.0, burst: 500.0 };
-    let mut quotas = TeamQuotas::new(WINDOW);
+    let mut quotas = full_quotas(start);
     quotas.record_reachable(1, 1, start);
-    let mut count_admitted = |now, full_start| {
+    let mut count_admitted = |now| {
         quotas.record_reachable(1, 1, now);
-        (0..1_000).filter(|_| quotas.take("team", limit, token_request(0, Duration::ZERO, full_start), now).is_ok()).count()
+        (0..1_000).filter(|_| quotas.take("team", limit, token_request(0, Duration::ZERO), now).is_ok()).count()
     };
-    assert!(count_admitted(start, true) >= 200, "the first bucket starts full");
-    let admitted = count_admitted(start + millis(4_000), false);
+    assert!(count_admitted(start) >= 200, "the first bucket starts full");
+    let admitted = count_admitted(start + millis(4_000));
     assert!(admitted as f64 <= (limit.rate * 5.0 + limit.burst) * 0.1 + 20.0, "{admitted}");
 });
 
 load_case!(team_over_its_limit_reserves_tokens_for_high_priority, start => {
     let limit = TeamLimit { rate: 20.0, burst: 20.0 };
-    let mut quotas = TeamQuotas::new(WINDOW);
+    let mut quotas = full_quotas(start);
     let (mut high, mut low) = (0, 0);
     for tick in 0..1_000_u64 {
         let now = start + millis(10 * tick);
         quotas.record_reachable(1, 1, now);
         // 50 low-priority and 5 high-priority operations per second for 20 tokens per second.
         if tick % 2 == 0 {
-            low += usize::from(quotas.take("team", limit, token_request(1, Duration::ZERO, true), now).is_ok());
+            low += usize::from(quotas.take("team", limit, token_request(1, Duration::ZERO), now).is_ok());
         }
         if tick % 20 == 0 {
-            high += usize::from(quotas.take("team", limit, token_request(0, Duration::ZERO, true), now).is_ok());
+            high += usize::from(quotas.take("team", limit, token_request(0, Duration::ZERO), now).is_ok());
         }
     }
     assert_eq!(high, 50, "every high-priority operation is admitted");
@@ -305,13 +313,13 @@
     let min_backoff = millis(50);
     // The shortest target latency in use minus the work of a statement.
     let max_start_delay = millis(200 - 30);
-    let mut quotas = TeamQuotas::new(WINDOW);
+    let mut quotas = full_quotas(start);
     let mut arrivals: BinaryHeap<Reverse<(Duration, Duration, u32)>> =
         (0..1_500).map(|index| Reverse((millis(index * 20 / 3), millis(index * 20 / 3), 0))).collect();
     let (mut in_time, mut late) = (0, 0);
     while let Some(Reverse((at, first_at, retries))) = arrivals.pop() {
         quotas.record_reachable(1, 1, start + at);
-        match quotas.take("team", limit, token_request(0, TOKEN_TIMEOUT, true), start + at) {
+        match quotas.take("team", limit, token_request(0, TOKEN_TIMEOUT), start + at) {
             Ok(delay) if at + delay - first_at > max_start_delay => late += 1,
             Ok(_) => in_time += 1,
             Err(error) if retries < 2 => {
@@ -409,7 +417,7 @@
     let limit = TeamLimit { rate: 15.0, burst: 15.0 };
     let admitted_after = |is_starting: bool| {
         let mut quotas = TeamQuotas::new(WINDOW);
-        let request = TokenRequest { is_starting, ..token_request(0, TOKEN_TIMEOUT, false) };
+        let request = TokenRequest { is_starting, ..token_request(0, TOKEN_TIMEOUT) };
         let mut admitted = 0;
         for tick in 0..50 {
             // The owner of the team finds 84 instances within 300 ms.
@@ -426,7 +434,7 @@
     assert!(admitted_after(false) <= 6, "the load refuses nothing: {}", admitted_after(false));
     // The tokens are no more than those of an owner that knows all others at once.
     let mut quotas = TeamQuotas::new(WINDOW);
-    let request = TokenRequest { is_starting: true, ..token_request(0, Duration::ZERO, false) };
+    let request = TokenRequest { is_starting: true, ..token_request(0, Duration::ZERO) };
     let mut admitted = 0;
     for reached in [1, 84, 42, 84, 84] {
         quotas.record_reachable(reached, 84, start);
--- a/crates/coord/tests/quota_owners.rs
+++ b/crates/coord/tests/quota_owners.rs
@@ -48,6 +48,8 @@
 struct OwnerFleet {
     quotas: Vec<TeamQuotas>,
     incarnations: Vec<u32>,
+    /// Instances that each one believed to be live at its last tick.
+    live: Vec<Vec<usize>>,
     /// Whether two instances exchange messages, and since which tick.
     connected: Vec<Vec<(bool, u32)>>,
     frozen_until: Vec<u32>,
@@ -61,6 +63,7 @@
         Self {
             quotas: (0..size).map(|_| TeamQuotas::new(WINDOW)).collect(),
             incarnations: vec![0; size],
+            live: vec![Vec::new(); size],
             connected: vec![vec![(true, 0); size]; size],
             frozen_until: vec![0; size],
             random: SmallRng::seed_from_u64(seed),
@@ -104,6 +107,7 @@
         match self.random.random_range(0..6) {
             0 => {
                 self.quotas[index] = TeamQuotas::new(WINDOW);
+                self.live[index].clear();
                 self.incarnations[index] += 1;
             }
             1 => self.frozen_until[index] = self.tick + self.random.random_range(1..30),
@@ -129,10 +133,14 @@
         (self.now, self.tick) = (self.now + TICK, self.tick + 1);
         let size = self.quotas.len();
         for index in (0..size).filter(|index| !self.is_frozen(*index)).collect::<Vec<_>>() {
-            let live = (0..size).filter(|to| self.is_live(index, *to)).count();
+            let live: Vec<usize> = (0..size).filter(|to| self.is_live(index, *to)).collect();
             let is_owner = self.is_owner(index);
             let quotas = &mut self.quotas[index];
-            quotas.record_reachable(live, size, self.now);
+            quotas.record_reachable(live.len(), size, self.now);
+            if self.live[index] != live {
+                quotas.record_owner_change(self.now);
+            }
+            self.live[index] = live;
             quotas.record_ownership(|_| is_owner, self.now);
         }
     }
@@ -179,13 +187,8 @@
     }
 
     fn take(&mut self, owner: usize, share: LimitShare, now: Instant) -> Option<TakenToken> {
-        let request = TokenRequest {
-            priority_rank: 0,
-            max_wait: TOKEN_TIMEOUT,
-            starts_full: false,
-            is_starting: false,
-            share,
-        };
+        let request =
+            TokenRequest { priority_rank: 0, max_wait: TOKEN_TIMEOUT, is_starting: false, share };
         let quotas = &mut self.quotas[owner];
         quotas.take_with_floors(TEAM, LIMIT, request, 0, now).ok()?;
         let number = quotas.bucket_number(TEAM, share);
@@ -318,3 +321,37 @@
         assert!(most <= ALLOWED, "{most} with {size} instances, seed {seed}");
     }
 }
+
+// The successor of a lost quota owner started with a full bucket in a first start (review/15).
+#[test]
+fn the_successor_of_a_lost_owner_does_not_repeat_its_burst() {
+    let limit = TeamLimit { rate: 20.0, burst: 300.0 };
+    let start = Instant::now();
+    let request = TokenRequest {
+        priority_rank: 0,
+        max_wait: Duration::ZERO,
+        is_starting: false,
+        share: LimitShare::Reachable,
+    };
+    let mut owners = [TeamQuotas::new(WINDOW), TeamQuotas::new(WINDOW)];
+    let (mut first_second, mut admitted) = (0, 0);
+    for tick in 0..150 {
+        let now = start + TICK * tick;
+        let is_lost = tick >= 125;
+        owners.iter_mut().for_each(|quotas| quotas.record_reachable(9, 9, now));
+        if tick == 125 {
+            owners[1].record_reachable(8, 9, now);
+            owners[1].record_owner_change(now);
+        }
+        if tick < 100 {
+            continue;
+        }
+        let owner = &mut owners[usize::from(is_lost)];
+        let taken = (0..200).filter(|_| owner.take(TEAM, limit, request, now).is_ok()).count();
+        admitted += taken;
+        first_second += if tick < 110 { taken } else { 0 };
+    }
+    assert!(first_second >= 150, "{first_second}: the unused bucket has refilled");
+    let allowed = (limit.rate * 5.0 + limit.burst) * 1.1 + 20.0;
+    assert!(admitted as f64 <= allowed, "{admitted} of {allowed} in 5 s");
+}
--- a/crates/coord/tests/returned_tokens.rs
+++ b/crates/coord/tests/returned_tokens.rs
@@ -12,6 +12,8 @@
 /// Operations that the limit and its tolerance allow in one window.
 const ALLOWED: usize = 152;
 const TEAM: &str = "gent";
+/// Time in which an unused bucket becomes full.
+const FILL_TIME: Duration = Duration::from_secs(60);
 /// Interval at which the quota owner counts the instances that it reaches.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -25,6 +27,7 @@
     fn new() -> Self {
         let mut owner = Self { quotas: TeamQuotas::new(WINDOW), now: Instant::now() };
         owner.quotas.record_reachable(1, 1, owner.now);
+        owner.quotas.record_owner_change(owner.now - FILL_TIME);
         owner
     }
 
@@ -41,7 +44,6 @@
         let request = TokenRequest {
             priority_rank: 0,
             max_wait: TOKEN_TIMEOUT,
-            starts_full: true,
             is_starting: false,
             share: LimitShare::Reachable,
         };
--- a/crates/coord/tests/team_limits.rs
+++ b/crates/coord/tests/team_limits.rs
@@ -22,6 +22,9 @@
 const KINDS: [f64; 3] = [1.12, 5.25, 1.95];
 const LIMIT: TeamLimit = TeamLimit { rate: 70.0, burst: 70.0 };
 
+/// Time in which an unused bucket becomes full.
+const FILL_TIME: Duration = Duration::from_secs(60);
+
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -47,7 +50,8 @@
     sides: Vec<usize>,
     owners: [usize; 2],
     has_floors: bool,
-    starts_full: bool,
+    /// Nothing has changed for so long that all buckets are full.
+    is_undisturbed: bool,
     requests_to_owner: u32,
     refused: u32,
     random: StdRng,
@@ -62,7 +66,7 @@
             sides: vec![0; size],
             owners: [0; 2],
             has_floors,
-            starts_full: true,
+            is_undisturbed: true,
             requests_to_owner: 0,
             refused: 0,
             random: StdRng::seed_from_u64(7),
@@ -74,10 +78,19 @@
             let side = self.sides[index];
             let reached = self.sides.iter().filter(|other| **other == side).count();
             quotas.record_reachable(reached, self.sides.len(), now);
+            if self.is_undisturbed {
+                quotas.record_owner_change(now - FILL_TIME);
+            }
             quotas.record_ownership(|_| self.owners[side] == index, now);
         }
     }
 
+    /// Lets the instances notice that owners have changed.
+    fn disturb(&mut self, now: Instant) {
+        self.is_undisturbed = false;
+        self.quotas.iter_mut().for_each(|quotas| quotas.record_owner_change(now));
+    }
+
     fn restart(&mut self, index: usize) {
         self.quotas[index] = TeamQuotas::new(WINDOW);
         self.caches[index] = RefusalCache::default();
@@ -121,7 +134,6 @@
         let mut request = TokenRequest {
             priority_rank: rank,
             max_wait: TOKEN_TIMEOUT,
-            starts_full: self.starts_full,
             is_starting: false,
             share: LimitShare::Reachable,
         };
@@ -254,13 +266,13 @@
         while !choices.is_done() {
             now += Duration::from_micros(choices.below(20_000) as u64);
             quotas.record_reachable(1, 1, now);
+            quotas.record_owner_change(now - FILL_TIME);
             let rank = choices.below(4);
             let max_wait = millis(choices.below(16) as u64);
             for _ in 0..choices.below(loads[rank]) {
                 let request = TokenRequest {
                     priority_rank: rank,
                     max_wait,
-                    starts_full: true,
                     is_starting: false,
                     share: LimitShare::Reachable,
                 };
@@ -301,7 +313,7 @@
                 next_change += if is_first_of_pair { 300 } else { 5_000 };
                 next_change += choices.below(2_400) as u64;
                 is_first_of_pair = !is_first_of_pair;
-                fleet.starts_full = false;
+                fleet.disturb(now);
                 lossy = (choices.below(size), tick + 300);
                 let instance = choices.below(size);
                 match choices.below(4) {
@@ -344,7 +356,9 @@
     let (mut fleet, mut starts) = (Fleet::new(2, true), Vec::new());
     for tick in 0..5_000 {
         let now = start + millis(tick);
-        fleet.starts_full = tick < 500;
+        if tick == 500 || tick == 4_000 {
+            fleet.disturb(now);
+        }
         fleet.owners[0] = usize::from((500..4_000).contains(&tick));
         if tick % 100 == 0 {
             fleet.tick(now);
--- a/crates/engine/src/admission.rs
+++ b/crates/engine/src/admission.rs
@@ -191,7 +191,6 @@
         let token_request = TokenRequest {
             priority_rank: document.priority_rank(request.priority),
             max_wait: Duration::from_millis(request.max_wait_ms.into()),
-            starts_full: self.is_first_start(),
             is_starting: self.is_starting(),
             share,
         };
@@ -213,6 +212,10 @@
         if self.quota_generation.replace(generation) == generation {
             return;
         }
+        let signature = self.peers.membership.borrow().fleet_signature();
+        if self.fleet_signature.replace(signature) != signature {
+            self.quotas.borrow_mut().record_owner_change(self.now());
+        }
         let is_owner = |team: &str| self.peers.is_fleet_owner(team);
         self.quotas.borrow_mut().record_ownership(is_owner, self.now());
     }
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -71,8 +71,6 @@
     pub record: InstanceRecord,
     /// Address on which callers are accepted.
     pub caller_address: SocketAddr,
-    /// Whether the whole system starts for the first time, so no operation was admitted before.
-    pub first_start: bool,
     /// Time from the stop signal until the process is killed.
     pub grace_period: Duration,
     /// Time for which an endpoint still gets new statements after it announces that it is leaving.
@@ -101,8 +99,6 @@
 /// Time after its start in which an instance finds the others: the delay of their registrations and
 /// the expiry of the views of lost observers.
 const DISCOVERY_PERIOD: Duration = Duration::from_secs(2);
-/// Time after its start for which an instance in a first start may create full token buckets.
-const FIRST_START_PERIOD: Duration = Duration::from_secs(20);
 
 /// State of one instance.
 pub struct GatewayInstance<E: EngineTypes> {
@@ -130,6 +126,9 @@
     pub(crate) refusals: RefCell<RefusalCache>,
     /// Generation of the membership table at the last check of the teams' quota owners.
     pub(crate) quota_generation: Cell<u64>,
+    /// Instances that decided for the whole fleet at that check, see
+    /// [`coord::membership::MembershipTable::fleet_signature`].
+    pub(crate) fleet_signature: Cell<u64>,
     /// Load of the services.
     pub(crate) service_loads: ServiceLoads,
     /// Number of open caller sessions.
@@ -192,6 +191,7 @@
             quotas: RefCell::new(TeamQuotas::new(settings.limit_window)),
             refusals: RefCell::default(),
             quota_generation: Cell::new(0),
+            fleet_signature: Cell::new(0),
             service_loads: ServiceLoads::default(),
             settings,
             clock,
@@ -405,12 +405,6 @@
         self.now().saturating_duration_since(self.started_at) < DISCOVERY_PERIOD
     }
 
-    /// Returns whether new token buckets may start full, since nothing was admitted before.
-    pub fn is_first_start(&self) -> bool {
-        let age = self.now().saturating_duration_since(self.started_at);
-        self.settings.first_start && age < FIRST_START_PERIOD
-    }
-
     /// Returns a transaction identifier, unique on this instance and never zero.
     pub fn new_transaction_id(&self) -> u32 {
         let transaction_id = self.next_transaction_id.get();
