Acknowledge commits beside an unseen replica once one in sight has them

Cause: a replica that is neither listed nor answers no longer counts when the primary is replaced, yet it goes on confirming commits.

Change: while a replica of such a service may exist out of sight, a commit is acknowledged to its caller once the registered replicas that it takes have received it, as if the other one had ended. Their status is asked for on one connection while commits wait. Without it in time the commit is in doubt (HB5011). A replica has ended once another endpoint is registered at its address. When a registration vanishes, all that the leader has answered with until then is required of the next one, which covers the commits before. Services without synchronous replicas are not touched.

--- a/crates/engine/src/connection_owner.rs
+++ b/crates/engine/src/connection_owner.rs
@@ -346,12 +346,18 @@
         self.record_answers(pool, call, &answers, sent_at);
         let has_failed = answers.iter().any(|answer| answer.error.is_some());
         let position = answers.iter().rev().find_map(|answer| answer.position);
-        if let Some(position) = position.filter(|_| call.commits_data && !has_failed) {
+        let committed = position.filter(|_| call.commits_data && !has_failed);
+        if let Some(position) = committed {
             let lowest = lowest_position(known_position, position);
             self.directory.borrow_mut().record_commit(&pool.service, position, lowest);
         }
         let state = answers.last().map_or(TransactionState::Failed, |answer| answer.state);
         self.recycle_connection(pool, origin, call, connection, state, has_failed);
+        if let Some(position) = committed
+            && !self.await_confirmation(&pool.service, &pool.endpoint, position, deadline).await
+        {
+            return ExecuteOutcome::InDoubt;
+        }
         ExecuteOutcome::Answered(answers)
     }
 
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -396,6 +396,9 @@
         };
         let newly_unregistered = entry.unregistered_at.is_none();
         entry.unregistered_at = entry.unregistered_at.or(Some(now));
+        if newly_unregistered {
+            self.require_answered(name);
+        }
         newly_unregistered
     }
 
--- a/crates/engine/src/endpoint_probe.rs
+++ b/crates/engine/src/endpoint_probe.rs
@@ -22,9 +22,9 @@
 /// connection.
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Bounds a probe, including the opening of its connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 /// Team name sent with probes, which belong to no team.
-const PROBE_TEAM: &str = "-";
+pub(crate) const PROBE_TEAM: &str = "-";
 
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Requests the status of an endpoint on a new connection.
--- a/crates/engine/src/instance.rs
+++ b/crates/engine/src/instance.rs
@@ -30,6 +30,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use crate::commit_confirmation::CommitConfirmations;
 use crate::connection_owner::ConnectionPools;
 use crate::directory::FleetDirectory;
 use crate::interface::{PlatformApi, WatchedTable, WireCodec};
@@ -120,6 +121,8 @@
     pub peers: PeerTable,
     /// Endpoint connections that this instance owns.
     pub pools: ConnectionPools,
+    /// What replicas have received, while commits wait for it.
+    pub(crate) confirmations: CommitConfirmations,
     /// Token buckets of the teams whose quota owner this instance is.
     pub quotas: RefCell<TeamQuotas>,
     /// Valid refusals of other quota owners.
@@ -197,6 +200,7 @@
             clock,
             platform,
             pools: ConnectionPools::default(),
+            confirmations: CommitConfirmations::default(),
             tables: RefCell::default(),
             table_server: RefCell::default(),
             validation: RefCell::default(),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller;
 pub mod candidates;
 mod commit_check;
+mod commit_confirmation;
 mod connection_acquire;
 pub mod connection_owner;
 mod connection_return;
--- a/crates/engine/src/service_commits.rs
+++ b/crates/engine/src/service_commits.rs
@@ -113,6 +113,56 @@
         names
     }
 
+    /// Returns the registered replicas of a service and how many of them must confirm a commit, if
+    /// another replica may confirm commits although it is not registered.
+    ///
+    /// A replica has ended once another endpoint is registered at its address.
+    pub(crate) fn replicas_beside_unseen(
+        &self,
+        service: &str,
+        leader: &str,
+    ) -> Option<(Vec<String>, usize)> {
+        let synchronous = self.document.service(service)?.synchronous_replicas;
+        if synchronous == 0 {
+            return None;
+        }
+        let is_registered = |name: &&String| {
+            self.endpoints.get(*name).is_some_and(|entry| entry.unregistered_at.is_none())
+        };
+        let members = &self.services.get(service)?.members;
+        let vanished = members.iter().filter(|name| !is_registered(name));
+        let vanished = vanished.filter_map(|name| self.known_record(name));
+        let unlisted = self.unlisted.values().map(|(record, _)| record);
+        let unlisted = unlisted.filter(|record| record.service == service);
+        let is_replaced = |record: &EndpointRecord| {
+            let mut entries = self.endpoints.values();
+            entries.any(|entry| {
+                entry.unregistered_at.is_none() && entry.record.address == record.address
+            })
+        };
+        let may_confirm = |record: &EndpointRecord| record.name != leader && !is_replaced(record);
+        if !vanished.chain(unlisted).any(may_confirm) {
+            return None;
+        }
+        let replicas = members.iter().filter(|name| is_registered(name) && *name != leader);
+        Some((replicas.cloned().collect(), synchronous))
+    }
+
+    /// Requires all that a leader has answered with of the next one, when a replica vanishes that may
+    /// have been the only one to confirm it.
+    pub(crate) fn require_answered(&mut self, replica: &str) {
+        let Some(service) = self.known_record(replica).map(|record| record.service.clone()) else {
+            return;
+        };
+        let leader = self.services.get(&service).and_then(|state| state.leader.as_ref());
+        if leader.is_some_and(|(leader, _)| leader == replica) || !self.is_synchronous(&service) {
+            return;
+        }
+        if let Some(position) = self.newest_position(&service) {
+            self.record_acknowledged(&service, position);
+        }
+    }
+
     /// Returns all remembered endpoints that are no longer registered.
     pub fn unlisted_endpoints(&self, now: Instant) -> Vec<UnlistedEndpoint> {
         let age = |at: Instant| millis(now.saturating_duration_since(at));
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -188,6 +188,8 @@
     ReplicationRefused = 5009, Warn, "replication_refused";
     /// No member is promoted, as those that answer may lack commits of the service.
     PromotionWithheld = 5010, Warn, "promotion_withheld";
+    /// A commit is in doubt, as no replica in sight has received it in time.
+    CommitUnconfirmed = 5011, Warn, "commit_unconfirmed";
     /// The instance started to drain.
     DrainStarted = 6001, Info, "drain_started";
     /// The instance has drained or reached its drain deadline.
