Tell instances that start of replicas that have just vanished

Replicas were told to new instances only once they were no longer listed, 10 s later, so by then nobody knew of it.

--- a/crates/engine/src/service_commits.rs
+++ b/crates/engine/src/service_commits.rs
@@ -163,12 +163,18 @@
         }
     }
 
-    /// Returns all remembered endpoints that are no longer registered.
+    /// Returns all remembered endpoints that are no longer registered, also those whose registration
+    /// has vanished just now.
     pub fn unlisted_endpoints(&self, now: Instant) -> Vec<UnlistedEndpoint> {
         let age = |at: Instant| millis(now.saturating_duration_since(at));
-        let unlisted = self.unlisted.values();
+        let unlisted = self.unlisted.values().map(|(record, at)| (record, *at));
+        let vanished = self.endpoints.values().filter_map(|entry| {
+            let record = Some(&entry.record).filter(|record| self.is_synchronous(&record.service));
+            Some((record?, entry.unregistered_at?))
+        });
         unlisted
-            .map(|(record, at)| UnlistedEndpoint { record: record.clone(), age_ms: age(*at) })
+            .chain(vanished)
+            .map(|(record, at)| UnlistedEndpoint { record: record.clone(), age_ms: age(at) })
             .collect()
     }
 
