--- a/crates/standin/src/gateway_platform/row_store.rs
+++ b/crates/standin/src/gateway_platform/row_store.rs
@@ -271,9 +271,9 @@
     }
 }
 
-fn row_json(row: &StoredRow) -> Value {
+fn row_json(row: &StoredRow, part: &str) -> Value {
     let mut fields = json!({
-        "table": row.table, "part": "", "key": row.key, "row_version": row.version,
+        "table": row.table, "part": part, "key": row.key, "row_version": row.version,
     });
     match &row.value {
         Some(value) => fields["value"] = STANDARD.encode(value).into(),
@@ -299,7 +299,8 @@
         return state.answer(StatusCode::TOO_MANY_REQUESTS);
     }
     let is_present = |row: &&StoredRow| row.table == table && row.value.is_some();
-    let rows = state.content.rows.iter().filter(is_present).map(row_json);
+    let part = query.get("part").map_or("", String::as_str);
+    let rows = state.content.rows.iter().filter(is_present).map(|row| row_json(row, part));
     let rows = rows.chain(state.raw_rows(&table)).collect();
     state.answer_rows(rows, store.now_ms())
 }
@@ -327,7 +328,7 @@
             }
             let is_newer = |row: &&StoredRow| row.table == table && row.version > after;
             let rows = state.content.rows.iter().filter(is_newer);
-            let mut rows: Vec<Value> = rows.map(row_json).collect();
+            let mut rows: Vec<Value> = rows.map(|row| row_json(row, "")).collect();
             if !rows.is_empty() {
                 rows.extend(state.raw_rows(&table));
             }
