Answer a commit at once that a later term may lack

A commit that waited for a replica in sight was told to be in doubt at the deadline of its statement, although a replica had already followed a new leader.

--- a/crates/engine/src/commit_confirmation.rs
+++ b/crates/engine/src/commit_confirmation.rs
@@ -28,6 +28,17 @@
 /// Time without waiting commits after which the connection to a replica is closed.
 const POLL_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// What is known of a commit that its leader has acknowledged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Confirmation {
+    /// Enough replicas in sight have received it.
+    Confirmed,
+    /// Replicas may still receive it.
+    Pending,
+    /// A replica in sight follows a later term, which may lack it.
+    InDoubt,
+}
+
 /// What replicas have received, as far as commits wait for it.
 #[derive(Debug, Default)]
 pub(crate) struct CommitConfirmations {
@@ -41,18 +52,25 @@
 }
 
 impl CommitConfirmations {
-    /// Returns how many of these replicas have received the log of the same term up to a position. A log
-    /// of another term may have lost it.
-    fn count(&self, replicas: &[String], position: LogPosition) -> usize {
+    /// Returns what these replicas, of which a number must confirm it, tell of a commit.
+    fn check(&self, replicas: &[String], required: usize, position: LogPosition) -> Confirmation {
         let received = self.received.borrow();
-        let known = replicas.iter().filter_map(|name| received.get(name));
-        known.filter(|known| known.term == position.term && known.index >= position.index).count()
+        let known = || replicas.iter().filter_map(|name| received.get(name));
+        let has_received =
+            |known: &&LogPosition| known.term == position.term && known.index >= position.index;
+        if known().filter(has_received).count() >= required {
+            return Confirmation::Confirmed;
+        }
+        match known().any(|known| known.term > position.term) {
+            true => Confirmation::InDoubt,
+            false => Confirmation::Pending,
+        }
     }
 }
 
 impl<E: EngineTypes> GatewayInstance<E> {
     /// Waits until a commit that the leader has acknowledged cannot be lost with a replica that is out
-    /// of sight; returns false if that is not certain at the deadline.
+    /// of sight; returns false if that is not certain at the deadline, or never will be.
     pub(crate) async fn await_confirmation(
         self: &Rc<Self>,
         service: &str,
@@ -69,7 +87,8 @@
             };
             replicas.retain(|name| !self.is_closed(name));
             let required = synchronous.min(replicas.len());
-            if self.confirmations.count(&replicas, position) >= required {
+            let confirmation = self.confirmations.check(&replicas, required, position);
+            if confirmation == Confirmation::Confirmed {
                 return true;
             }
             self.confirmations.waited_at.borrow_mut().insert(service.to_owned(), now);
@@ -77,7 +96,10 @@
                 self.spawn_poll(service, replica);
             }
             let remaining = deadline.saturating_duration_since(now);
-            if remaining.is_zero() || timeout(remaining, changed).await.is_err() {
+            if confirmation == Confirmation::InDoubt
+                || remaining.is_zero()
+                || timeout(remaining, changed).await.is_err()
+            {
                 log_event!(
                     LogEvent::CommitUnconfirmed,
                     "service={service} leader={leader} position={position:?}"
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -176,7 +176,7 @@
     LedgerReconciled = 5003, Info, "ledger_counted";
     /// An instance was unreachable for the whole grace period and was removed.
     PeerExpired = 5004, Info, "peer_forgotten";
-    /// This instance acquired or lost the promotion lease.
+    /// This instance acquired or lost the promotion lease, or reserved further fencing tokens.
     PromotionLeaseChanged = 5005, Info, "duty_changed";
     /// Reading, writing, renewing or releasing the promotion lease failed.
     PromotionLeaseFailed = 5006, Warn, "duty_refused";
@@ -188,7 +188,7 @@
     ReplicationRefused = 5009, Warn, "replication_refused";
     /// No member is promoted, as those that answer may lack commits of the service.
     PromotionWithheld = 5010, Warn, "promotion_withheld";
-    /// A commit is in doubt, as no replica in sight has received it in time.
+    /// A commit is in doubt, as no replica in sight is known to have received it.
     CommitUnconfirmed = 5011, Warn, "commit_unconfirmed";
     /// The instance started to drain.
     DrainStarted = 6001, Info, "drain_started";
