--- a/crates/coord/tests/load_patterns.rs
+++ b/crates/coord/tests/load_patterns.rs
@@ -169,7 +169,6 @@
         let mut quotas = full_quotas(start);
         let mut starts: Vec<Duration> = Vec::new();
         let mut now = Duration::ZERO;
-        quotas.record_reachable(1, 1, start);
         while !choices.is_done() {
             now += millis(choices.below(60) as u64);
             quotas.record_reachable(1, 1, start + now);
@@ -277,7 +276,6 @@
 load_case!(suspended_quota_owner_admits_no_full_burst, start => {
     let limit = TeamLimit { rate: 1.0, burst: 500.0 };
     let mut quotas = full_quotas(start);
-    quotas.record_reachable(1, 1, start);
     let mut count_admitted = |now| {
         quotas.record_reachable(1, 1, now);
         (0..1_000).filter(|_| quotas.take("team", limit, token_request(0, Duration::ZERO), now).is_ok()).count()
